--- /dev/null
+++ b/clock.go
@@ -0,0 +1,17 @@
+package primrosespar
+
+import "time"
+
+// Clock gives the time and timers; clockwork.Clock satisfies it in
+// production and in tests.
+type Clock interface {
+	// Now returns the current time. Its monotonic reading is compared only
+	// with readings of the same process.
+	Now() time.Time
+	// Since returns the time elapsed since t.
+	Since(t time.Time) time.Duration
+	// After sends the time on the returned channel once d has passed.
+	After(d time.Duration) <-chan time.Time
+	// Sleep blocks for d.
+	Sleep(d time.Duration)
+}
--- /dev/null
+++ b/job.go
@@ -0,0 +1,88 @@
+package primrosespar
+
+import "time"
+
+// Shape is what a gang needs: Members tasks of Block adjacent accelerators
+// each. With OneRack all members stand next to each other in one rack.
+type Shape struct {
+	Members int  `json:"members"`
+	Block   int  `json:"block"`
+	OneRack bool `json:"one_rack,omitempty"`
+	// Cores and MemoryBytes are declared per member and are not trusted.
+	Cores       int   `json:"cores,omitempty"`
+	MemoryBytes int64 `json:"memory_bytes,omitempty"`
+}
+
+// Accelerators returns the number of accelerators of the whole gang.
+func (s Shape) Accelerators() int {
+	return s.Members * s.Block
+}
+
+// Job is one submitted gang job.
+type Job struct {
+	ID      JobID   `json:"id"`
+	Account Account `json:"account"`
+	Class   Class   `json:"class"`
+	Place   Place   `json:"place"`
+	Shape   Shape   `json:"shape"`
+	// Claim draws on the account's guarantee: borrowed work gives way.
+	Claim bool `json:"claim,omitempty"`
+	// Preemptible jobs may run on borrowed capacity.
+	Preemptible bool `json:"preemptible,omitempty"`
+	// Declared is the run time the caller expects; it is not trusted.
+	Declared time.Duration `json:"declared"`
+	// Deadline is the time from submission by which the job should end.
+	Deadline time.Duration `json:"deadline"`
+	// Submitted is the submission time on the accepting host's wall clock,
+	// for display and reports only.
+	Submitted time.Time `json:"submitted"`
+	// ContractVersion is the version the job was admitted under.
+	ContractVersion Version `json:"contract_version"`
+	Work            []byte  `json:"work,omitempty"`
+}
+
+// GangState is the state of a gang as committed in the table.
+type GangState string
+
+// Gang states. No member works before GangRunning is committed.
+const (
+	GangQueued    GangState = "queued"
+	GangReserved  GangState = "reserved"
+	GangHeld      GangState = "held"
+	GangRunning   GangState = "running"
+	GangStopping  GangState = "stopping"
+	GangDone      GangState = "done"
+	GangFailed    GangState = "failed"
+	GangCancelled GangState = "cancelled"
+)
+
+// Ended reports whether the gang will never run again.
+func (s GangState) Ended() bool {
+	return s == GangDone || s == GangFailed || s == GangCancelled
+}
+
+// Slice is a run of adjacent accelerators on one worker that one member uses.
+// A member whose block spans workers has one slice on each.
+type Slice struct {
+	Worker Worker `json:"worker"`
+	Member int    `json:"member"`
+	First  int    `json:"first"`
+	Count  int    `json:"count"`
+}
+
+// Gang is the committed state of one job's gang.
+type Gang struct {
+	Job     Job       `json:"job"`
+	State   GangState `json:"state"`
+	Attempt uint64    `json:"attempt"`
+	// Slices are the accelerators reserved for the current attempt.
+	Slices []Slice `json:"slices,omitempty"`
+	// Borrowed gangs stand on capacity that a guarantee may reclaim.
+	Borrowed bool `json:"borrowed,omitempty"`
+	// Reason is why the gang entered its state.
+	Reason Code `json:"reason"`
+	// Then is the state that follows GangStopping.
+	Then GangState `json:"then,omitempty"`
+	// Preemptions counts how often the gang has given way.
+	Preemptions int `json:"preemptions,omitempty"`
+}
