Add place lease, gang assembly, job submission and the place runner

Change: leaser (lease and beat rows), assembler (held start, commit, release, stop as a whole), runner (recovery, inbox, grouped commits, worker leases) and submitter (job rows under a key).

--- /dev/null
+++ b/internal/member/leaser/leaser.go
@@ -0,0 +1,261 @@
+// Package leaser keeps or takes the scheduling lease of one place.
+//
+// The lease is two rows of the table: the lease row changes only when the
+// holder changes, the beat row with each renewal. A candidate takes over after
+// it has seen both rows unchanged for the lease time on its own clock, so no
+// clock reading is compared across hosts.
+//
+// # Usage
+//
+//	l := leaser.New(table, clock, leaser.Identity{Place: p, Host: h, Incarnation: i})
+//	for range ticks {
+//		err := l.Step(ctx)
+//		if lease, held := l.Held(); held {
+//			txn.Conditions = append(txn.Conditions, lease.Condition)
+//		}
+//	}
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Identity says who wants the lease of which place.
+type Identity struct {
+	Place       primrosespar.Place
+	Host        primrosespar.Host
+	Incarnation primrosespar.Incarnation
+	// Address is where other hosts send notifications to the holder.
+	Address netip.AddrPort
+}
+
+// Lease is a held lease.
+type Lease struct {
+	Token primrosespar.Token
+	// Condition holds as long as nobody else took the lease.
+	Condition primrosespar.Condition
+}
+
+// Holder is the holder as last seen in the table.
+type Holder struct {
+	Host    primrosespar.Host
+	Address netip.AddrPort
+	Token   primrosespar.Token
+}
+
+// leaseRow is the value of the lease row.
+type leaseRow struct {
+	Holder      primrosespar.Host        `json:"holder,omitempty"`
+	Incarnation primrosespar.Incarnation `json:"incarnation,omitempty"`
+	Token       primrosespar.Token       `json:"token"`
+	Address     netip.AddrPort           `json:"address"`
+}
+
+// observation is what the last read of both rows gave.
+type observation struct {
+	lease   leaseRow
+	version primrosespar.Version
+	beat    primrosespar.Version
+	// since is when this process first saw these two versions.
+	since time.Time
+	valid bool
+}
+
+// Leaser is the state machine of one host for one place. It is safe for
+// concurrent use.
+type Leaser struct {
+	table    primrosespar.Table
+	clock    primrosespar.Clock
+	identity Identity
+	options  Options
+
+	mu   sync.Mutex
+	seen observation
+	// confirmed is when the last successful renewal was sent; zero if this
+	// process does not hold the lease.
+	confirmed time.Time
+}
+
+// New returns a Leaser that holds nothing yet.
+func New(table primrosespar.Table, clock primrosespar.Clock, identity Identity, opts ...Option) *Leaser {
+	return &Leaser{table: table, clock: clock, identity: identity, options: newOptions(opts)}
+}
+
+// Step reads both rows once and renews, takes over or waits. It is called
+// every Options.Renewal; on an error the lease is as it was.
+func (l *Leaser) Step(ctx context.Context) error {
+	sent := l.clock.Now()
+	if err := l.observe(ctx); err != nil {
+		return err
+	}
+	seen := l.observed()
+	switch {
+	case l.owns(seen.lease):
+		return l.renew(ctx, seen, sent)
+	case seen.lease.Holder == "" || l.clock.Since(seen.since) >= l.options.Duration:
+		return l.take(ctx, seen, sent)
+	default:
+		return nil
+	}
+}
+
+// Held returns the lease while this process may act as its holder: until the
+// lease time has passed since it sent its last successful renewal.
+func (l *Leaser) Held() (Lease, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.confirmed.IsZero() || l.clock.Since(l.confirmed) >= l.options.Duration {
+		return Lease{}, false
+	}
+	return Lease{
+		Token:     l.seen.lease.Token,
+		Condition: primrosespar.Condition{Key: primrosespar.LeaseKey(l.identity.Place), Version: l.seen.version},
+	}, true
+}
+
+// Token returns the token of the lease that this process held last and has
+// not seen in other hands, also after its time has passed. It serves for
+// renewing worker leases and stopping tasks while the table is away.
+func (l *Leaser) Token() (primrosespar.Token, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen.lease.Token, !l.confirmed.IsZero()
+}
+
+// Holder returns the holder as last read.
+func (l *Leaser) Holder() (Holder, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row := l.seen.lease
+	return Holder{Host: row.Holder, Address: row.Address, Token: row.Token}, l.seen.valid && row.Holder != ""
+}
+
+// StepDown forgets the lease without a write; it is called when the table or
+// a worker has shown a newer token.
+func (l *Leaser) StepDown() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirmed = time.Time{}
+	l.seen = observation{}
+}
+
+// Release gives the lease up so that another host can take it at once.
+func (l *Leaser) Release(ctx context.Context) error {
+	lease, held := l.Held()
+	l.StepDown()
+	if !held {
+		return nil
+	}
+	row, err := json.Marshal(leaseRow{Token: lease.Token})
+	if err != nil {
+		return eris.Wrap(err, "encode lease row")
+	}
+	_, err = l.table.Commit(ctx, primrosespar.Txn{
+		Conditions: []primrosespar.Condition{lease.Condition},
+		Writes:     []primrosespar.Write{{Key: lease.Condition.Key, Value: row}},
+	})
+	return eris.Wrap(err, "release lease")
+}
+
+// observe reads both rows and notes when their versions last changed.
+func (l *Leaser) observe(ctx context.Context) error {
+	place := l.identity.Place
+	rows, err := l.table.Get(ctx, primrosespar.LeaseKey(place), primrosespar.BeatKey(place))
+	if err != nil {
+		return eris.Wrap(err, "read lease")
+	}
+	next := observation{version: rows[0].Version, beat: rows[1].Version, since: l.clock.Now(), valid: true}
+	if next.version > 0 {
+		if err := json.Unmarshal(rows[0].Value, &next.lease); err != nil {
+			return eris.Wrap(err, "decode lease row")
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen.valid && l.seen.version == next.version && l.seen.beat == next.beat {
+		return nil
+	}
+	l.seen = next
+	if !l.owns(next.lease) {
+		l.confirmed = time.Time{}
+	}
+	return nil
+}
+
+func (l *Leaser) observed() observation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen
+}
+
+// owns reports whether the row names this very process.
+func (l *Leaser) owns(row leaseRow) bool {
+	return row.Incarnation == l.identity.Incarnation && row.Holder == l.identity.Host
+}
+
+// renew writes the beat row under the condition that the lease row is ours.
+func (l *Leaser) renew(ctx context.Context, seen observation, sent time.Time) error {
+	place := l.identity.Place
+	versions, err := l.table.Commit(ctx, primrosespar.Txn{
+		Conditions: []primrosespar.Condition{{Key: primrosespar.LeaseKey(place), Version: seen.version}},
+		Writes:     []primrosespar.Write{{Key: primrosespar.BeatKey(place)}},
+	})
+	if primrosespar.CodeOf(err) == primrosespar.CodeConflict {
+		l.StepDown()
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "renew lease")
+	}
+	l.confirm(seen.lease, seen.version, versions[0], sent)
+	return nil
+}
+
+// take writes both rows under the condition that neither changed. A lost
+// answer needs no special case: the next Step finds this process in the row.
+func (l *Leaser) take(ctx context.Context, seen observation, sent time.Time) error {
+	place := l.identity.Place
+	row := leaseRow{
+		Holder:      l.identity.Host,
+		Incarnation: l.identity.Incarnation,
+		Token:       seen.lease.Token + 1,
+		Address:     l.identity.Address,
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return eris.Wrap(err, "encode lease row")
+	}
+	versions, err := l.table.Commit(ctx, primrosespar.Txn{
+		Conditions: []primrosespar.Condition{
+			{Key: primrosespar.LeaseKey(place), Version: seen.version},
+			{Key: primrosespar.BeatKey(place), Version: seen.beat},
+		},
+		Writes: []primrosespar.Write{
+			{Key: primrosespar.LeaseKey(place), Value: value},
+			{Key: primrosespar.BeatKey(place)},
+		},
+	})
+	if primrosespar.CodeOf(err) == primrosespar.CodeConflict {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "take lease")
+	}
+	l.confirm(row, versions[0], versions[1], sent)
+	return nil
+}
+
+func (l *Leaser) confirm(row leaseRow, version, beat primrosespar.Version, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen = observation{lease: row, version: version, beat: beat, since: sent, valid: true}
+	l.confirmed = sent
+}
--- /dev/null
+++ b/internal/place/assembler/report.go
@@ -0,0 +1,103 @@
+package assembler
+
+import (
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Answered takes the result of a command. A result for an older phase is
+// ignored, since the tasks have moved on.
+func (a *Assembler) Answered(c primrosespar.Command, result primrosespar.CommandResult, now time.Time) {
+	t := a.find(c.Worker, c.Member)
+	if t == nil || c.Attempt != a.gang.Attempt || t.pending != c.Kind {
+		return
+	}
+	switch result.Code {
+	case primrosespar.CodeOK:
+		t.confirmed = c.Kind
+		t.pending = ""
+		if c.Kind == primrosespar.CommandCheckpoint {
+			t.saved = true
+		}
+	case primrosespar.CodeNotFound:
+		a.missing(t, c.Kind)
+	case primrosespar.CodeWorkerLost:
+		a.lose(t, now)
+	default:
+		t.pending = ""
+	}
+}
+
+// missing handles a worker that does not know the task.
+func (a *Assembler) missing(t *task, kind primrosespar.CommandKind) {
+	switch kind {
+	case primrosespar.CommandStop:
+		t.confirmed = kind
+		t.gone = true
+	default:
+		t.ended = primrosespar.TaskStopped
+		t.gone = true
+	}
+}
+
+// Observe takes a worker's report.
+func (a *Assembler) Observe(entry primrosespar.WorkerEntry, now time.Time) {
+	for _, t := range a.tasks {
+		if t.slice.Worker == entry.Worker {
+			a.observe(t, entry, now)
+		}
+	}
+}
+
+func (a *Assembler) observe(t *task, entry primrosespar.WorkerEntry, now time.Time) {
+	if !entry.Alive {
+		a.lose(t, now)
+		return
+	}
+	for _, status := range entry.Tasks {
+		if status.Gang == a.gang.Job.ID && status.Member == t.slice.Member && status.Attempt == a.gang.Attempt {
+			a.apply(t, status)
+			return
+		}
+	}
+	// Reports lag, so a task that was never reported may just not show yet.
+	if t.reported && t.ended == "" {
+		t.ended = primrosespar.TaskStopped
+		t.gone = true
+	}
+}
+
+// apply takes what the worker says of the task. A report may be older than the
+// last answer, so it never takes a confirmation back.
+func (a *Assembler) apply(t *task, status primrosespar.TaskStatus) {
+	t.reported = true
+	t.saved = t.saved || status.Checkpointed
+	switch status.State {
+	case primrosespar.TaskRunning:
+		if t.confirmed == primrosespar.CommandStart || t.confirmed == "" {
+			t.confirmed = primrosespar.CommandRelease
+		}
+	case primrosespar.TaskFinished, primrosespar.TaskFailed, primrosespar.TaskStopped:
+		t.ended = status.State
+		t.gone = true
+	case primrosespar.TaskHeld:
+	}
+}
+
+// lose notes that the worker does not answer. The task may go on until the
+// worker's lease lapses.
+func (a *Assembler) lose(t *task, now time.Time) {
+	if t.lost.IsZero() && !t.gone {
+		t.lost = now
+	}
+}
+
+func (a *Assembler) find(worker primrosespar.Worker, member int) *task {
+	for _, t := range a.tasks {
+		if t.slice.Worker == worker && t.slice.Member == member {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/runner/options.go
@@ -0,0 +1,81 @@
+package runner
+
+import "time"
+
+// Options are the periods and bounds of a Runner.
+type Options struct {
+	// Tick is the longest time between two rounds.
+	Tick time.Duration
+	// Renewal is the period of the place lease.
+	Renewal time.Duration
+	// WorkerRenewal is the period of the worker leases.
+	WorkerRenewal time.Duration
+	// WorkerLease is how long a worker runs on without a renewal.
+	WorkerLease time.Duration
+	// WorkerTimeout bounds one call of the worker service.
+	WorkerTimeout time.Duration
+	// TableTimeout bounds one call of the table.
+	TableTimeout time.Duration
+	// Inbox is the period of the scan for jobs that no notification named.
+	Inbox time.Duration
+	// CommitPause is the wait after the table was found unavailable.
+	CommitPause time.Duration
+	// Page is the number of rows of one scan.
+	Page int
+	// Group is the number of gangs in one transaction.
+	Group int
+	// Flights bounds the calls that run beside the loop.
+	Flights int
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// Tick sets the longest time between two rounds.
+func Tick(d time.Duration) Option {
+	return func(o *Options) { o.Tick = d }
+}
+
+// Renewal sets the period of the place lease.
+func Renewal(d time.Duration) Option {
+	return func(o *Options) { o.Renewal = d }
+}
+
+// WorkerLease sets how long a worker runs on without a renewal.
+func WorkerLease(d time.Duration) Option {
+	return func(o *Options) { o.WorkerLease = d }
+}
+
+const (
+	defaultTick          = 200 * time.Millisecond
+	defaultRenewal       = 2 * time.Second
+	defaultWorkerRenewal = 3 * time.Second
+	defaultWorkerLease   = 10 * time.Second
+	defaultWorkerTimeout = time.Second
+	defaultTableTimeout  = 2 * time.Second
+	defaultInbox         = 2 * time.Second
+	defaultCommitPause   = 500 * time.Millisecond
+	defaultPage          = 500
+	defaultGroup         = 32
+	defaultFlights       = 8
+)
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		Tick:          defaultTick,
+		Renewal:       defaultRenewal,
+		WorkerRenewal: defaultWorkerRenewal,
+		WorkerLease:   defaultWorkerLease,
+		WorkerTimeout: defaultWorkerTimeout,
+		TableTimeout:  defaultTableTimeout,
+		Inbox:         defaultInbox,
+		CommitPause:   defaultCommitPause,
+		Page:          defaultPage,
+		Group:         defaultGroup,
+		Flights:       defaultFlights,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/internal/place/submitter/options.go
@@ -0,0 +1,45 @@
+package submitter
+
+import (
+	"crypto/rand"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Options are the parts of a Submitter that have defaults.
+type Options struct {
+	// Random returns n random bytes.
+	Random func(n int) []byte
+	// Check refuses shapes that the place could never hold.
+	Check func(primrosespar.Shape) error
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// Random sets the source of random bytes.
+func Random(f func(n int) []byte) Option {
+	return func(o *Options) { o.Random = f }
+}
+
+// Check sets the test for impossible shapes.
+func Check(f func(primrosespar.Shape) error) Option {
+	return func(o *Options) { o.Check = f }
+}
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		Random: randomBytes,
+		Check:  func(primrosespar.Shape) error { return nil },
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+func randomBytes(n int) []byte {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails since Go 1.24
+	return b
+}
--- /dev/null
+++ b/internal/place/submitter/submitter.go
@@ -0,0 +1,189 @@
+// Package submitter accepts, shows and cancels gang jobs at any host of any
+// place.
+//
+// A job is accepted once its row is in the table; the holder of the place
+// lease learns of it by a message row and, if it can be reached, by a
+// notification. A submission with a key gets an id derived from the key, so a
+// repeated submission finds the first one.
+//
+// # Usage
+//
+//	s := submitter.New(table, contracts, clock, submitter.Check(fits))
+//	g, err := s.Submit(ctx, job, key)
+//	g, err = s.Show(ctx, g.Job.ID)
+//	err = s.Cancel(ctx, g.Job.ID)
+package submitter
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Bounds of a submitted job.
+const (
+	maxMembers   = 512
+	maxBlock     = 512
+	maxWorkBytes = 64 << 10
+	pageRows     = 500
+	// idBytes of a digest or of randomness name a job.
+	idBytes = 12
+)
+
+// Submitter creates and reads job rows. It is safe for concurrent use.
+type Submitter struct {
+	table     primrosespar.Table
+	contracts primrosespar.ContractSource
+	clock     primrosespar.Clock
+	options   Options
+}
+
+// New returns a Submitter.
+func New(table primrosespar.Table, contracts primrosespar.ContractSource, clock primrosespar.Clock, opts ...Option) *Submitter {
+	return &Submitter{table: table, contracts: contracts, clock: clock, options: newOptions(opts)}
+}
+
+// Submit checks the job against its contract and stores it. The answer to a
+// submission that repeats a key is the first job with CodeReplayed.
+func (s *Submitter) Submit(ctx context.Context, job primrosespar.Job, key string) (primrosespar.Gang, primrosespar.Code, error) {
+	job, err := s.complete(job)
+	if err != nil {
+		return primrosespar.Gang{}, 0, err
+	}
+	job.ID = s.name(job, key)
+	gang := primrosespar.Gang{Job: job, State: primrosespar.GangQueued, Reason: primrosespar.CodeWaiting}
+	value, err := json.Marshal(gang)
+	if err != nil {
+		return gang, 0, eris.Wrap(err, "encode job")
+	}
+	row := primrosespar.GangKey(job.Place, job.ID)
+	_, err = s.table.Commit(ctx, primrosespar.Txn{
+		Conditions: []primrosespar.Condition{{Key: row}},
+		Writes: []primrosespar.Write{
+			{Key: row, Value: value},
+			{Key: primrosespar.SubmitKey(job.Place, job.ID)},
+		},
+	})
+	switch primrosespar.CodeOf(err) {
+	case primrosespar.CodeOK:
+		return gang, primrosespar.CodeAccepted, nil
+	case primrosespar.CodeConflict, primrosespar.CodeStoreUnknown:
+		return s.found(ctx, gang)
+	default:
+		return gang, 0, err
+	}
+}
+
+// found settles a submission whose row exists or whose answer was lost.
+func (s *Submitter) found(ctx context.Context, want primrosespar.Gang) (primrosespar.Gang, primrosespar.Code, error) {
+	have, err := s.Show(ctx, want.Job.ID)
+	if primrosespar.CodeOf(err) == primrosespar.CodeNotFound {
+		return want, 0, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "the store gave no answer; submit again with the same key")
+	}
+	if err != nil {
+		return want, 0, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "the store gave no answer; submit again with the same key").Because(err)
+	}
+	if !sameJob(have.Job, want.Job) {
+		return have, 0, primrosespar.Fail(primrosespar.CodeKeyReused, "the key belongs to job %s with other terms", have.Job.ID)
+	}
+	if have.Job.Submitted.Equal(want.Job.Submitted) {
+		return have, primrosespar.CodeAccepted, nil
+	}
+	return have, primrosespar.CodeReplayed, nil
+}
+
+// sameJob compares what the caller asked for.
+func sameJob(a, b primrosespar.Job) bool {
+	return a.Account == b.Account && a.Class == b.Class && a.Shape == b.Shape &&
+		a.Claim == b.Claim && string(a.Work) == string(b.Work)
+}
+
+// Show reads one job.
+func (s *Submitter) Show(ctx context.Context, id primrosespar.JobID) (primrosespar.Gang, error) {
+	place, ok := PlaceOf(id)
+	if !ok {
+		return primrosespar.Gang{}, primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id)
+	}
+	rows, err := s.table.Get(ctx, primrosespar.GangKey(place, id))
+	if err != nil {
+		return primrosespar.Gang{}, err
+	}
+	if rows[0].Version == 0 {
+		return primrosespar.Gang{}, primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id)
+	}
+	var g primrosespar.Gang
+	if err := json.Unmarshal(rows[0].Value, &g); err != nil {
+		return primrosespar.Gang{}, eris.Wrap(err, "decode job")
+	}
+	return g, nil
+}
+
+// List reads the jobs of an account in a place, in the order of their ids. An
+// empty account lists all.
+func (s *Submitter) List(ctx context.Context, place primrosespar.Place, account primrosespar.Account) ([]primrosespar.Gang, error) {
+	var out []primrosespar.Gang
+	after := ""
+	for {
+		rows, err := s.table.Scan(ctx, primrosespar.GangPrefix(place), after, pageRows)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			after = row.Key
+			var g primrosespar.Gang
+			if err := json.Unmarshal(row.Value, &g); err != nil {
+				return nil, eris.Wrapf(err, "decode %s", row.Key)
+			}
+			if account == "" || g.Job.Account == account {
+				out = append(out, g)
+			}
+		}
+		if len(rows) < pageRows {
+			return out, nil
+		}
+	}
+}
+
+// Cancel asks the holder to end the job. It may be called again.
+func (s *Submitter) Cancel(ctx context.Context, id primrosespar.JobID) error {
+	g, err := s.Show(ctx, id)
+	if err != nil {
+		return err
+	}
+	if g.State.Ended() {
+		return nil
+	}
+	_, err = s.table.Commit(ctx, primrosespar.Txn{
+		Writes: []primrosespar.Write{{Key: primrosespar.CancelKey(g.Job.Place, id)}},
+	})
+	return err
+}
+
+// PlaceOf returns the place that a job id names.
+func PlaceOf(id primrosespar.JobID) (primrosespar.Place, bool) {
+	place, suffix, ok := strings.Cut(string(id), ".")
+	return primrosespar.Place(place), ok && place != "" && validSuffix(suffix)
+}
+
+// validSuffix reports whether the part after the place is one that Submit
+// makes.
+func validSuffix(suffix string) bool {
+	decoded, err := hex.DecodeString(suffix)
+	return err == nil && len(decoded) == idBytes
+}
+
+// name derives the job's id from the key or takes a random one.
+func (s *Submitter) name(job primrosespar.Job, key string) primrosespar.JobID {
+	suffix := s.options.Random(idBytes)
+	if key != "" {
+		digest := sha256.Sum256([]byte(string(job.Account) + "\x00" + key))
+		suffix = digest[:idBytes]
+	}
+	return primrosespar.JobID(string(job.Place) + "." + hex.EncodeToString(suffix))
+}
--- a/job.go
+++ b/job.go
@@ -29,6 +29,8 @@
 	Claim bool `json:"claim,omitempty"`
 	// Preemptible jobs may run on borrowed capacity.
 	Preemptible bool `json:"preemptible,omitempty"`
+	// Idempotent jobs are queued again after a member was lost or failed.
+	Idempotent bool `json:"idempotent,omitempty"`
 	// Declared is the run time the caller expects; it is not trusted.
 	Declared time.Duration `json:"declared"`
 	// Deadline is the time from submission by which the job should end.
@@ -85,4 +87,6 @@
 	Then GangState `json:"then,omitempty"`
 	// Preemptions counts how often the gang has given way.
 	Preemptions int `json:"preemptions,omitempty"`
+	// Failures counts the attempts that ended with a failed or lost member.
+	Failures int `json:"failures,omitempty"`
 }
--- a/key.go
+++ b/key.go
@@ -7,6 +7,11 @@
 // LeaseKey is the row of the place's scheduling lease.
 func LeaseKey(place Place) string { return "lease/" + string(place) }
 
+// BeatKey is the row whose version grows with each renewal of the place's
+// scheduling lease. It is a row of its own so that a renewal does not fail the
+// holder's commits, which have the lease row as a condition.
+func BeatKey(place Place) string { return "beat/" + string(place) }
+
 // ClaimKey is the row of one idempotency key of an account.
 func ClaimKey(account Account, key string) string {
 	return "claim/" + string(account) + "/" + key
@@ -33,11 +38,19 @@
 // GangKey is the row of one gang.
 func GangKey(place Place, id JobID) string { return GangPrefix(place) + string(id) }
 
-// CancelPrefix starts the keys of cancellation requests of the place.
-func CancelPrefix(place Place) string { return "cancel/" + string(place) + "/" }
+// InboxPrefix starts the keys of the messages to the holder of the place
+// lease. The holder deletes what it has taken over, so a scan is short.
+func InboxPrefix(place Place) string { return "inbox/" + string(place) + "/" }
+
+// SubmitKey is the message that a job row was created.
+func SubmitKey(place Place, id JobID) string {
+	return InboxPrefix(place) + string(id) + "/submit"
+}
 
-// CancelKey is the row that asks the holder to cancel a job.
-func CancelKey(place Place, id JobID) string { return CancelPrefix(place) + string(id) }
+// CancelKey is the message that a job is to be cancelled.
+func CancelKey(place Place, id JobID) string {
+	return InboxPrefix(place) + string(id) + "/cancel"
+}
 
 // QuarantineKey is the row of the place's quarantined workers.
 func QuarantineKey(place Place) string { return "quarantine/" + string(place) }
