--- /dev/null
+++ b/internal/entry/server/answer.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"primrosespar.example/primrosespar"
+)
+
+// refuse answers with the error's code.
+func (s *Server) refuse(w http.ResponseWriter, err error, id primrosespar.RequestID) {
+	failure := asFailure(err)
+	s.refusal(w, failure.Code, failure.Ran, failure.Message, id)
+}
+
+// asFailure gives every error a code.
+func asFailure(err error) *primrosespar.Failure {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return primrosespar.Fail(primrosespar.CodeBodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	var failure *primrosespar.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return primrosespar.FailUnknown(primrosespar.CodeInternal, "%s", err.Error())
+}
+
+// refusal writes the JSON form of a code.
+func (s *Server) refusal(w http.ResponseWriter, code primrosespar.Code, ran primrosespar.Ran, message string, id primrosespar.RequestID) {
+	info := code.Info()
+	status := info.HTTP
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	w.Header().Set("X-Result-Code", strconv.Itoa(int(code)))
+	writeJSON(w, status, struct {
+		Code      primrosespar.Code      `json:"code"`
+		Name      string                 `json:"name"`
+		Message   string                 `json:"message"`
+		Ran       primrosespar.Ran       `json:"ran"`
+		RequestID primrosespar.RequestID `json:"request_id,omitempty"`
+	}{code, info.Name, message, ran, id})
+}
+
+// writeJSON writes a value; a caller that left is not an error.
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// readJSON decodes a body strictly: unknown fields and trailing data are
+// errors, so a misspelt field is never ignored.
+func readJSON(r *http.Request, into any) error {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return badJSON(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return primrosespar.Fail(primrosespar.CodeBadSyntax, "the body has data after its JSON document")
+	}
+	return nil
+}
+
+// badJSON names the field that a decoding error is about.
+func badJSON(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return err
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "field %q is a %s, it must be a %s", wrongType.Field, wrongType.Value, wrongType.Type)
+	}
+	const unknown = "json: unknown field "
+	if text := err.Error(); len(text) > len(unknown) && text[:len(unknown)] == unknown {
+		return primrosespar.Fail(primrosespar.CodeUnknownField, "field %s does not exist", text[len(unknown):])
+	}
+	return primrosespar.Fail(primrosespar.CodeBadSyntax, "the body is not a JSON document: %s", err.Error())
+}
--- /dev/null
+++ b/internal/entry/server/calls.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
+)
+
+// Bounds of what a caller names.
+const (
+	maxKeyBytes  = 256
+	maxTypeBytes = 256
+)
+
+// call serves one request of a request class.
+func (s *Server) call(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error {
+	start := s.parts.Clock.Now()
+	call, err := s.readCall(r, p, id, start)
+	if err != nil {
+		return err
+	}
+	answer := s.parts.Router.Serve(r.Context(), call)
+	s.parts.Meter.Call(s.label(call.Account), call.Class, answer.Code, s.parts.Clock.Since(start))
+	s.answer(w, answer, call.ID)
+	return nil
+}
+
+// readCall reads and checks headers and body.
+func (s *Server) readCall(r *http.Request, p httprouter.Params, id authorizer.Identity, now time.Time) (primrosespar.Call, error) {
+	account := primrosespar.Account(r.Header.Get("X-Account"))
+	if account == "" {
+		account = id.Account
+	}
+	if err := id.MayUse(account); err != nil {
+		return primrosespar.Call{}, err
+	}
+	call := primrosespar.Call{
+		ID:          s.parts.NewID(),
+		Account:     account,
+		Class:       primrosespar.Class(p.ByName("class")),
+		Key:         r.Header.Get("X-Request-Key"),
+		ContentType: r.Header.Get("Content-Type"),
+	}
+	if len(call.Key) > maxKeyBytes || !printable(call.Key) {
+		return call, primrosespar.Fail(primrosespar.CodeBadRequest, "header X-Request-Key must have at most %d printable ASCII characters without slash", maxKeyBytes)
+	}
+	if len(call.ContentType) > maxTypeBytes {
+		return call, primrosespar.Fail(primrosespar.CodeBadRequest, "header Content-Type has more than %d bytes", maxTypeBytes)
+	}
+	if err := s.readDeadline(r, &call, now); err != nil {
+		return call, err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return call, err
+	}
+	call.Body = body
+	return call, nil
+}
+
+// readDeadline takes the caller's deadline; without one the class's applies.
+func (s *Server) readDeadline(r *http.Request, call *primrosespar.Call, now time.Time) error {
+	value := r.Header.Get("X-Deadline-Ms")
+	if value == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	left := time.Duration(ms) * time.Millisecond
+	if err != nil || ms < 1 || left > s.options.MaxDeadline {
+		return primrosespar.Fail(primrosespar.CodeOutOfRange,
+			"header X-Deadline-Ms is %q, it must be from 1 to %d", value, s.options.MaxDeadline.Milliseconds())
+	}
+	call.Left = left
+	call.Deadline = now.Add(left)
+	return nil
+}
+
+// printable reports whether a key can stand in a row key and in a header.
+func printable(key string) bool {
+	for _, c := range []byte(key) {
+		if c <= ' ' || c > '~' || c == '/' {
+			return false
+		}
+	}
+	return true
+}
+
+// label returns the account as a metric label; a caller cannot make new ones.
+func (s *Server) label(account primrosespar.Account) primrosespar.Account {
+	view, _ := s.parts.Contracts.View()
+	if _, ok := view.Find(account); ok {
+		return account
+	}
+	return "unknown"
+}
+
+// answer passes the upstream's answer on, or the refusal.
+func (s *Server) answer(w http.ResponseWriter, a primrosespar.Answer, id primrosespar.RequestID) {
+	w.Header().Set("X-Request-Id", string(id))
+	if a.Status == 0 {
+		s.refusal(w, a.Code, a.Ran, a.Message, id)
+		return
+	}
+	w.Header().Set("X-Result-Code", strconv.Itoa(int(a.Code)))
+	if a.ContentType != "" {
+		w.Header().Set("Content-Type", a.ContentType)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// mint returns a key that works while the table is away.
+func (s *Server) mint(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id authorizer.Identity) error {
+	account := primrosespar.Account(r.Header.Get("X-Account"))
+	if account == "" {
+		account = id.Account
+	}
+	if err := id.MayUse(account); err != nil {
+		return err
+	}
+	view, _ := s.parts.Contracts.View()
+	if _, ok := view.Find(account); !ok {
+		return primrosespar.Fail(primrosespar.CodeUnknownAccount, "client account %q has no contract", account)
+	}
+	key, err := s.parts.Mint(account)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Key string `json:"key"`
+	}{key})
+	return nil
+}
--- /dev/null
+++ b/internal/entry/server/server.go
@@ -0,0 +1,149 @@
+// Package server is the HTTP side of an entry host: callers, operators,
+// health and metrics.
+//
+// # Usage
+//
+//	s := server.New(server.Parts{...})
+//	http.Server{Handler: s.Callers()}   // what the balancer reaches
+//	http.Server{Handler: s.Operators()} // what operators reach
+//	s.Drain(ctx)                        // planned stop: waits for what is in flight
+//
+// Requests and answers are JSON in snake case, except the body of a call,
+// which is passed through as it is. A refusal is
+//
+//	{"code":200,"name":"rate_limited","message":"...","ran":"not_run","request_id":"..."}
+//
+// with the codes of docs/codes.md.
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
+	"primrosespar.example/primrosespar/internal/entry/meter"
+	"primrosespar.example/primrosespar/internal/place/submitter"
+)
+
+// Parts are what a Server works with.
+type Parts struct {
+	Place      primrosespar.Place
+	Host       primrosespar.Host
+	Clock      primrosespar.Clock
+	Router     primrosespar.Router
+	Contracts  primrosespar.ContractSource
+	Authorizer *authorizer.Authorizer
+	Meter      *meter.Meter
+	Jobs       *submitter.Submitter
+	// Mint returns a new key for the account.
+	Mint func(account primrosespar.Account) (string, error)
+	// NewID returns a random request id.
+	NewID func() primrosespar.RequestID
+	// Notify tells the holder of the place lease about a job.
+	Notify func(place primrosespar.Place, id primrosespar.JobID)
+}
+
+// Server answers HTTP requests. It is safe for concurrent use.
+type Server struct {
+	parts    Parts
+	options  Options
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a Server.
+func New(parts Parts, opts ...Option) *Server {
+	return &Server{parts: parts, options: newOptions(opts)}
+}
+
+// Callers returns the handler for callers and the balancer.
+func (s *Server) Callers() http.Handler {
+	mux := httprouter.New()
+	mux.POST("/v1/requests/:class", s.read(s.call))
+	mux.POST("/v1/keys", s.read(s.mint))
+	s.health(mux)
+	return s.limited(mux)
+}
+
+func (s *Server) health(mux *httprouter.Router) {
+	mux.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if code := s.readiness(); code != primrosespar.CodeOK {
+			http.Error(w, code.String(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+}
+
+// readiness says whether the balancer should send work here. A host cut off
+// from the table stays ready: it serves the offline terms, and so would every
+// other host of the place.
+func (s *Server) readiness() primrosespar.Code {
+	if s.draining.Load() {
+		return primrosespar.CodeDraining
+	}
+	if view, _ := s.parts.Contracts.View(); view.Revision == 0 {
+		return primrosespar.CodeStarting
+	}
+	return primrosespar.CodeOK
+}
+
+// StartDrain makes the host unready; it goes on serving what arrives until
+// the balancer has noticed.
+func (s *Server) StartDrain() {
+	s.draining.Store(true)
+}
+
+// Draining reports whether a planned stop is under way.
+func (s *Server) Draining() bool {
+	return s.draining.Load()
+}
+
+// Drain waits until nothing is in flight.
+func (s *Server) Drain(ctx context.Context) error {
+	for s.inFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.parts.Clock.After(drainPoll):
+		}
+	}
+	return nil
+}
+
+// drainPoll is how often Drain looks.
+const drainPoll = 20 * time.Millisecond
+
+// limited bounds what any request may cost before it is looked at.
+func (s *Server) limited(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, s.options.MaxBody)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// handler answers one authorized request.
+type handler func(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error
+
+// read wraps a handler with authorization and error answers.
+func (s *Server) read(h handler) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		id, err := s.parts.Authorizer.Authorize(r.Header.Get("Authorization"))
+		if err == nil {
+			err = h(w, r, p, id)
+		}
+		if err != nil {
+			s.refuse(w, err, "")
+		}
+	}
+}
