Add the stand-in table, object store and host list

Cause: the product needs a platform to run against that misbehaves on request. Change: keeper holds rows, objects and the host list in memory with an injected clock. Faults can be changed at run time: outages, slowness, lost answers by count or by seed, rate limits, list lag and cut places. Versions continue after a delete; a delete uses up one version. One transaction counts as one write, whatever the number of rows.

--- /dev/null
+++ b/internal/standin/keeper/faults.go
@@ -0,0 +1,165 @@
+package keeper
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Default rates of the platform's store for all callers together.
+const (
+	DefaultWritesPerSecond = 400
+	DefaultReadsPerSecond  = 2000
+)
+
+// Faults are the misbehaviours of the store; the zero value has none. One
+// transaction counts as one write and one Get or Scan as one read, whatever
+// the number of rows.
+type Faults struct {
+	// Outage, ObjectsOutage and ListOutage make the table, the object store
+	// or the list refuse every call.
+	Outage        bool `json:"outage"`
+	ObjectsOutage bool `json:"objects_outage"`
+	ListOutage    bool `json:"list_outage"`
+	// Silent makes the HTTP server drop the connection where it would
+	// otherwise answer that the store is unavailable.
+	Silent bool `json:"silent"`
+	// Slow is the time that each call takes before it has any effect.
+	Slow time.Duration `json:"slow"`
+	// LoseEvery loses the answer of every nth commit after it took effect.
+	LoseEvery int `json:"lose_every"`
+	// LoseShare loses this share of the commit answers, chosen by LoseSeed.
+	LoseShare float64 `json:"lose_share"`
+	LoseSeed  uint64  `json:"lose_seed"`
+	// WritesPerSecond and ReadsPerSecond are the rate limits; 0 selects the
+	// default and a negative value removes the limit.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	// ListLag is the age of the host list that callers get.
+	ListLag time.Duration `json:"list_lag"`
+	// Cut lists the places whose calls do not reach the platform.
+	Cut []primrosespar.Place `json:"cut"`
+}
+
+// Counts are totals since the keeper was made.
+type Counts struct {
+	// Transactions counts commits that took effect, Writes the rows they wrote.
+	Transactions uint64 `json:"transactions"`
+	Writes       uint64 `json:"writes"`
+	Conflicts    uint64 `json:"conflicts"`
+	// Reads counts Get and Scan calls, RowsRead the rows they returned.
+	Reads       uint64 `json:"reads"`
+	RowsRead    uint64 `json:"rows_read"`
+	ObjectPuts  uint64 `json:"object_puts"`
+	ObjectReads uint64 `json:"object_reads"`
+	ListReads   uint64 `json:"list_reads"`
+	LostAnswers uint64 `json:"lost_answers"`
+	// Throttled counts calls over a rate limit, Refused those that an outage
+	// or a cut stopped.
+	Throttled uint64 `json:"throttled"`
+	Refused   uint64 `json:"refused"`
+}
+
+// SetFaults replaces the faults; rate limiters start full when a rate changes.
+func (k *Keeper) SetFaults(faults Faults) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	faults.Cut = slices.Clone(faults.Cut)
+	if k.writeLimit == nil || faults.WritesPerSecond != k.faults.WritesPerSecond {
+		k.writeLimit = limiter(faults.WritesPerSecond, DefaultWritesPerSecond)
+	}
+	if k.readLimit == nil || faults.ReadsPerSecond != k.faults.ReadsPerSecond {
+		k.readLimit = limiter(faults.ReadsPerSecond, DefaultReadsPerSecond)
+	}
+	k.faults = faults
+}
+
+// Faults returns the faults that are on.
+func (k *Keeper) Faults() Faults {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	faults := k.faults
+	faults.Cut = slices.Clone(faults.Cut)
+	return faults
+}
+
+// Counts returns the totals.
+func (k *Keeper) Counts() Counts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.counts
+}
+
+// Reachable reports whether calls of the place reach the platform.
+func (k *Keeper) Reachable(place primrosespar.Place) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !slices.Contains(k.faults.Cut, place)
+}
+
+// limiter returns a limiter with a burst of one second, so that callers that
+// stay below the rate on average are not refused for arriving together.
+func limiter(perSecond, fallback float64) *rate.Limiter {
+	if perSecond < 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	if perSecond == 0 {
+		perSecond = fallback
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// wait spends the configured slowness; the call has had no effect yet.
+func (k *Keeper) wait(ctx context.Context) error {
+	k.mu.Lock()
+	slow := k.faults.Slow
+	k.mu.Unlock()
+	if slow <= 0 {
+		return nil
+	}
+	select {
+	case <-k.clock.After(slow):
+		return nil
+	case <-ctx.Done():
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "caller gave up before the call began").Because(ctx.Err())
+	}
+}
+
+// admit refuses a call during an outage, from a cut place or over the rate.
+func (k *Keeper) admit(ctx context.Context, outage bool, limit *rate.Limiter) error {
+	if outage {
+		k.counts.Refused++
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "outage")
+	}
+	if slices.Contains(k.faults.Cut, placeOf(ctx)) {
+		k.counts.Refused++
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "place %s is cut off", placeOf(ctx))
+	}
+	if limit != nil && !limit.AllowN(k.clock.Now(), 1) {
+		k.counts.Throttled++
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "rate limit of %g calls per second", float64(limit.Limit()))
+	}
+	return nil
+}
+
+// loses reports whether the answer of the commit that just took effect is lost.
+func (k *Keeper) loses() bool {
+	n := k.counts.Transactions
+	if every := k.faults.LoseEvery; every > 0 && n%uint64(every) == 0 {
+		return true
+	}
+	if k.faults.LoseShare <= 0 {
+		return false
+	}
+	var seeded [16]byte
+	binary.LittleEndian.PutUint64(seeded[:8], k.faults.LoseSeed)
+	binary.LittleEndian.PutUint64(seeded[8:], n)
+	// The top 53 bits give an even value in [0, 1).
+	return float64(xxhash.Sum64(seeded[:])>>11)/(1<<53) < k.faults.LoseShare
+}
--- /dev/null
+++ b/internal/standin/keeper/hosts.go
@@ -0,0 +1,102 @@
+package keeper
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// historyTime is how long superseded lists are kept; it bounds ListLag.
+const historyTime = 10 * time.Minute
+
+// snapshot is the list of all places from a moment on.
+type snapshot struct {
+	since     time.Time
+	hosts     []primrosespar.HostEntry
+	upstreams []primrosespar.UpstreamEntry
+}
+
+// SetHost adds or changes a host of the list.
+func (k *Keeper) SetHost(entry primrosespar.HostEntry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hosts[entry.Host] = entry
+	k.remember()
+}
+
+// RemoveHost takes a host off the list.
+func (k *Keeper) RemoveHost(host primrosespar.Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.hosts, host)
+	k.remember()
+}
+
+// SetUpstream adds or changes an upstream of the list.
+func (k *Keeper) SetUpstream(entry primrosespar.UpstreamEntry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.upstreams[entry.Upstream] = entry
+	k.remember()
+}
+
+// RemoveUpstream takes an upstream off the list.
+func (k *Keeper) RemoveUpstream(upstream primrosespar.Upstream) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.upstreams, upstream)
+	k.remember()
+}
+
+// remember adds the present list to the history and drops lists that ended
+// before the history time.
+func (k *Keeper) remember() {
+	now := k.clock.Now()
+	hosts := slices.SortedFunc(maps.Values(k.hosts), func(a, b primrosespar.HostEntry) int {
+		return cmp.Compare(a.Host, b.Host)
+	})
+	upstreams := slices.SortedFunc(maps.Values(k.upstreams), func(a, b primrosespar.UpstreamEntry) int {
+		return cmp.Compare(a.Upstream, b.Upstream)
+	})
+	k.snapshots = append(k.snapshots, snapshot{since: now, hosts: hosts, upstreams: upstreams})
+	for len(k.snapshots) > 1 && now.Sub(k.snapshots[1].since) > historyTime {
+		k.snapshots = k.snapshots[1:]
+	}
+}
+
+// List returns the list of the place as it was the list lag ago.
+func (k *Keeper) List(ctx context.Context, place primrosespar.Place) (primrosespar.Directory, error) {
+	if err := k.wait(ctx); err != nil {
+		return primrosespar.Directory{}, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.admit(ctx, k.faults.ListOutage, nil); err != nil {
+		return primrosespar.Directory{}, err
+	}
+	k.counts.ListReads++
+	moment := k.clock.Now().Add(-k.faults.ListLag)
+	var seen snapshot
+	for _, s := range k.snapshots {
+		if s.since.After(moment) {
+			break
+		}
+		seen = s
+	}
+	var list primrosespar.Directory
+	for _, h := range seen.hosts {
+		if h.Place == place {
+			list.Hosts = append(list.Hosts, h)
+		}
+	}
+	for _, u := range seen.upstreams {
+		if u.Place == place {
+			list.Upstreams = append(list.Upstreams, u)
+		}
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/standin/keeper/keeper.go
@@ -0,0 +1,197 @@
+// Package keeper is the table, object store and host list of the stand-in
+// platform, kept in memory. It does no input or output; the HTTP server in
+// front of it is in internal/standin/server.
+//
+// # Usage
+//
+//	k := keeper.New(keeper.WithClock(clock))
+//	versions, err := k.Commit(ctx, txn)
+//	k.SetFaults(keeper.Faults{LoseEvery: 3})
+//
+// Errors carry the codes that primrosespar.Table names. A lost answer is
+// CodeStoreUnknown after the write took effect.
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/google/btree"
+	"golang.org/x/time/rate"
+
+	"primrosespar.example/primrosespar"
+)
+
+// treeDegree is the branching factor of the ordered trees.
+const treeDegree = 32
+
+// Keeper is an in-memory Table, Objects and Hosts that is safe for concurrent
+// use.
+type Keeper struct {
+	mu      sync.Mutex
+	clock   primrosespar.Clock
+	rows    *btree.BTreeG[primrosespar.Row]
+	objects *btree.BTreeG[object]
+	// deleted holds the last version of each deleted row, because versions do
+	// not restart after a delete.
+	deleted    map[string]primrosespar.Version
+	hosts      map[primrosespar.Host]primrosespar.HostEntry
+	upstreams  map[primrosespar.Upstream]primrosespar.UpstreamEntry
+	snapshots  []snapshot
+	faults     Faults
+	counts     Counts
+	writeLimit *rate.Limiter
+	readLimit  *rate.Limiter
+}
+
+var (
+	_ primrosespar.Table   = (*Keeper)(nil)
+	_ primrosespar.Objects = (*Keeper)(nil)
+	_ primrosespar.Hosts   = (*Keeper)(nil)
+)
+
+// New returns an empty keeper; WithClock is required.
+func New(opts ...Option) *Keeper {
+	options := newOptions(opts)
+	k := &Keeper{
+		clock:     options.Clock,
+		rows:      btree.NewG(treeDegree, func(a, b primrosespar.Row) bool { return a.Key < b.Key }),
+		objects:   btree.NewG(treeDegree, func(a, b object) bool { return a.name < b.name }),
+		deleted:   map[string]primrosespar.Version{},
+		hosts:     map[primrosespar.Host]primrosespar.HostEntry{},
+		upstreams: map[primrosespar.Upstream]primrosespar.UpstreamEntry{},
+	}
+	k.SetFaults(options.Faults)
+	return k
+}
+
+// Get reads rows by key, in the order of the keys.
+func (k *Keeper) Get(ctx context.Context, keys ...string) ([]primrosespar.Row, error) {
+	if err := k.wait(ctx); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.admit(ctx, k.faults.Outage, k.readLimit); err != nil {
+		return nil, err
+	}
+	rows := make([]primrosespar.Row, 0, len(keys))
+	for _, key := range keys {
+		row, ok := k.rows.Get(primrosespar.Row{Key: key})
+		if !ok {
+			row = primrosespar.Row{Key: key}
+		}
+		rows = append(rows, copyRow(row))
+	}
+	k.counts.Reads++
+	k.counts.RowsRead += uint64(len(rows))
+	return rows, nil
+}
+
+// Scan reads up to limit rows with the prefix and a key above after.
+func (k *Keeper) Scan(ctx context.Context, prefix, after string, limit int) ([]primrosespar.Row, error) {
+	if limit <= 0 {
+		return nil, primrosespar.Fail(primrosespar.CodeOutOfRange, "limit %d is below 1", limit)
+	}
+	if err := k.wait(ctx); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.admit(ctx, k.faults.Outage, k.readLimit); err != nil {
+		return nil, err
+	}
+	var rows []primrosespar.Row
+	k.rows.AscendGreaterOrEqual(primrosespar.Row{Key: max(prefix, after)}, func(row primrosespar.Row) bool {
+		if !strings.HasPrefix(row.Key, prefix) {
+			return false
+		}
+		if row.Key > after {
+			rows = append(rows, copyRow(row))
+		}
+		return len(rows) < limit
+	})
+	k.counts.Reads++
+	k.counts.RowsRead += uint64(len(rows))
+	return rows, nil
+}
+
+// Commit applies the transaction. A delete counts as a write of its row: it
+// uses up one version, although the row then reads as Version 0. Two writes
+// of one key in one transaction are refused with CodeBadRequest.
+func (k *Keeper) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	if err := checkWrites(txn.Writes); err != nil {
+		return nil, err
+	}
+	if err := k.wait(ctx); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.admit(ctx, k.faults.Outage, k.writeLimit); err != nil {
+		return nil, err
+	}
+	if err := k.checkConditions(txn.Conditions); err != nil {
+		return nil, err
+	}
+	versions := make([]primrosespar.Version, 0, len(txn.Writes))
+	for _, w := range txn.Writes {
+		versions = append(versions, k.apply(w))
+	}
+	k.counts.Transactions++
+	k.counts.Writes += uint64(len(txn.Writes))
+	if k.loses() {
+		k.counts.LostAnswers++
+		return nil, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "the answer of the commit was lost")
+	}
+	return versions, nil
+}
+
+// checkWrites refuses a transaction that writes one row twice.
+func checkWrites(writes []primrosespar.Write) error {
+	seen := make(map[string]bool, len(writes))
+	for _, w := range writes {
+		if seen[w.Key] {
+			return primrosespar.Fail(primrosespar.CodeBadRequest, "key %q is written twice", w.Key)
+		}
+		seen[w.Key] = true
+	}
+	return nil
+}
+
+// checkConditions refuses a transaction with a condition that does not hold.
+func (k *Keeper) checkConditions(conditions []primrosespar.Condition) error {
+	for _, c := range conditions {
+		row, _ := k.rows.Get(primrosespar.Row{Key: c.Key})
+		if row.Version != c.Version {
+			k.counts.Conflicts++
+			return primrosespar.Fail(primrosespar.CodeConflict, "key %q has version %d, not %d", c.Key, row.Version, c.Version)
+		}
+	}
+	return nil
+}
+
+// apply carries out one write and returns the version that it took.
+func (k *Keeper) apply(w primrosespar.Write) primrosespar.Version {
+	row, ok := k.rows.Get(primrosespar.Row{Key: w.Key})
+	version := row.Version + 1
+	if !ok {
+		version = k.deleted[w.Key] + 1
+	}
+	if w.Delete {
+		k.rows.Delete(primrosespar.Row{Key: w.Key})
+		k.deleted[w.Key] = version
+		return version
+	}
+	delete(k.deleted, w.Key)
+	k.rows.ReplaceOrInsert(primrosespar.Row{Key: w.Key, Version: version, Value: bytes.Clone(w.Value)})
+	return version
+}
+
+// copyRow keeps callers from changing the stored value.
+func copyRow(row primrosespar.Row) primrosespar.Row {
+	row.Value = bytes.Clone(row.Value)
+	return row
+}
