--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,6 @@
 GOLANGCI_VERSION := v2.15.0
 GOFUMPT_VERSION := v0.12.0
 TOOLS := $(shell go env GOPATH)/bin
-FUZZ_TIME ?= 30s
-FUZZ_SEED ?= 1
 
 .PHONY: build test race lint format tools fuzz bench demo docs clean
 
@@ -21,14 +19,25 @@
 	@out=$$($(TOOLS)/gofumpt -l .); test -z "$$out" || { echo "gofumpt: $$out"; exit 1; }
 	$(TOOLS)/golangci-lint run ./...
 
+# Packages with stateful tests take a seed, so that each run gives the same
+# verdict; the others do not know the flag.
+RAPID_PACKAGES = $(shell go list -f '{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
+PLAIN_PACKAGES = $(filter-out $(RAPID_PACKAGES),$(shell go list ./...))
+SEED ?= 1
+
 race:
-	go test -race ./...
+	go test -race $(PLAIN_PACKAGES)
+	go test -race $(RAPID_PACKAGES) -rapid.seed=$(SEED) -rapid.nofailfile
 
 test: lint build race
 	@test ! -f KNOWN-RED.txt || { echo "known red:"; cat KNOWN-RED.txt; }
 
+# Longer stateful runs: make fuzz FUZZ_CHECKS=10000 SEED=7
+FUZZ_CHECKS ?= 2000
+
 fuzz:
-	go test ./... -run Fuzz -rapid.seed=$(FUZZ_SEED)
+	@echo "seed $(SEED), $(FUZZ_CHECKS) checks; repeat with: make fuzz SEED=$(SEED) FUZZ_CHECKS=$(FUZZ_CHECKS)"
+	go test $(RAPID_PACKAGES) -rapid.seed=$(SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.nofailfile -timeout 30m
 
 bench:
 	go test ./... -run '^$$' -bench . -benchtime 1s
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -8,7 +8,7 @@
 //
 //	m := meter.New()
 //	m.Call("bascule", "eligibility", primrosespar.CodeOK, 12*time.Millisecond)
-//	m.WriteTo(w)
+//	m.Write(w)
 package meter
 
 import (
@@ -68,9 +68,9 @@
 		`primrosespar_decisions_total{kind=%q,code=%q}`, string(kind), code.String())).Inc()
 }
 
-// WriteTo writes all series and those of the process in Prometheus text
+// Write writes all series and those of the process in Prometheus text
 // format.
-func (m *Meter) WriteTo(w io.Writer) {
+func (m *Meter) Write(w io.Writer) {
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/entry/server/calls.go
+++ b/internal/entry/server/calls.go
@@ -33,11 +33,8 @@
 
 // readCall reads and checks headers and body.
 func (s *Server) readCall(r *http.Request, p httprouter.Params, id authorizer.Identity, now time.Time) (primrosespar.Call, error) {
-	account := primrosespar.Account(r.Header.Get("X-Account"))
-	if account == "" {
-		account = id.Account
-	}
-	if err := id.MayUse(account); err != nil {
+	account, err := s.account(r, id)
+	if err != nil {
 		return primrosespar.Call{}, err
 	}
 	call := primrosespar.Call{
@@ -48,7 +45,7 @@
 		ContentType: r.Header.Get("Content-Type"),
 	}
 	if len(call.Key) > maxKeyBytes || !printable(call.Key) {
-		return call, primrosespar.Fail(primrosespar.CodeBadRequest, "header X-Request-Key must have at most %d printable ASCII characters without slash", maxKeyBytes)
+		return call, badKey()
 	}
 	if len(call.ContentType) > maxTypeBytes {
 		return call, primrosespar.Fail(primrosespar.CodeBadRequest, "header Content-Type has more than %d bytes", maxTypeBytes)
@@ -64,6 +61,11 @@
 	return call, nil
 }
 
+func badKey() error {
+	return primrosespar.Fail(primrosespar.CodeBadRequest,
+		"header X-Request-Key must have at most %d printable ASCII characters without slash", maxKeyBytes)
+}
+
 // readDeadline takes the caller's deadline; without one the class's applies.
 func (s *Server) readDeadline(r *http.Request, call *primrosespar.Call, now time.Time) error {
 	value := r.Header.Get("X-Deadline-Ms")
@@ -118,11 +120,8 @@
 
 // mint returns a key that works while the table is away.
 func (s *Server) mint(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id authorizer.Identity) error {
-	account := primrosespar.Account(r.Header.Get("X-Account"))
-	if account == "" {
-		account = id.Account
-	}
-	if err := id.MayUse(account); err != nil {
+	account, err := s.account(r, id)
+	if err != nil {
 		return err
 	}
 	view, _ := s.parts.Contracts.View()
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -64,8 +64,12 @@
 // Callers returns the handler for callers and the balancer.
 func (s *Server) Callers() http.Handler {
 	mux := httprouter.New()
-	mux.POST("/v1/requests/:class", s.read(s.call))
-	mux.POST("/v1/keys", s.read(s.mint))
+	mux.POST("/v1/requests/:class", s.serve(s.call))
+	mux.POST("/v1/keys", s.serve(s.mint))
+	mux.POST("/v1/jobs", s.serve(s.submitJob))
+	mux.GET("/v1/jobs", s.serve(s.listJobs))
+	mux.GET("/v1/jobs/:id", s.serve(s.showJob))
+	mux.DELETE("/v1/jobs/:id", s.serve(s.cancelJob))
 	s.health(mux)
 	return s.limited(mux)
 }
@@ -133,8 +137,8 @@
 // handler answers one authorized request.
 type handler func(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error
 
-// read wraps a handler with authorization and error answers.
-func (s *Server) read(h handler) httprouter.Handle {
+// serve wraps a handler with authorization and error answers.
+func (s *Server) serve(h handler) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
