Test gang assembly against late, lost and reordered commands

Cause: a gang must never run partially. Change: rapid machine over the assembler with fake workers; tests of a lost member, an unreachable worker, a bounded eviction and recovery.

--- /dev/null
+++ b/internal/place/assembler/assembler_test.go
@@ -0,0 +1,271 @@
+package assembler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/assembler"
+)
+
+const members = 4
+
+// worker is a fake that runs one member.
+type worker struct {
+	state primrosespar.TaskState
+	dead  bool
+	saved bool
+}
+
+// machine drives one gang against fake workers and a fake row.
+type machine struct {
+	now     time.Time
+	gang    *assembler.Assembler
+	workers []worker
+	// row is the state in the table; runnable says that it was running in
+	// this attempt.
+	row      primrosespar.GangState
+	runnable bool
+	// queue are commands on their way.
+	queue []primrosespar.Command
+	// pending is the state that a write under way carries.
+	pending primrosespar.GangState
+}
+
+func newMachine() *machine {
+	m := &machine{now: time.Unix(0, 0), workers: make([]worker, members)}
+	gang := primrosespar.Gang{Job: primrosespar.Job{ID: "j", Idempotent: true}}
+	for i := range members {
+		gang.Slices = append(gang.Slices, primrosespar.Slice{Worker: name(i), Member: i, Count: 1})
+	}
+	m.gang = assembler.Place(gang, m.now)
+	return m
+}
+
+func name(i int) primrosespar.Worker { return primrosespar.Worker(rune('a' + i)) }
+
+func (m *machine) step() {
+	step := m.gang.Step(m.now)
+	m.queue = append(m.queue, step.Commands...)
+	switch {
+	case step.Commit && m.pending == "":
+		m.pending = m.gang.Gang().State
+	case step.Commit:
+		m.gang.CommitFailed()
+	}
+}
+
+// deliver carries out one command and returns its answer.
+func (m *machine) deliver(i int, answered bool) {
+	c := m.queue[i]
+	m.queue = append(m.queue[:i], m.queue[i+1:]...)
+	w := &m.workers[c.Worker[0]-'a']
+	result := primrosespar.CommandResult{}
+	switch {
+	case w.dead:
+		result.Code = primrosespar.CodeWorkerLost
+	case c.Kind == primrosespar.CommandStart && w.state == "":
+		w.state = primrosespar.TaskHeld
+	case c.Kind == primrosespar.CommandStart && w.state == primrosespar.TaskStopped:
+		result.Code = primrosespar.CodeStaleAttempt
+	case c.Kind == primrosespar.CommandRelease && w.state == primrosespar.TaskHeld:
+		w.state = primrosespar.TaskRunning
+	case c.Kind == primrosespar.CommandRelease && w.state == primrosespar.TaskStopped:
+		result.Code = primrosespar.CodeNotFound
+	case c.Kind == primrosespar.CommandCheckpoint:
+		w.saved = true
+	case c.Kind == primrosespar.CommandStop:
+		w.state = primrosespar.TaskStopped
+	}
+	if answered {
+		m.gang.Answered(c, result, m.now)
+	}
+}
+
+func (m *machine) report(i int) {
+	w := m.workers[i]
+	entry := primrosespar.WorkerEntry{Worker: name(i), Alive: !w.dead}
+	if w.state != "" {
+		entry.Tasks = []primrosespar.TaskStatus{{Gang: "j", Member: i, Attempt: 1, State: w.state, Checkpointed: w.saved}}
+	}
+	m.gang.Observe(entry, m.now)
+}
+
+// TestNoMemberWorksBeforeAllAreHeld guards against a partial gang: with
+// commands late, lost and reordered, writes failing, workers dying and the job
+// cancelled or evicted at any moment, a member works only if the table has the
+// gang as running, and that only if every member was held.
+func TestNoMemberWorksBeforeAllAreHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				m.step()
+			},
+			"deliver": m.deliverSome, "deliver more": m.deliverSome, "deliver again": m.deliverSome,
+			"commit": func(t *rapid.T) { m.commit(rapid.IntRange(0, 3).Draw(t, "fails") > 0) },
+			"report": func(t *rapid.T) { m.report(rapid.IntRange(0, members-1).Draw(t, "worker")) },
+			"fail":   m.breakOne,
+			"stop": func(t *rapid.T) {
+				switch rapid.IntRange(0, 19).Draw(t, "why") {
+				case 0:
+					m.gang.Stop(primrosespar.CodeCancelled, primrosespar.GangCancelled, false, m.now)
+				case 1:
+					m.gang.Evict(m.now)
+				}
+			},
+			"": func(t *rapid.T) { m.check(t) },
+		})
+	})
+}
+
+func (m *machine) deliverSome(t *rapid.T) {
+	m.step()
+	if len(m.queue) > 0 {
+		m.deliver(rapid.IntRange(0, len(m.queue)-1).Draw(t, "command"), rapid.IntRange(0, 5).Draw(t, "answered") > 0)
+	}
+}
+
+// breakOne ends a task in a way that nobody asked for, now and then.
+func (m *machine) breakOne(t *rapid.T) {
+	w := &m.workers[rapid.IntRange(0, members-1).Draw(t, "worker")]
+	switch rapid.IntRange(0, 19).Draw(t, "how") {
+	case 0:
+		w.dead, w.state = true, primrosespar.TaskStopped
+	case 1:
+		if w.state == primrosespar.TaskRunning {
+			w.state = primrosespar.TaskFailed
+		}
+	case 2:
+		if w.state == primrosespar.TaskRunning {
+			w.state = primrosespar.TaskFinished
+		}
+	}
+}
+
+func (m *machine) commit(works bool) {
+	if m.pending == "" {
+		return
+	}
+	state := m.pending
+	m.pending = ""
+	if !works {
+		m.gang.CommitFailed()
+		return
+	}
+	m.row = state
+	m.runnable = m.runnable || m.row == primrosespar.GangRunning
+	m.gang.Committed(state, m.now)
+}
+
+func (m *machine) check(t *rapid.T) {
+	started, working := 0, 0
+	for _, w := range m.workers {
+		if w.state != "" {
+			started++
+		}
+		if w.state == primrosespar.TaskRunning {
+			working++
+		}
+	}
+	if m.runnable && started < members {
+		t.Fatalf("the row says running with %d of %d members held", started, members)
+	}
+	if working > 0 && !m.runnable {
+		t.Fatalf("%d members work and the table does not have the gang as running", working)
+	}
+	if m.gang.Ended() && m.row != m.gang.Gang().State {
+		t.Fatalf("the attempt ended as %s and the row says %s", m.gang.Gang().State, m.row)
+	}
+	if m.gang.Ended() && working > 0 {
+		t.Fatalf("%d members work after the attempt ended", working)
+	}
+}
+
+// settle runs without faults until nothing changes.
+func (m *machine) settle() {
+	for range 200 {
+		m.now = m.now.Add(200 * time.Millisecond)
+		m.step()
+		for len(m.queue) > 0 {
+			m.deliver(0, true)
+		}
+		m.commit(true)
+	}
+}
+
+// TestLostMemberStopsAll guards against members that go on after one is lost.
+func TestLostMemberStopsAll(t *testing.T) {
+	m := newMachine()
+	m.settle()
+	require.True(t, m.gang.Running())
+	m.workers[2].dead, m.workers[2].state = true, primrosespar.TaskStopped
+	m.report(2)
+	m.settle()
+	require.True(t, m.gang.Ended())
+	require.Equal(t, primrosespar.GangQueued, m.row)
+	for _, w := range m.workers {
+		require.Equal(t, primrosespar.TaskStopped, w.state)
+	}
+}
+
+// TestUnreachableMemberHoldsTheAttempt guards against a second attempt while a
+// member on a silent worker may still work: the attempt ends only after the
+// worker's lease.
+func TestUnreachableMemberHoldsTheAttempt(t *testing.T) {
+	m := newMachine()
+	m.settle()
+	m.workers[0].dead = true
+	m.report(0)
+	lost := m.now
+	for !m.gang.Ended() {
+		m.now = m.now.Add(100 * time.Millisecond)
+		m.step()
+		for len(m.queue) > 0 {
+			m.deliver(0, true)
+		}
+		m.commit(true)
+	}
+	require.GreaterOrEqual(t, m.now.Sub(lost), 10*time.Second)
+}
+
+// TestEvictionIsBounded guards against a checkpoint that never ends: the gang
+// is stopped 4 s after the eviction at the latest.
+func TestEvictionIsBounded(t *testing.T) {
+	m := newMachine()
+	m.settle()
+	m.gang.Evict(m.now)
+	evicted := m.now
+	for m.workers[0].state == primrosespar.TaskRunning {
+		m.now = m.now.Add(100 * time.Millisecond)
+		m.step()
+		kept := m.queue[:0]
+		for _, c := range m.queue {
+			if c.Kind != primrosespar.CommandCheckpoint {
+				kept = append(kept, c)
+			}
+		}
+		m.queue = kept
+		for len(m.queue) > 0 {
+			m.deliver(0, true)
+		}
+	}
+	require.LessOrEqual(t, m.now.Sub(evicted), 4200*time.Millisecond)
+}
+
+// TestRecoveredReservationIsStopped guards against a new holder that takes
+// members held by its predecessor for a complete gang.
+func TestRecoveredReservationIsStopped(t *testing.T) {
+	m := newMachine()
+	gang := m.gang.Gang()
+	m.workers[1].state = primrosespar.TaskHeld
+	m.gang = assembler.Resume(gang, m.now)
+	m.settle()
+	require.True(t, m.gang.Ended())
+	require.Equal(t, primrosespar.GangQueued, m.row)
+	require.NotEqual(t, primrosespar.TaskHeld, m.workers[1].state)
+}
