Add claims of idempotency keys

A non-idempotent request must run at most once while the table loses answers, fails, and other hosts retry the same key. A claim row is now written conditionally before the first byte is sent, lost answers are resolved by the attempt id, and outcomes that the table did not take are retried from a bounded queue. Ended claims are swept at a bounded rate.

--- /dev/null
+++ b/internal/request/claimer/claimer.go
@@ -0,0 +1,358 @@
+// Package claimer gives each idempotency key to at most one attempt.
+//
+// A claim is one row of the table, written on the condition that the key is
+// free before the first byte is sent. It belongs to its attempt for good: no
+// other host takes over a row in state claimed. A write whose answer was lost
+// is resolved by reading the row and comparing the attempt id.
+//
+// # Usage
+//
+//	free := claims.Look(ctx, call)       // Free, or the end of an earlier use
+//	claim := claims.Take(ctx, call, free) // Run for at most one attempt
+//	claims.Finish(ctx, claim, answer, sent)
+//
+// Begin joins Look and Take and waits for a claim of another caller. Run
+// retries in the background what the table did not take.
+package claimer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Verdict says what a caller may do with its key.
+type Verdict int
+
+// Verdicts. Free is returned by Look and Await only.
+const (
+	Free Verdict = iota + 1
+	Run
+	Replay
+	InProgress
+	Unknown
+	KeyReused
+	StoreUnavailable
+)
+
+// Claim is the result of a look at a key or of taking it.
+type Claim struct {
+	Verdict Verdict
+	Attempt primrosespar.AttemptID
+	// Answer is the first answer for Replay, and for Unknown if one is stored.
+	Answer primrosespar.Answer
+	// Checked is set if the row was read and the key had not run by then. A
+	// StoreUnavailable without it covers this call, not earlier uses.
+	Checked bool
+
+	key     string
+	digest  string
+	version primrosespar.Version
+}
+
+// Claimer claims idempotency keys in the table. It is safe for concurrent use.
+type Claimer struct {
+	opts Options
+
+	mu      sync.Mutex
+	held    map[string]*holding
+	queue   []*pending
+	queued  int64
+	dropped uint64
+}
+
+// holding is a claim of this host whose end the table does not show yet.
+type holding struct {
+	attempt primrosespar.AttemptID
+	digest  string
+	answer  *primrosespar.Answer
+}
+
+// New returns a Claimer.
+func New(opts ...Option) *Claimer {
+	o := defaults()
+	for _, set := range opts {
+		set(&o)
+	}
+	return &Claimer{opts: o, held: map[string]*holding{}}
+}
+
+// Begin claims the key of the call and waits up to the call's deadline for the
+// claim of another caller to end.
+func (c *Claimer) Begin(ctx context.Context, call primrosespar.Call) Claim {
+	for {
+		claim := c.Look(ctx, call)
+		if claim.Verdict == InProgress {
+			claim = c.Await(ctx, call)
+		}
+		if claim.Verdict == Free {
+			claim = c.Take(ctx, call, claim)
+		}
+		if claim.Verdict != InProgress {
+			return claim
+		}
+		if c.left(ctx, call) <= 0 {
+			return claim
+		}
+	}
+}
+
+// Look reads the state of the call's key without claiming it.
+func (c *Claimer) Look(ctx context.Context, call primrosespar.Call) Claim {
+	key := primrosespar.ClaimKey(call.Account, call.Key)
+	digest := digestOf(call)
+	if claim, ok := c.lookLocal(key, digest); ok {
+		return claim
+	}
+	row, rec, err := c.read(ctx, key)
+	if err != nil {
+		return Claim{Verdict: StoreUnavailable}
+	}
+	if row.Version != 0 && rec.Digest != digest {
+		return Claim{Verdict: KeyReused}
+	}
+	switch {
+	case row.Version == 0, rec.State == stateNotRun:
+		return Claim{Verdict: Free, Checked: true, key: key, digest: digest, version: row.Version}
+	case rec.State == stateDone:
+		return c.replay(ctx, rec)
+	case rec.State == stateClaimed:
+		return Claim{Verdict: InProgress, Attempt: rec.Attempt}
+	default:
+		claim := c.replay(ctx, rec)
+		claim.Verdict = Unknown
+		return claim
+	}
+}
+
+// lookLocal answers for a key that an attempt of this host holds or has ended
+// without the table's knowledge.
+func (c *Claimer) lookLocal(key, digest string) (Claim, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held, ok := c.held[key]
+	switch {
+	case !ok:
+		return Claim{}, false
+	case held.digest != digest:
+		return Claim{Verdict: KeyReused}, true
+	case held.answer == nil:
+		return Claim{Verdict: InProgress, Attempt: held.attempt}, true
+	case held.answer.Ran == primrosespar.RanUnknown:
+		return Claim{Verdict: Unknown, Attempt: held.attempt, Answer: *held.answer}, true
+	default:
+		return Claim{Verdict: Replay, Attempt: held.attempt, Answer: *held.answer}, true
+	}
+}
+
+// replay returns the stored answer; an answer that cannot be fetched leaves
+// the outcome unknown to this caller.
+func (c *Claimer) replay(ctx context.Context, rec record) Claim {
+	claim := Claim{Verdict: Replay, Attempt: rec.Attempt}
+	if rec.Answer != nil {
+		claim.Answer = *rec.Answer
+	}
+	if rec.Object == "" {
+		return claim
+	}
+	body, err := c.opts.Objects.Fetch(ctx, rec.Object)
+	if err != nil {
+		return Claim{Verdict: Unknown, Attempt: rec.Attempt}
+	}
+	claim.Answer.Body = body
+	return claim
+}
+
+// Await polls the key with backoff until its claim has ended or the deadline
+// has passed. At the deadline it returns InProgress for an attempt that runs
+// at this host and Unknown for one elsewhere.
+func (c *Claimer) Await(ctx context.Context, call primrosespar.Call) Claim {
+	pause := c.opts.PollFirst
+	for {
+		left := c.left(ctx, call)
+		if left <= 0 {
+			return c.unfinished(call)
+		}
+		select {
+		case <-ctx.Done():
+			return c.unfinished(call)
+		case <-c.opts.Clock.After(min(pause, left)):
+		}
+		claim := c.Look(ctx, call)
+		// The key was seen claimed, so a failed read says nothing new.
+		if claim.Verdict != InProgress && claim.Verdict != StoreUnavailable {
+			return claim
+		}
+		pause = min(2*pause, c.opts.PollLast)
+	}
+}
+
+// unfinished is the verdict on a claim that outlasted the caller's deadline.
+func (c *Claimer) unfinished(call primrosespar.Call) Claim {
+	key := primrosespar.ClaimKey(call.Account, call.Key)
+	if claim, ok := c.lookLocal(key, digestOf(call)); ok {
+		return claim
+	}
+	return Claim{Verdict: Unknown}
+}
+
+// Take claims a key that Look or Await found free. It returns Run,
+// InProgress if another attempt was first, or StoreUnavailable.
+func (c *Claimer) Take(ctx context.Context, call primrosespar.Call, free Claim) Claim {
+	claim := free
+	claim.Attempt = c.opts.NewAttempt()
+	if !c.hold(claim) {
+		return Claim{Verdict: InProgress}
+	}
+	version, result := c.write(ctx, call, claim)
+	switch result {
+	case writeWon:
+		claim.Verdict = Run
+		claim.version = version
+		return claim
+	case writeLost:
+		c.unhold(claim)
+		return Claim{Verdict: InProgress}
+	case writeUnsent:
+		c.unhold(claim)
+		return Claim{Verdict: StoreUnavailable, Checked: true}
+	default:
+		// The row may come to exist, so it has to be settled before the key
+		// can be claimed again.
+		c.unhold(claim)
+		c.enqueue(&pending{claim: claim, record: record{
+			Attempt: claim.Attempt, Digest: claim.digest, State: stateNotRun, Ended: c.opts.Clock.Now(),
+		}})
+		return Claim{Verdict: StoreUnavailable, Checked: true}
+	}
+}
+
+// writeResult is how the write of a claim ended.
+type writeResult int
+
+const (
+	writeWon writeResult = iota
+	writeLost
+	writeUnsent
+	writeUnresolved
+)
+
+// write commits the claim and resolves lost answers until the deadline.
+func (c *Claimer) write(ctx context.Context, call primrosespar.Call, claim Claim) (primrosespar.Version, writeResult) {
+	value := encode(record{Attempt: claim.Attempt, Digest: claim.digest, State: stateClaimed})
+	pause := c.opts.PollFirst
+	sent := false
+	for {
+		versions, err := c.commit(ctx, claim.key, claim.version, value)
+		switch primrosespar.CodeOf(err) {
+		case primrosespar.CodeOK:
+			return versions, writeWon
+		case primrosespar.CodeConflict:
+			if !sent {
+				return 0, writeLost
+			}
+		case primrosespar.CodeStoreUnavailable:
+			if !sent {
+				return 0, writeUnsent
+			}
+		default:
+			sent = true
+		}
+		row, rec, err := c.read(ctx, claim.key)
+		if err == nil && row.Version != 0 && rec.Attempt == claim.Attempt {
+			return row.Version, writeWon
+		}
+		if err == nil && row.Version != claim.version {
+			return 0, writeLost
+		}
+		// An unchanged row may still be changed by the write in flight; the
+		// same conditional write again decides it either way.
+		left := c.left(ctx, call)
+		if left <= 0 {
+			return 0, writeUnresolved
+		}
+		select {
+		case <-ctx.Done():
+			return 0, writeUnresolved
+		case <-c.opts.Clock.After(min(pause, left)):
+		}
+		pause = min(2*pause, c.opts.PollLast)
+	}
+}
+
+// hold notes that an attempt of this host claims the key; it returns false if
+// another one already does.
+func (c *Claimer) hold(claim Claim) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, taken := c.held[claim.key]; taken {
+		return false
+	}
+	c.held[claim.key] = &holding{attempt: claim.Attempt, digest: claim.digest}
+	return true
+}
+
+// unhold drops the note of the claim's attempt.
+func (c *Claimer) unhold(claim Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held, ok := c.held[claim.key]; ok && held.attempt == claim.Attempt {
+		delete(c.held, claim.key)
+	}
+}
+
+// left returns the time until the call's deadline, 0 if the caller has gone.
+func (c *Claimer) left(ctx context.Context, call primrosespar.Call) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	if call.Deadline.IsZero() {
+		return c.opts.PollLast
+	}
+	return call.Deadline.Sub(c.opts.Clock.Now())
+}
+
+// digestOf identifies what a key was used for: the class and the body.
+func digestOf(call primrosespar.Call) string {
+	sum := sha256.New()
+	sum.Write([]byte(call.Class))
+	sum.Write([]byte{0})
+	sum.Write(call.Body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// read returns the row of the key and its decoded record.
+func (c *Claimer) read(ctx context.Context, key string) (primrosespar.Row, record, error) {
+	rows, err := c.opts.Table.Get(ctx, key)
+	if err != nil {
+		return primrosespar.Row{}, record{}, err
+	}
+	if len(rows) != 1 {
+		return primrosespar.Row{}, record{}, primrosespar.FailUnknown(primrosespar.CodeInternal, "table returned %d rows for one key", len(rows))
+	}
+	var rec record
+	if rows[0].Version != 0 {
+		err = json.Unmarshal(rows[0].Value, &rec)
+	}
+	return rows[0], rec, err
+}
+
+// commit writes the key's row if it still has the version.
+func (c *Claimer) commit(ctx context.Context, key string, version primrosespar.Version, value []byte) (primrosespar.Version, error) {
+	versions, err := c.opts.Table.Commit(ctx, primrosespar.Txn{
+		Conditions: []primrosespar.Condition{{Key: key, Version: version}},
+		Writes:     []primrosespar.Write{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	if len(versions) != 1 {
+		return 0, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "table returned %d versions for one write", len(versions))
+	}
+	return versions[0], nil
+}
--- /dev/null
+++ b/internal/request/claimer/claimer_test.go
@@ -0,0 +1,219 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/request/claimer"
+)
+
+const machineHosts = 3
+
+// machine drives several hosts over one table and keeps the truth about each
+// key beside it.
+type machine struct {
+	table   *fakeTable
+	clock   *stepClock
+	hosts   []*claimer.Claimer
+	open    []openClaim
+	runs    map[string]int
+	answers map[string]primrosespar.Answer
+}
+
+// openClaim is a claim that a host may send, with what it looked up before.
+type openClaim struct {
+	host  int
+	call  primrosespar.Call
+	claim claimer.Claim
+	taken bool
+	ran   int
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{clock: &stepClock{now: time.Unix(0, 0)}, runs: map[string]int{}, answers: map[string]primrosespar.Answer{}}
+	m.table = newFakeTable(func() fault {
+		weighted := []fault{0, 0, 0, 0, 0, 0, faultAway, faultLostDone, faultLostNever, faultLostLate}
+		return rapid.SampledFrom(weighted).Draw(t, "fault")
+	})
+	objects := &fakeObjects{table: m.table, data: map[string][]byte{}}
+	attempts := 0
+	for range machineHosts {
+		m.hosts = append(m.hosts, claimer.New(
+			claimer.WithStore(m.table, objects), claimer.WithClock(m.clock), claimer.WithQueue(3, 1<<20),
+			claimer.WithAttempts(func() primrosespar.AttemptID {
+				attempts++
+				return primrosespar.AttemptID(fmt.Sprint("attempt-", attempts))
+			})))
+	}
+	return m
+}
+
+func (m *machine) look(t *rapid.T) {
+	host := rapid.IntRange(0, machineHosts-1).Draw(t, "host")
+	call := primrosespar.Call{
+		Account: "co-op", Class: "booking",
+		Key:      rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key"),
+		Body:     rapid.SampledFrom([][]byte{[]byte("one"), []byte("one"), []byte("two")}).Draw(t, "body"),
+		Deadline: m.clock.now.Add(100 * time.Millisecond),
+	}
+	ran := m.runs[call.Key]
+	claim := m.hosts[host].Look(context.Background(), call)
+	m.judge(t, call, claim, ran)
+	if claim.Verdict == claimer.Free {
+		m.open = append(m.open, openClaim{host: host, call: call, claim: claim, ran: ran})
+	}
+}
+
+// step moves one open claim on: it takes the key, sends, or records the end.
+func (m *machine) step(t *rapid.T) {
+	if len(m.open) == 0 {
+		t.Skip("no open claim")
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(t, "open")
+	o := m.open[i]
+	m.open = append(m.open[:i:i], m.open[i+1:]...)
+	host := m.hosts[o.host]
+	if !o.taken {
+		o.call.Deadline = m.clock.now.Add(100 * time.Millisecond)
+		o.claim = host.Take(context.Background(), o.call, o.claim)
+		o.taken = true
+		m.judge(t, o.call, o.claim, o.ran)
+		if o.claim.Verdict == claimer.Run {
+			m.open = append(m.open, o)
+		}
+		return
+	}
+	switch rapid.SampledFrom([]string{"send", "unsent", "die"}).Draw(t, "end") {
+	case "send":
+		m.runs[o.call.Key]++
+		require.Equal(t, 1, m.runs[o.call.Key], "key %s ran twice", o.call.Key)
+		answer := primrosespar.Answer{Ran: primrosespar.RanDone, Status: 200, Body: []byte(o.claim.Attempt)}
+		if rapid.Bool().Draw(t, "large") {
+			answer.Body = append(make([]byte, claimer.InlineLimit), answer.Body...)
+		}
+		m.answers[o.call.Key] = answer
+		host.Finish(context.Background(), o.claim, answer, true)
+	case "unsent":
+		host.Finish(context.Background(), o.claim, primrosespar.Answer{Ran: primrosespar.RanNot}, false)
+	}
+}
+
+// judge compares a verdict with what is true about the key.
+func (m *machine) judge(t *rapid.T, call primrosespar.Call, claim claimer.Claim, ranBefore int) {
+	switch claim.Verdict {
+	case claimer.Replay:
+		require.Equal(t, m.answers[call.Key], claim.Answer, "replay differs from the first answer")
+	case claimer.Free:
+		require.Zero(t, m.runs[call.Key], "key %s ran and is offered again", call.Key)
+	case claimer.StoreUnavailable:
+		if claim.Checked {
+			require.Zero(t, ranBefore, "key %s ran and is refused as not run", call.Key)
+		}
+	case claimer.Run:
+		require.Zero(t, m.runs[call.Key], "key %s ran and may run again", call.Key)
+	default:
+		// The other verdicts claim nothing about the key.
+	}
+}
+
+// TestClaimsUnderFaults guards against a key that runs twice, a refusal that
+// denies a run, and a replay that differs, while the table loses and delays
+// answers and hosts interleave or die.
+func TestClaimsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"look":    m.look,
+			"step":    m.step,
+			"step2":   m.step,
+			"deliver": func(*rapid.T) { m.table.deliver() },
+			"drain": func(t *rapid.T) {
+				host := rapid.IntRange(0, machineHosts-1).Draw(t, "host")
+				_ = m.hosts[host].Drain(context.Background())
+			},
+		})
+	})
+}
+
+// quiet returns one host over a table whose faults the test sets.
+func quiet(next *fault) (*claimer.Claimer, *fakeTable, *stepClock) {
+	table := newFakeTable(func() fault { return *next })
+	clock := &stepClock{now: time.Unix(1000, 0)}
+	attempts := 0
+	return claimer.New(
+		claimer.WithStore(table, &fakeObjects{table: table, data: map[string][]byte{}}),
+		claimer.WithClock(clock), claimer.WithQueue(1, 1<<20), claimer.WithSweep(1, 10, time.Minute),
+		claimer.WithAttempts(func() primrosespar.AttemptID {
+			attempts++
+			return primrosespar.AttemptID(fmt.Sprint("attempt-", attempts))
+		})), table, clock
+}
+
+// TestUnresolvedClaimIsSettled guards against a key that stays claimed by an
+// attempt that was never sent.
+func TestUnresolvedClaimIsSettled(t *testing.T) {
+	next := faultNone
+	claims, table, clock := quiet(&next)
+	call := primrosespar.Call{Account: "co-op", Key: "k", Deadline: clock.now.Add(time.Second)}
+	free := claims.Look(context.Background(), call)
+	next = faultLostLate
+	claim := claims.Take(context.Background(), call, free)
+	require.Equal(t, claimer.StoreUnavailable, claim.Verdict)
+	table.deliver()
+	next = faultNone
+	require.Equal(t, claimer.InProgress, claims.Look(context.Background(), call).Verdict)
+	require.NoError(t, claims.Drain(context.Background()))
+	call.Deadline = clock.now.Add(time.Second)
+	require.Equal(t, claimer.Run, claims.Begin(context.Background(), call).Verdict)
+}
+
+// TestQueueIsBounded guards against records that pile up while the table is
+// away, and against a key that runs again after its record was dropped.
+func TestQueueIsBounded(t *testing.T) {
+	next := faultNone
+	claims, _, clock := quiet(&next)
+	var taken []claimer.Claim
+	call := primrosespar.Call{Account: "co-op", Deadline: clock.now.Add(time.Second)}
+	for _, key := range []string{"a", "b"} {
+		call.Key = key
+		taken = append(taken, claims.Begin(context.Background(), call))
+	}
+	next = faultAway
+	for _, claim := range taken {
+		require.False(t, claims.Finish(context.Background(), claim, primrosespar.Answer{Ran: primrosespar.RanDone}, true))
+	}
+	waiting, dropped := claims.Backlog()
+	require.Equal(t, 1, waiting)
+	require.EqualValues(t, 1, dropped)
+	next = faultNone
+	require.Equal(t, claimer.Unknown, claims.Begin(context.Background(), call).Verdict)
+}
+
+// TestSweepKeepsWhatCouldRunAgain guards against the deletion of claims that
+// are young or never ended.
+func TestSweepKeepsWhatCouldRunAgain(t *testing.T) {
+	next := faultNone
+	claims, table, clock := quiet(&next)
+	call := primrosespar.Call{Account: "co-op", Deadline: clock.now.Add(time.Second)}
+	for _, key := range []string{"old", "open", "young"} {
+		call.Key = key
+		claim := claims.Begin(context.Background(), call)
+		if key == "young" {
+			clock.now = clock.now.Add(2 * time.Hour)
+		}
+		if key != "open" {
+			require.True(t, claims.Finish(context.Background(), claim, primrosespar.Answer{Ran: primrosespar.RanDone}, true))
+		}
+	}
+	deleted, err := claims.Sweep(context.Background(), func(primrosespar.Account) (time.Duration, bool) { return time.Hour, true })
+	require.NoError(t, err)
+	require.Equal(t, 1, deleted)
+	require.NotContains(t, table.rows, primrosespar.ClaimKey("co-op", "old"))
+	require.Len(t, table.rows, 2)
+}
--- /dev/null
+++ b/internal/request/claimer/fake_test.go
@@ -0,0 +1,154 @@
+package claimer_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// fault is what the fake table does to one call.
+type fault int
+
+const (
+	faultNone      fault = iota
+	faultAway            // nothing is sent
+	faultLostDone        // the write takes effect, its answer is lost
+	faultLostNever       // the write and its answer are lost
+	faultLostLate        // the write arrives at a later call
+)
+
+// fakeTable is a table in memory whose calls fail as next says.
+type fakeTable struct {
+	mu       sync.Mutex
+	rows     map[string]primrosespar.Row
+	versions map[string]primrosespar.Version
+	late     []primrosespar.Txn
+	next     func() fault
+	// ignoreConditions switches off what the claims rely on.
+	ignoreConditions bool
+}
+
+func newFakeTable(next func() fault) *fakeTable {
+	return &fakeTable{rows: map[string]primrosespar.Row{}, versions: map[string]primrosespar.Version{}, next: next}
+}
+
+func (f *fakeTable) Get(_ context.Context, keys ...string) ([]primrosespar.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next() == faultAway {
+		return nil, primrosespar.Fail(primrosespar.CodeStoreUnavailable, "away")
+	}
+	rows := make([]primrosespar.Row, 0, len(keys))
+	for _, key := range keys {
+		row := f.rows[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]primrosespar.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var rows []primrosespar.Row
+	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
+			rows = append(rows, f.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fate := f.next()
+	lost := primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "no answer")
+	switch fate {
+	case faultAway:
+		return nil, primrosespar.Fail(primrosespar.CodeStoreUnavailable, "away")
+	case faultLostNever:
+		return nil, lost
+	case faultLostLate:
+		f.late = append(f.late, txn)
+		return nil, lost
+	default:
+	}
+	versions, err := f.apply(txn)
+	if fate == faultLostDone {
+		return nil, lost
+	}
+	return versions, err
+}
+
+// deliver applies the writes that were under way.
+func (f *fakeTable) deliver() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, txn := range f.late {
+		_, _ = f.apply(txn)
+	}
+	f.late = nil
+}
+
+func (f *fakeTable) apply(txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	for _, cond := range txn.Conditions {
+		if f.rows[cond.Key].Version != cond.Version && !f.ignoreConditions {
+			return nil, primrosespar.Fail(primrosespar.CodeConflict, "row moved")
+		}
+	}
+	var versions []primrosespar.Version
+	for _, w := range txn.Writes {
+		f.versions[w.Key]++
+		versions = append(versions, f.versions[w.Key])
+		if w.Delete {
+			delete(f.rows, w.Key)
+			continue
+		}
+		f.rows[w.Key] = primrosespar.Row{Key: w.Key, Version: f.versions[w.Key], Value: slices.Clone(w.Value)}
+	}
+	return versions, nil
+}
+
+// fakeObjects is an object store in memory that shares the table's faults.
+type fakeObjects struct {
+	table *fakeTable
+	data  map[string][]byte
+}
+
+func (f *fakeObjects) Put(_ context.Context, name string, data []byte) error {
+	if f.table.next() != faultNone {
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "away")
+	}
+	f.data[name] = slices.Clone(data)
+	return nil
+}
+
+func (f *fakeObjects) Fetch(_ context.Context, name string) ([]byte, error) {
+	if data, ok := f.data[name]; ok && f.table.next() == faultNone {
+		return data, nil
+	}
+	return nil, primrosespar.Fail(primrosespar.CodeNotFound, "no object")
+}
+
+func (f *fakeObjects) Names(context.Context, string, string, int) ([]string, error) {
+	return nil, nil
+}
+
+// stepClock jumps ahead instead of waiting.
+type stepClock struct{ now time.Time }
+
+func (c *stepClock) Now() time.Time                  { return c.now }
+func (c *stepClock) Since(t time.Time) time.Duration { return c.now.Sub(t) }
+func (c *stepClock) Sleep(d time.Duration)           { c.now = c.now.Add(d) }
+func (c *stepClock) After(d time.Duration) <-chan time.Time {
+	c.now = c.now.Add(d)
+	fired := make(chan time.Time, 1)
+	fired <- c.now
+	return fired
+}
--- /dev/null
+++ b/internal/request/claimer/record.go
@@ -0,0 +1,259 @@
+package claimer
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"primrosespar.example/primrosespar"
+)
+
+// state is the state of a claim row.
+type state string
+
+const (
+	stateClaimed state = "claimed"
+	stateDone    state = "done"
+	stateNotRun  state = "not_run"
+	stateUnknown state = "unknown"
+)
+
+// record is the value of a claim row.
+type record struct {
+	Attempt primrosespar.AttemptID `json:"attempt"`
+	Digest  string                 `json:"digest"`
+	State   state                  `json:"state"`
+	Answer  *primrosespar.Answer   `json:"answer,omitempty"`
+	// Object names the body of an answer above InlineLimit.
+	Object string    `json:"object,omitempty"`
+	Ended  time.Time `json:"ended,omitzero"`
+}
+
+// encode returns the row value; a record has no field that cannot be encoded.
+func encode(rec record) []byte {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// pending is the end of a claim that the table does not show yet.
+type pending struct {
+	claim  Claim
+	record record
+	// body is stored under record.Object before the row is written.
+	body []byte
+	// bytes is the size that the bound of the queue counts.
+	bytes int64
+	// direct allows one write without a read, at the version of the claim.
+	direct bool
+}
+
+// size is what the record occupies in memory, for the bound of the queue.
+func (p *pending) size() int64 {
+	n := len(p.body) + len(p.claim.key)
+	if p.record.Answer != nil {
+		n += len(p.record.Answer.Body)
+	}
+	return int64(n)
+}
+
+// Finish records the outcome of a claim with verdict Run and returns whether
+// the table has it; if not, it is queued. A claim becomes not_run, and thereby
+// free again, only if no byte was sent; an upstream's refusal after that is
+// kept as the first answer.
+func (c *Claimer) Finish(ctx context.Context, claim Claim, answer primrosespar.Answer, sent bool) bool {
+	p := c.ending(claim, answer, sent)
+	if p.record.State != stateNotRun {
+		c.noteAnswer(claim, answer)
+	}
+	if c.settle(ctx, p) == nil {
+		c.unhold(claim)
+		return true
+	}
+	if p.record.State == stateNotRun {
+		c.unhold(claim)
+	}
+	c.enqueue(p)
+	return false
+}
+
+// ending builds the record of an outcome.
+func (c *Claimer) ending(claim Claim, answer primrosespar.Answer, sent bool) *pending {
+	rec := record{Attempt: claim.Attempt, Digest: claim.digest, Ended: c.opts.Clock.Now()}
+	switch {
+	case !sent && answer.Ran == primrosespar.RanNot:
+		rec.State = stateNotRun
+		return &pending{claim: claim, record: rec, direct: true}
+	case answer.Ran == primrosespar.RanUnknown:
+		rec.State = stateUnknown
+	default:
+		rec.State = stateDone
+	}
+	p := &pending{claim: claim, record: rec, direct: true}
+	if len(answer.Body) > InlineLimit {
+		p.record.Object = "answer/" + strings.TrimPrefix(claim.key, "claim/") + "/" + string(claim.Attempt)
+		p.body = answer.Body
+		answer.Body = nil
+	}
+	p.record.Answer = &answer
+	return p
+}
+
+// noteAnswer lets callers at this host replay an answer before the table has
+// it.
+func (c *Claimer) noteAnswer(claim Claim, answer primrosespar.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held, ok := c.held[claim.key]; ok && held.attempt == claim.Attempt {
+		held.answer = &answer
+	}
+}
+
+// settle writes the end of a claim; it returns nil once the table shows an end
+// or the row can no longer become this attempt's.
+func (c *Claimer) settle(ctx context.Context, p *pending) error {
+	if p.body != nil {
+		if err := c.opts.Objects.Put(ctx, p.record.Object, p.body); err != nil {
+			return eris.Wrap(err, "store answer")
+		}
+		p.body = nil
+	}
+	if p.direct {
+		p.direct = false
+		if _, err := c.commit(ctx, p.claim.key, p.claim.version, encode(p.record)); err == nil {
+			return nil
+		}
+	}
+	row, rec, err := c.read(ctx, p.claim.key)
+	if err != nil {
+		return err
+	}
+	own := row.Version != 0 && rec.Attempt == p.claim.Attempt
+	if own && rec.State != stateClaimed {
+		return nil
+	}
+	// A row still at the version that the claim was conditioned on may yet be
+	// changed by the claim's write; ending it here makes that write fail.
+	if !own && row.Version != p.claim.version {
+		return nil
+	}
+	_, err = c.commit(ctx, p.claim.key, row.Version, encode(p.record))
+	return err
+}
+
+// enqueue keeps the record for the background, or counts it as dropped. The
+// row of a dropped one stays claimed, so its key never runs again.
+func (c *Claimer) enqueue(p *pending) {
+	p.bytes = p.size()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) >= c.opts.QueueCount || c.queued+p.bytes > c.opts.QueueBytes {
+		c.dropped++
+		if held, ok := c.held[p.claim.key]; ok && held.attempt == p.claim.Attempt {
+			delete(c.held, p.claim.key)
+		}
+		return
+	}
+	c.queue = append(c.queue, p)
+	c.queued += p.bytes
+}
+
+// Backlog returns the number of records that wait for the table and how many
+// were dropped since the start.
+func (c *Claimer) Backlog() (waiting int, dropped uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue), c.dropped
+}
+
+// Drain tries each queued record once and stops at the first that fails. It
+// must not be called concurrently with itself or with Run.
+func (c *Claimer) Drain(ctx context.Context) error {
+	waiting, _ := c.Backlog()
+	for range waiting {
+		c.mu.Lock()
+		p := c.queue[0]
+		c.mu.Unlock()
+		err := c.settle(ctx, p)
+		c.mu.Lock()
+		c.queue = c.queue[1:]
+		if err != nil {
+			// Goes to the end, so that one bad record does not block the rest.
+			c.queue = append(c.queue, p)
+			c.mu.Unlock()
+			return err
+		}
+		c.queued -= p.bytes
+		c.mu.Unlock()
+		c.unhold(p.claim)
+	}
+	return nil
+}
+
+// Run drains the queue until the context ends.
+func (c *Claimer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.opts.Clock.After(c.opts.RetryEvery):
+		}
+		// A failed pass leaves its records queued for the next one.
+		_ = c.Drain(ctx)
+	}
+}
+
+// Sweep deletes ended claims that are older than the retention of their
+// account, which the function gives; claims of an account without a contract
+// are kept. Claims that never ended are kept for good.
+func (c *Claimer) Sweep(ctx context.Context, retention func(primrosespar.Account) (time.Duration, bool)) (int, error) {
+	const prefix = "claim/"
+	deleted := 0
+	after := ""
+	for {
+		rows, err := c.opts.Table.Scan(ctx, prefix, after, c.opts.SweepPage)
+		if err != nil {
+			return deleted, eris.Wrap(err, "scan claims")
+		}
+		for _, row := range rows {
+			after = row.Key
+			account, _, _ := strings.Cut(strings.TrimPrefix(row.Key, prefix), "/")
+			keep, known := retention(primrosespar.Account(account))
+			if !known || !c.expired(row, keep) {
+				continue
+			}
+			_, err := c.opts.Table.Commit(ctx, primrosespar.Txn{
+				Conditions: []primrosespar.Condition{{Key: row.Key, Version: row.Version}},
+				Writes:     []primrosespar.Write{{Key: row.Key, Delete: true}},
+			})
+			if err != nil && primrosespar.CodeOf(err) != primrosespar.CodeConflict {
+				return deleted, eris.Wrap(err, "delete claim")
+			}
+			if err == nil {
+				deleted++
+			}
+			select {
+			case <-ctx.Done():
+				return deleted, ctx.Err()
+			case <-c.opts.Clock.After(time.Second / time.Duration(c.opts.SweepWrites)):
+			}
+		}
+		if len(rows) < c.opts.SweepPage {
+			return deleted, nil
+		}
+	}
+}
+
+// expired reports whether the row is an ended claim past its retention.
+func (c *Claimer) expired(row primrosespar.Row, keep time.Duration) bool {
+	var rec record
+	if json.Unmarshal(row.Value, &rec) != nil || rec.State == stateClaimed || rec.Ended.IsZero() {
+		return false
+	}
+	return c.opts.Clock.Now().After(rec.Ended.Add(keep + c.opts.SweepMargin))
+}
