Add single HTTP attempts at an upstream

net/http resends requests on reused connections and with an Idempotency-Key header, and passes on a body before it knows that it is whole. Attempts of non-idempotent calls now use a connection of their own through RoundTrip, every body is read to its marked end before anything is passed on, and Sent is set as soon as the attempt gets a connection.

--- /dev/null
+++ b/internal/request/forwarder/forwarder.go
@@ -0,0 +1,259 @@
+// Package forwarder makes one HTTP attempt at an upstream.
+//
+// A call that may run only once goes out on a connection of its own: net/http
+// resends a request only on a reused connection, or if the request has an
+// Idempotency-Key header, and neither occurs there. RoundTrip is used without
+// a Client, because a Client resends the body on redirects 307 and 308.
+//
+// # Usage
+//
+//	f := forwarder.New(forwarder.WithClock(clock))
+//	result := f.Do(ctx, forwarder.Attempt{Target: grant.Target(), Call: call, ID: id})
+//	grant.Release(result.Outcome)
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Header names between an entry host and an upstream.
+const (
+	headerAccount  = "X-Account"
+	headerClass    = "X-Class"
+	headerKey      = "X-Request-Key"
+	headerAttempt  = "X-Attempt-Id"
+	headerDeadline = "X-Deadline-Ms"
+	headerNotRun   = "X-Not-Run"
+	headerLeaving  = "X-Leaving"
+	headerType     = "Content-Type"
+)
+
+// Attempt is one attempt to run a call at an upstream.
+type Attempt struct {
+	Target primrosespar.UpstreamEntry
+	Call   primrosespar.Call
+	ID     primrosespar.AttemptID
+	// Idempotent allows kept connections, on which net/http may resend.
+	Idempotent bool
+}
+
+// Result is the whole answer, or the refusal in its place, and how the
+// attempt went.
+type Result struct {
+	Answer  primrosespar.Answer
+	Outcome primrosespar.AttemptOutcome
+}
+
+// Options are the parts and bounds of a Forwarder.
+type Options struct {
+	Clock primrosespar.Clock
+	// AnswerLimit is the largest body of an answer in bytes.
+	AnswerLimit int64
+	// DialTimeout bounds the time to connect; within a place it takes about
+	// 1 ms, so a second covers one lost SYN packet only.
+	DialTimeout time.Duration
+	// IdlePerUpstream bounds the kept connections to one upstream, which has
+	// 64 connections for all hosts.
+	IdlePerUpstream int
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+// WithClock sets the clock.
+func WithClock(clock primrosespar.Clock) Option {
+	return func(o *Options) { o.Clock = clock }
+}
+
+// WithAnswerLimit sets the largest body of an answer in bytes.
+func WithAnswerLimit(limit int64) Option {
+	return func(o *Options) { o.AnswerLimit = limit }
+}
+
+// Forwarder makes attempts. It is safe for concurrent use.
+type Forwarder struct {
+	opts   Options
+	kept   *http.Transport
+	single *http.Transport
+}
+
+// New returns a Forwarder.
+func New(opts ...Option) *Forwarder {
+	o := Options{AnswerLimit: 8 << 20, DialTimeout: 1500 * time.Millisecond, IdlePerUpstream: 8}
+	for _, set := range opts {
+		set(&o)
+	}
+	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	kept := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: o.IdlePerUpstream,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	single := &http.Transport{
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+	return &Forwarder{opts: o, kept: kept, single: single}
+}
+
+// Close drops the kept connections.
+func (f *Forwarder) Close() {
+	f.kept.CloseIdleConnections()
+	f.single.CloseIdleConnections()
+}
+
+// Do makes the attempt within the deadlines of the context and of the call.
+// An answer that ends after the deadline is discarded.
+func (f *Forwarder) Do(ctx context.Context, a Attempt) Result {
+	start := f.opts.Clock.Now()
+	left := a.Call.Left
+	if !a.Call.Deadline.IsZero() {
+		left = a.Call.Deadline.Sub(start)
+	}
+	if left <= 0 {
+		return refuse(primrosespar.Fail(primrosespar.CodeDeadlinePassed, "the deadline passed before the send"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+
+	// The transport calls GotConn before it writes and on the goroutine of
+	// RoundTrip, so without that call no byte can have left.
+	var sent atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	result, err := f.exchange(traced, a, left)
+	result.Outcome.Sent = sent.Load()
+	late := result.Answer.Ran != primrosespar.RanNot && ctx.Err() != nil
+	if err != nil || late {
+		result.Answer = failed(ctx, err, result.Outcome.Sent)
+	}
+	result.Outcome.Code = result.Answer.Code
+	result.Outcome.Latency = f.opts.Clock.Since(start)
+	return result
+}
+
+// exchange sends the request and reads the whole answer.
+func (f *Forwarder) exchange(ctx context.Context, a Attempt, left time.Duration) (Result, error) {
+	req, err := newRequest(ctx, a, left)
+	if err != nil {
+		return Result{}, err
+	}
+	transport := f.single
+	if a.Idempotent {
+		transport = f.kept
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return Result{}, eris.Wrap(err, "send request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	leaving := resp.Header.Get(headerLeaving) == "1"
+	return Result{
+		Answer:  f.readAnswer(resp, a),
+		Outcome: primrosespar.AttemptOutcome{Leaving: leaving},
+	}, nil
+}
+
+// newRequest builds the request of the attempt.
+func newRequest(ctx context.Context, a Attempt, left time.Duration) (*http.Request, error) {
+	url := "http://" + a.Target.Address.String() + "/run"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(a.Call.Body))
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	if !a.Idempotent {
+		req.GetBody = nil
+		req.Close = true
+	}
+	req.Header.Set(headerAccount, string(a.Call.Account))
+	req.Header.Set(headerClass, string(a.Call.Class))
+	req.Header.Set(headerAttempt, string(a.ID))
+	req.Header.Set(headerDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if a.Call.Key != "" {
+		req.Header.Set(headerKey, a.Call.Key)
+	}
+	if a.Call.ContentType != "" {
+		req.Header.Set(headerType, a.Call.ContentType)
+	}
+	return req, nil
+}
+
+// readAnswer reads the body to its end and judges the answer.
+func (f *Forwarder) readAnswer(resp *http.Response, a Attempt) primrosespar.Answer {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, f.opts.AnswerLimit+1))
+	if err != nil {
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeAnswerTruncated, "the answer ended early").Because(err))
+	}
+	if int64(len(body)) > f.opts.AnswerLimit {
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeAnswerTruncated, "the answer exceeds %d bytes", f.opts.AnswerLimit))
+	}
+	if resp.ContentLength < 0 && !chunked(resp) {
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeAnswerTruncated, "the answer has neither a length nor chunks, so its end cannot be told from a cut"))
+	}
+	if echo := resp.Header.Get(headerAttempt); echo != "" && echo != string(a.ID) {
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the answer belongs to another attempt"))
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) == "1" {
+		return answerOf(primrosespar.Fail(primrosespar.CodeUpstreamBusy, "the upstream did not run the request"))
+	}
+	answer := primrosespar.Answer{
+		Code:        primrosespar.CodeOK,
+		Ran:         primrosespar.RanDone,
+		Status:      resp.StatusCode,
+		ContentType: resp.Header.Get(headerType),
+		Body:        body,
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		// An upstream that failed may have done part of the work.
+		answer.Code = primrosespar.CodeUpstreamError
+		answer.Ran = primrosespar.RanUnknown
+	}
+	return answer
+}
+
+// chunked reports whether the answer marks its own end by a last chunk.
+func chunked(resp *http.Response) bool {
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+}
+
+// failed is the refusal for an attempt without an answer. The context and not
+// the error says whether the deadline passed: the error of a dial timeout
+// equals context.DeadlineExceeded too.
+func failed(ctx context.Context, err error, sent bool) primrosespar.Answer {
+	switch {
+	case sent:
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "no whole answer came in time").Because(err))
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return answerOf(primrosespar.Fail(primrosespar.CodeDeadlinePassed, "the deadline passed before the send"))
+	case ctx.Err() != nil:
+		return answerOf(primrosespar.Fail(primrosespar.CodeCallerGone, "the caller left before the send"))
+	default:
+		return answerOf(primrosespar.Fail(primrosespar.CodeNoUpstream, "the upstream cannot be reached").Because(err))
+	}
+}
+
+// refuse is the result of an attempt that was not started.
+func refuse(f *primrosespar.Failure) Result {
+	return Result{Answer: answerOf(f), Outcome: primrosespar.AttemptOutcome{Code: f.Code}}
+}
+
+// answerOf turns a failure into the answer of the caller.
+func answerOf(f *primrosespar.Failure) primrosespar.Answer {
+	return primrosespar.Answer{Code: f.Code, Ran: f.Ran, Status: f.Code.Info().HTTP, Message: f.Error()}
+}
--- /dev/null
+++ b/internal/request/forwarder/forwarder_test.go
@@ -0,0 +1,232 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/request/forwarder"
+)
+
+// upstream is a server that misbehaves as the body of a request says and
+// counts the requests that reached it.
+type upstream struct {
+	mu   sync.Mutex
+	seen map[string]int
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get("X-Attempt-Id")
+	u.mu.Lock()
+	u.seen[id]++
+	u.mu.Unlock()
+	raw := func(text string) {
+		conn, buf, _ := w.(http.Hijacker).Hijack()
+		_, _ = buf.WriteString(text)
+		_ = buf.Flush()
+		_ = conn.Close()
+	}
+	switch string(body) {
+	case "truncated":
+		raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+	case "endless":
+		raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+	case "unmarked":
+		raw("HTTP/1.1 200 OK\r\n\r\nhalf")
+	case "closed":
+		raw("")
+	case "late":
+		<-r.Context().Done()
+	case "crossed":
+		w.Header().Set("X-Attempt-Id", "another")
+	case "busy":
+		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set("X-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "error":
+		w.WriteHeader(http.StatusInternalServerError)
+	case "redirect":
+		w.Header().Set("Location", "/run")
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	case "large":
+		_, _ = w.Write(make([]byte, 2000))
+	default:
+		_, _ = w.Write([]byte("answer to " + id))
+	}
+}
+
+func serve(t *testing.T) (*upstream, primrosespar.UpstreamEntry) {
+	u := &upstream{seen: map[string]int{}}
+	server := httptest.NewServer(u)
+	t.Cleanup(server.Close)
+	return u, entry(server.Listener.Addr())
+}
+
+// verifyNoLeak checks for leaked goroutines after all later cleanups.
+func verifyNoLeak(t *testing.T) {
+	current := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, current) })
+}
+
+func entry(addr net.Addr) primrosespar.UpstreamEntry {
+	return primrosespar.UpstreamEntry{Address: netip.MustParseAddrPort(addr.String())}
+}
+
+func newForwarder(t *testing.T) *forwarder.Forwarder {
+	f := forwarder.New(forwarder.WithClock(clockwork.NewRealClock()), forwarder.WithAnswerLimit(1000))
+	t.Cleanup(f.Close)
+	return f
+}
+
+// TestAttemptsUnderFaults guards against partial answers, answers of other
+// calls, false statements on what ran, and a request sent twice.
+func TestAttemptsUnderFaults(t *testing.T) {
+	verifyNoLeak(t)
+	u, target := serve(t)
+	f := newForwarder(t)
+	codes := map[string]primrosespar.Code{
+		"whole": primrosespar.CodeOK, "truncated": primrosespar.CodeAnswerTruncated,
+		"endless": primrosespar.CodeAnswerTruncated, "unmarked": primrosespar.CodeAnswerTruncated,
+		"closed": primrosespar.CodeOutcomeUnknown, "late": primrosespar.CodeOutcomeUnknown,
+		"crossed": primrosespar.CodeOutcomeUnknown, "busy": primrosespar.CodeUpstreamBusy,
+		"error": primrosespar.CodeUpstreamError, "redirect": primrosespar.CodeOK,
+		"large": primrosespar.CodeAnswerTruncated,
+	}
+	var group conc.WaitGroup
+	for body, code := range codes {
+		for i := range 2 * 8 {
+			group.Go(func() {
+				idempotent := i%2 == 0
+				id := fmt.Sprint(body, i)
+				result := f.Do(context.Background(), forwarder.Attempt{
+					Target: target, ID: primrosespar.AttemptID(id), Idempotent: idempotent,
+					Call: primrosespar.Call{Body: []byte(body), Left: 2 * time.Second},
+				})
+				if body == "whole" && string(result.Answer.Body) != "answer to "+id {
+					t.Errorf("%s got %q", id, result.Answer.Body)
+				}
+				if result.Answer.Code != code || !result.Outcome.Sent {
+					t.Errorf("%s: %v sent %v", id, result.Answer, result.Outcome.Sent)
+				}
+				if code != primrosespar.CodeOK && len(result.Answer.Body) > 0 {
+					t.Errorf("%s passed on %q", id, result.Answer.Body)
+				}
+				if result.Outcome.Leaving != (body == "busy") {
+					t.Errorf("%s: leaving %v", id, result.Outcome.Leaving)
+				}
+			})
+		}
+	}
+	group.Wait()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, n := range u.seen {
+		require.Equal(t, 1, n, "attempt %s reached the upstream %d times", id, n)
+	}
+	require.Len(t, u.seen, 16*len(codes))
+}
+
+// TestSingleAttemptIsNeverResent guards against a resend by net/http when a
+// connection closes after it has carried an answer before.
+func TestSingleAttemptIsNeverResent(t *testing.T) {
+	verifyNoLeak(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	reached := make(chan string, 8)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer func() { _ = listener.Close() }()
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { answerOnce(conn, reached) })
+		}
+	})
+	f := newForwarder(t)
+	for _, id := range []string{"first", "second"} {
+		f.Do(context.Background(), forwarder.Attempt{
+			Target: entry(listener.Addr()), ID: primrosespar.AttemptID(id),
+			Call: primrosespar.Call{Body: []byte("x"), Key: "k", Left: 2 * time.Second},
+		})
+	}
+	f.Close()
+	require.Equal(t, "first", <-reached)
+	require.Equal(t, "second", <-reached)
+	require.Empty(t, reached)
+}
+
+// answerOnce answers the first request of a connection and closes it after it
+// has read a second.
+func answerOnce(conn net.Conn, reached chan<- string) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for i := range 2 {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		reached <- req.Header.Get("X-Attempt-Id")
+		if i == 0 {
+			_, _ = io.Copy(conn, strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	}
+}
+
+// TestSentIsTruthful guards against a "not run" for a request of which a byte
+// may have left, and against "unknown" for one that had no connection.
+func TestSentIsTruthful(t *testing.T) {
+	_, target := serve(t)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refused := entry(gone.Addr())
+	require.NoError(t, gone.Close())
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	cases := map[string]struct {
+		ctx    context.Context
+		target primrosespar.UpstreamEntry
+		body   string
+		left   time.Duration
+		sent   bool
+		ran    primrosespar.Ran
+		code   primrosespar.Code
+	}{
+		"dial refused":      {context.Background(), refused, "", time.Second, false, primrosespar.RanNot, primrosespar.CodeNoUpstream},
+		"caller left":       {left, target, "", time.Second, false, primrosespar.RanNot, primrosespar.CodeCallerGone},
+		"deadline passed":   {context.Background(), target, "", -1, false, primrosespar.RanNot, primrosespar.CodeDeadlinePassed},
+		"closed unanswered": {context.Background(), target, "closed", time.Second, true, primrosespar.RanUnknown, primrosespar.CodeOutcomeUnknown},
+		"late":              {context.Background(), target, "late", 50 * time.Millisecond, true, primrosespar.RanUnknown, primrosespar.CodeOutcomeUnknown},
+		"busy":              {context.Background(), target, "busy", time.Second, true, primrosespar.RanNot, primrosespar.CodeUpstreamBusy},
+		"whole":             {context.Background(), target, "", time.Second, true, primrosespar.RanDone, primrosespar.CodeOK},
+	}
+	f := newForwarder(t)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			result := f.Do(c.ctx, forwarder.Attempt{Target: c.target, Call: primrosespar.Call{Body: []byte(c.body), Left: c.left}})
+			require.Equal(t, c.sent, result.Outcome.Sent)
+			require.Equal(t, c.ran, result.Answer.Ran)
+			require.Equal(t, c.code, result.Answer.Code)
+			require.Equal(t, c.code, result.Outcome.Code)
+		})
+	}
+}
