--- /dev/null
+++ b/internal/request/minter/key.go
@@ -0,0 +1,81 @@
+package minter
+
+import (
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"primrosespar.example/primrosespar"
+)
+
+const (
+	// prefix marks minted keys; plain keys must not start with it.
+	prefix = "mk1."
+	// fields is the number of parts after the prefix.
+	fields = 5
+	// maxKey bounds the length of a key before it is parsed.
+	maxKey = 512
+	// incarnationBytes and macBytes are the sizes before encoding.
+	incarnationBytes = 16
+	macBytes         = 16
+)
+
+// Minted is the content of a minted key. Its MAC is verified only by the
+// process that minted it.
+type Minted struct {
+	Place       primrosespar.Place
+	Host        primrosespar.Host
+	Incarnation primrosespar.Incarnation
+	Sequence    uint64
+	mac         string
+}
+
+// IsMinted reports whether the key claims to be minted.
+func IsMinted(key string) bool {
+	return strings.HasPrefix(key, prefix)
+}
+
+// Parse reads a minted key. It accepts exactly one spelling of each.
+func Parse(key string) (Minted, error) {
+	if !IsMinted(key) || len(key) > maxKey {
+		return Minted{}, eris.New("not a minted key")
+	}
+	parts := strings.Split(key[len(prefix):], ".")
+	if len(parts) != fields {
+		return Minted{}, eris.Errorf("minted key has %d fields, not %d", len(parts), fields)
+	}
+	encoding := base64.RawURLEncoding.Strict()
+	place, errPlace := encoding.DecodeString(parts[0])
+	host, errHost := encoding.DecodeString(parts[1])
+	incarnation, errInc := hex.DecodeString(parts[2])
+	sequence, errSeq := strconv.ParseUint(parts[3], 10, 64)
+	mac, errMAC := encoding.DecodeString(parts[4])
+	if err := errors.Join(errPlace, errHost, errInc, errSeq, errMAC); err != nil {
+		return Minted{}, eris.Wrap(err, "decode minted key")
+	}
+	if len(incarnation) != incarnationBytes || len(mac) != macBytes {
+		return Minted{}, eris.New("minted key has a field of the wrong size")
+	}
+	m := Minted{
+		Place: primrosespar.Place(place), Host: primrosespar.Host(host),
+		Incarnation: primrosespar.Incarnation(parts[2]), Sequence: sequence, mac: parts[4],
+	}
+	if m.String() != key {
+		return Minted{}, eris.New("minted key is not in its canonical form")
+	}
+	return m, nil
+}
+
+// String returns the key.
+func (m Minted) String() string {
+	encode := base64.RawURLEncoding.EncodeToString
+	parts := []string{
+		encode([]byte(m.Place)), encode([]byte(m.Host)),
+		strings.ToLower(string(m.Incarnation)), strconv.FormatUint(m.Sequence, 10), m.mac,
+	}
+	return prefix + strings.Join(parts, ".")
+}
