Add the request path from a call to its whole answer

The parts of the request path need one order: a key is read, a slot is taken, the key is claimed, the call is sent, and the outcome is recorded before the caller is answered. The router keeps this order, so that a refusal by a limit leaves no claim and denies no earlier run, and a caller that leaves after the send does not stop the record.

Each of these changes made a test fail: claiming before the slot is taken, sending or recording under the caller's context, sending for a caller that left, ignoring the restricted mode, and forgetting that an earlier attempt may have run.

--- /dev/null
+++ b/internal/request/router/router.go
@@ -0,0 +1,298 @@
+// Package router takes a call from its arrival to its whole answer: it checks
+// the call against its contract, gets a slot at an upstream, claims the key,
+// makes the attempts and records the outcome.
+//
+// A non-idempotent call gets its slot before its claim, so that a call refused
+// by a limit leaves no claim. Its key is read before that, so that a refusal
+// by a limit does not deny an earlier run under the same key.
+//
+// # Usage
+//
+//	r := router.New(router.WithProcess(place, host), ...)
+//	answer := r.Serve(ctx, call)
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/request/claimer"
+	"primrosespar.example/primrosespar/internal/request/minter"
+)
+
+// Router serves calls. It is safe for concurrent use.
+type Router struct {
+	opts Options
+}
+
+var _ primrosespar.Router = (*Router)(nil)
+
+// New returns a Router.
+func New(opts ...Option) *Router {
+	o := Options{BodyLimit: 1 << 20, KeyLimit: 512, RecordTimeout: time.Second}
+	for _, set := range opts {
+		set(&o)
+	}
+	return &Router{opts: o}
+}
+
+// job is a call with what the contract says about it.
+type job struct {
+	call    primrosespar.Call
+	terms   primrosespar.ClassTerms
+	version primrosespar.Version
+	// forwarded is set for a call that another host sent here for its key.
+	forwarded bool
+}
+
+// Serve returns the whole answer to the call or a refusal.
+func (r *Router) Serve(ctx context.Context, call primrosespar.Call) primrosespar.Answer {
+	return r.serve(ctx, call, false)
+}
+
+// Execute serves a call that another host forwarded because this process
+// minted its key. It never forwards the call again.
+func (r *Router) Execute(ctx context.Context, call primrosespar.Call) primrosespar.Answer {
+	return r.serve(ctx, call, true)
+}
+
+func (r *Router) serve(ctx context.Context, call primrosespar.Call, forwarded bool) primrosespar.Answer {
+	j := job{call: call, forwarded: forwarded}
+	if refusal := r.check(&j); refusal != nil {
+		answer := answerOf(refusal)
+		r.record(j, primrosespar.DecisionRefusal, answer.Code, answer.Message)
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, j.call.Left)
+	defer cancel()
+	var answer primrosespar.Answer
+	switch {
+	case j.terms.Idempotent:
+		answer = r.serveIdempotent(ctx, j)
+	case minter.IsMinted(j.call.Key):
+		answer = r.serveMinted(ctx, j)
+	default:
+		answer = r.servePlain(ctx, j)
+	}
+	r.record(j, primrosespar.DecisionOutcome, answer.Code, answer.Message)
+	return answer
+}
+
+// check validates the call against its contract and sets its deadline.
+func (r *Router) check(j *job) *primrosespar.Failure {
+	view, _ := r.opts.Contracts.View()
+	contract, ok := view.Find(j.call.Account)
+	if !ok {
+		return primrosespar.Fail(primrosespar.CodeUnknownAccount, "no contract for account %q", j.call.Account)
+	}
+	j.version = contract.Version
+	j.terms, ok = contract.Contract.Terms(j.call.Class)
+	if !ok || j.terms.Kind != primrosespar.KindRequest {
+		return primrosespar.Fail(primrosespar.CodeUnknownClass, "the contract has no request class %q", j.call.Class)
+	}
+	if share, _ := contract.Contract.ShareIn(r.opts.Place); share <= 0 {
+		return primrosespar.Fail(primrosespar.CodeWrongPlace, "the contract has no share in %s; it has shares in %v", r.opts.Place, sharesOf(contract.Contract))
+	}
+	if len(j.call.Body) > r.opts.BodyLimit {
+		return primrosespar.Fail(primrosespar.CodeBodyTooLarge, "the body has %d bytes, the limit is %d", len(j.call.Body), r.opts.BodyLimit)
+	}
+	if len(j.call.Key) > r.opts.KeyLimit {
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "the key has %d bytes, the limit is %d", len(j.call.Key), r.opts.KeyLimit)
+	}
+	if j.call.Key == "" && !j.terms.Idempotent {
+		return primrosespar.Fail(primrosespar.CodeKeyMissing, "class %q is not idempotent and needs a key", j.call.Class)
+	}
+	return r.setDeadline(j)
+}
+
+// setDeadline takes the earliest of the contract's and the caller's deadline.
+func (r *Router) setDeadline(j *job) *primrosespar.Failure {
+	now := r.opts.Clock.Now()
+	left := j.terms.Deadline
+	if !j.call.Deadline.IsZero() {
+		left = min(left, j.call.Deadline.Sub(now))
+	} else if j.call.Left > 0 {
+		left = min(left, j.call.Left)
+	}
+	if left <= 0 {
+		return primrosespar.Fail(primrosespar.CodeDeadlinePassed, "the deadline passed before admission")
+	}
+	j.call.Left = left
+	j.call.Deadline = now.Add(left)
+	return nil
+}
+
+// sharesOf lists the places that serve the contract.
+func sharesOf(c primrosespar.Contract) []primrosespar.Place {
+	var places []primrosespar.Place
+	for _, share := range c.Places {
+		if share.Share > 0 {
+			places = append(places, share.Place)
+		}
+	}
+	return places
+}
+
+// serveIdempotent runs a call that may be repeated; it needs no claim.
+func (r *Router) serveIdempotent(ctx context.Context, j job) primrosespar.Answer {
+	grant, refusal := r.acquire(ctx, j)
+	if refusal != nil {
+		return *refusal
+	}
+	answer, _ := r.attempts(ctx, j, grant, r.opts.NewAttempt())
+	return answer
+}
+
+// servePlain runs a call whose key is claimed in the table.
+func (r *Router) servePlain(ctx context.Context, j job) primrosespar.Answer {
+	for {
+		free := r.opts.Claims.Look(ctx, j.call)
+		if free.Verdict == claimer.InProgress {
+			free = r.opts.Claims.Await(ctx, j.call)
+		}
+		if free.Verdict != claimer.Free {
+			return settled(free)
+		}
+		if !r.opts.Contracts.Current() {
+			return answerOf(primrosespar.Fail(primrosespar.CodeRestricted, "the view of the contracts is not current; a minted key is needed"))
+		}
+		grant, refusal := r.acquire(ctx, j)
+		if refusal != nil {
+			return *refusal
+		}
+		claim := r.opts.Claims.Take(ctx, j.call, free)
+		switch claim.Verdict {
+		case claimer.Run:
+			answer, sent := r.attempts(ctx, j, grant, claim.Attempt)
+			r.finish(ctx, j, claim, answer, sent)
+			return answer
+		case claimer.InProgress:
+			// Waits without the slot for the attempt that was first.
+			grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeInProgress})
+		default:
+			grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeStoreUnavailable})
+			return settled(claim)
+		}
+	}
+}
+
+// finish records the outcome of a claim; a caller that left does not stop it.
+func (r *Router) finish(ctx context.Context, j job, claim claimer.Claim, answer primrosespar.Answer, sent bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.opts.RecordTimeout)
+	defer cancel()
+	if !r.opts.Claims.Finish(ctx, claim, answer, sent) {
+		r.record(j, primrosespar.DecisionOutcome, primrosespar.CodeStoreUnavailable, "the outcome is recorded later")
+	}
+}
+
+// settled is the answer for a key that this call does not run.
+func settled(claim claimer.Claim) primrosespar.Answer {
+	switch claim.Verdict {
+	case claimer.Replay:
+		return replayed(claim.Answer)
+	case claimer.InProgress:
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeInProgress, "the first attempt has not ended"))
+	case claimer.KeyReused:
+		return answerOf(primrosespar.Fail(primrosespar.CodeKeyReused, "the key was used with another body"))
+	case claimer.StoreUnavailable:
+		message := "the claim could not be written"
+		if !claim.Checked {
+			message = "this call was not run; an earlier use of the key could not be checked"
+		}
+		return answerOf(primrosespar.Fail(primrosespar.CodeStoreUnavailable, "%s", message))
+	default:
+		if claim.Answer.Status != 0 {
+			return claim.Answer
+		}
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "an attempt under the key may have run"))
+	}
+}
+
+// replayed marks the first answer of a key as a replay.
+func replayed(first primrosespar.Answer) primrosespar.Answer {
+	if first.Code == primrosespar.CodeOK {
+		first.Code = primrosespar.CodeReplayed
+	}
+	return first
+}
+
+// serveMinted runs a call whose key some process of the tier minted.
+func (r *Router) serveMinted(ctx context.Context, j job) primrosespar.Answer {
+	claim := r.opts.Minter.Begin(ctx, j.call)
+	switch claim.Verdict {
+	case minter.Run:
+		grant, refusal := r.acquire(ctx, j)
+		if refusal != nil {
+			r.opts.Minter.Finish(claim, *refusal, false)
+			return *refusal
+		}
+		answer, sent := r.attempts(ctx, j, grant, r.opts.NewAttempt())
+		r.opts.Minter.Finish(claim, answer, sent)
+		return answer
+	case minter.Replay:
+		return replayed(claim.Answer)
+	case minter.InProgress:
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeInProgress, "the first attempt has not ended"))
+	case minter.KeyReused:
+		return answerOf(primrosespar.Fail(primrosespar.CodeKeyReused, "the key was used with another body"))
+	case minter.Expired:
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeKeyExpired, "the minted key is no longer known"))
+	case minter.Invalid:
+		return answerOf(primrosespar.Fail(primrosespar.CodeBadRequest, "the key was not minted for this account"))
+	case minter.Foreign:
+		return r.forward(ctx, j, claim.Minted)
+	default:
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the answer under the key is no longer kept"))
+	}
+}
+
+// forward sends a call to the process that minted its key.
+func (r *Router) forward(ctx context.Context, j job, key minter.Minted) primrosespar.Answer {
+	if key.Place != r.opts.Place {
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeWrongPlace, "the key was minted in %s", key.Place))
+	}
+	address, found := r.opts.FindHost(key.Host, key.Incarnation)
+	if !found || j.forwarded {
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the process that minted the key is gone"))
+	}
+	call := j.call
+	call.Left = call.Deadline.Sub(r.opts.Clock.Now())
+	answer, err := r.opts.Peers.Execute(ctx, address, call)
+	if err != nil {
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodePeerUnavailable, "host %s gave no answer", key.Host).Because(err))
+	}
+	return answer
+}
+
+// acquire waits for a slot and records the admission or returns the refusal.
+func (r *Router) acquire(ctx context.Context, j job) (primrosespar.Grant, *primrosespar.Answer) {
+	grant, err := r.opts.Dispatcher.Acquire(ctx, j.call)
+	if err == nil {
+		r.record(j, primrosespar.DecisionAdmission, primrosespar.CodeOK, string(grant.Target().Upstream))
+		return grant, nil
+	}
+	var failure *primrosespar.Failure
+	if !errors.As(err, &failure) {
+		failure = primrosespar.Fail(primrosespar.CodeInternal, "no slot").Because(err)
+	}
+	answer := answerOf(failure)
+	r.record(j, primrosespar.DecisionRefusal, answer.Code, answer.Message)
+	return nil, &answer
+}
+
+// record writes a decision about the call.
+func (r *Router) record(j job, kind primrosespar.DecisionKind, code primrosespar.Code, detail string) {
+	r.opts.Recorder.Record(primrosespar.Decision{
+		At: r.opts.Clock.Now(), Place: r.opts.Place, Host: r.opts.Host,
+		Kind: kind, Code: code, Subject: string(j.call.ID), Account: j.call.Account,
+		Class: j.call.Class, ContractVersion: j.version, Detail: detail,
+		Figures: []primrosespar.Figure{{Name: "retry", Value: float64(j.call.Retry)}},
+	})
+}
+
+// answerOf turns a failure into the answer of the caller.
+func answerOf(f *primrosespar.Failure) primrosespar.Answer {
+	return primrosespar.Answer{Code: f.Code, Ran: f.Ran, Status: f.Code.Info().HTTP, Message: f.Error()}
+}
