Follow a sent attempt to its end after the caller left

A caller that left while the connection was being set up still got its call sent, because the router detached the whole attempt from the caller. The forwarder now detaches a non-idempotent attempt only once it has its connection. Keys that a header cannot carry are refused instead of failing as an unreachable upstream, an answer 101 cannot hold a slot past the deadline, and one record that fails no longer stops a pass over the queue.

--- a/internal/request/claimer/record.go
+++ b/internal/request/claimer/record.go
@@ -171,10 +171,17 @@
 	return len(c.queue), c.dropped
 }
 
-// Drain tries each queued record once and stops at the first that fails. It
-// must not be called concurrently with itself or with Run.
+// drainFailures ends a pass over the queue: some records may fail alone, such
+// as large answers without the object store, but a table that is away is not
+// asked for each record.
+const drainFailures = 8
+
+// Drain tries each queued record once, in order, until several have failed, and
+// returns the last failure. It must not be called concurrently with itself or with Run.
 func (c *Claimer) Drain(ctx context.Context) error {
 	waiting, _ := c.Backlog()
+	failures := 0
+	var last error
 	for range waiting {
 		c.mu.Lock()
 		p := c.queue[0]
@@ -183,16 +190,20 @@
 		c.mu.Lock()
 		c.queue = c.queue[1:]
 		if err != nil {
-			// Goes to the end, so that one bad record does not block the rest.
 			c.queue = append(c.queue, p)
 			c.mu.Unlock()
-			return err
+			last = err
+			failures++
+			if failures == drainFailures {
+				return last
+			}
+			continue
 		}
 		c.queued -= p.bytes
 		c.mu.Unlock()
 		c.unhold(p.claim)
 	}
-	return nil
+	return last
 }
 
 // Run drains the queue until the context ends.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -21,7 +21,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,6 +41,9 @@
 	headerType     = "Content-Type"
 )
 
+// headerLimit is the largest header of an answer in bytes.
+const headerLimit = 64 << 10
+
 // Attempt is one attempt to run a call at an upstream.
 type Attempt struct {
 	Target primrosespar.UpstreamEntry
@@ -100,13 +103,17 @@
 	kept := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: o.IdlePerUpstream,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: headerLimit,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
 	}
 	single := &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:       dialer.DialContext,
+		DisableKeepAlives: true,
+
+		MaxResponseHeaderBytes: headerLimit,
+		DisableCompression:     true,
 	}
 	return &Forwarder{opts: o, kept: kept, single: single}
 }
@@ -117,8 +124,10 @@
 	f.single.CloseIdleConnections()
 }
 
-// Do makes the attempt within the deadlines of the context and of the call.
-// An answer that ends after the deadline is discarded.
+// Do makes the attempt within the deadline of the call. An answer that ends
+// after the deadline is discarded. The end of the context stops an idempotent
+// attempt at any time and another one only until it is sent: its outcome is
+// wanted for the record even if the caller has left.
 func (f *Forwarder) Do(ctx context.Context, a Attempt) Result {
 	start := f.opts.Clock.Now()
 	left := a.Call.Left
@@ -128,17 +137,33 @@
 	if left <= 0 {
 		return refuse(primrosespar.Fail(primrosespar.CodeDeadlinePassed, "the deadline passed before the send"))
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
+	caller := ctx
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), left)
 	defer cancel()
 
 	// The transport calls GotConn before it writes and on the goroutine of
 	// RoundTrip, so without that call no byte can have left.
-	var sent atomic.Bool
+	var mu sync.Mutex
+	var sent bool
+	stop := context.AfterFunc(caller, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if a.Idempotent || !sent {
+			cancel()
+		}
+	})
+	defer stop()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			sent = true
+		},
 	})
 	result, err := f.exchange(traced, a, left)
-	result.Outcome.Sent = sent.Load()
+	mu.Lock()
+	result.Outcome.Sent = sent
+	mu.Unlock()
 	late := result.Answer.Ran != primrosespar.RanNot && ctx.Err() != nil
 	if err != nil || late {
 		result.Answer = failed(ctx, err, result.Outcome.Sent)
@@ -163,6 +188,10 @@
 		return Result{}, eris.Wrap(err, "send request")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		// The body is then the connection, whose reads ignore the deadline.
+		return Result{}, eris.New("the upstream switched protocols")
+	}
 	leaving := resp.Header.Get(headerLeaving) == "1"
 	return Result{
 		Answer:  f.readAnswer(resp, a),
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -230,3 +230,24 @@
 		})
 	}
 }
+
+// TestCallerLeavesAfterSend guards against an outcome lost to the record
+// because the caller left after a non-idempotent call was sent.
+func TestCallerLeavesAfterSend(t *testing.T) {
+	for idempotent, code := range map[bool]primrosespar.Code{false: primrosespar.CodeOK, true: primrosespar.CodeOutcomeUnknown} {
+		caller, leave := context.WithCancel(context.Background())
+		defer leave()
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			leave()
+			select {
+			case <-r.Context().Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+		}))
+		defer server.Close()
+		result := newForwarder(t).Do(caller, forwarder.Attempt{
+			Target: entry(server.Listener.Addr()), Idempotent: idempotent, Call: primrosespar.Call{Left: 2 * time.Second},
+		})
+		require.Equal(t, code, result.Answer.Code)
+	}
+}
--- a/internal/request/router/attempts.go
+++ b/internal/request/router/attempts.go
@@ -11,19 +11,13 @@
 // attempts sends the call until it has an answer that is not retried. It
 // releases the grant, and returns whether a byte of any attempt can have left.
 func (r *Router) attempts(ctx context.Context, j job, grant primrosespar.Grant, id primrosespar.AttemptID) (answer primrosespar.Answer, sent bool) {
-	sendCtx := ctx
-	if !j.terms.Idempotent {
-		// An attempt that was sent is followed to its end and recorded, even
-		// if the caller leaves; the forwarder applies the call's deadline.
-		sendCtx = context.WithoutCancel(ctx)
-	}
 	mayHaveRun := false
 	for {
 		if ctx.Err() != nil {
 			grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeCallerGone})
 			return truthful(goneAnswer(ctx), mayHaveRun), sent
 		}
-		result := r.opts.Sender.Do(sendCtx, forwarder.Attempt{
+		result := r.opts.Sender.Do(ctx, forwarder.Attempt{
 			Target: grant.Target(), Call: j.call, ID: id, Idempotent: j.terms.Idempotent,
 		})
 		grant.Release(result.Outcome)
--- a/internal/request/router/options.go
+++ b/internal/request/router/options.go
@@ -14,7 +14,8 @@
 
 // Sender makes one attempt at an upstream; forwarder.Forwarder is one.
 type Sender interface {
-	// Do returns the whole answer or the refusal in its place.
+	// Do returns the whole answer or the refusal in its place. The end of the
+	// context stops a non-idempotent attempt only until it is sent.
 	Do(ctx context.Context, attempt forwarder.Attempt) forwarder.Result
 }
 
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"primrosespar.example/primrosespar"
@@ -101,6 +102,9 @@
 	if len(j.call.Key) > r.opts.KeyLimit {
 		return primrosespar.Fail(primrosespar.CodeBadRequest, "the key has %d bytes, the limit is %d", len(j.call.Key), r.opts.KeyLimit)
 	}
+	if strings.ContainsFunc(j.call.Key, func(c rune) bool { return c <= ' ' || c > '~' }) {
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "the key has characters other than visible ASCII, which a header cannot carry")
+	}
 	if j.call.Key == "" && !j.terms.Idempotent {
 		return primrosespar.Fail(primrosespar.CodeKeyMissing, "class %q is not idempotent and needs a key", j.call.Class)
 	}
