Add buddy cell packer and first planner with claims

packer keeps per-rack buddy trees with two incremental sets of maximal blocks, free and reclaimable. planner binds a physical block to each guaranteed block at its first claim, evicts whole borrowed gangs, and admits non-preemptible work only if all unclaimed blocks still pack. Jobs that can never run are refused with the bound named.

--- /dev/null
+++ b/internal/place/packer/locate.go
@@ -0,0 +1,54 @@
+package packer
+
+import "primrosespar.example/primrosespar"
+
+// Locate returns the block of the level that holds the slice's first cell.
+func (p *Packer) Locate(s primrosespar.Slice, level int) (Block, bool) {
+	w := p.workers[s.Worker]
+	if w == nil || s.First < 0 || s.First >= len(w.cells) {
+		return Block{}, false
+	}
+	at := w.offset + s.First
+	return Block{Rack: w.entry.Rack, Start: at &^ (1<<level - 1), Level: level}, true
+}
+
+// Without returns the supply of the view after the block is taken out of it;
+// it reports false if the block is not wholly in the view.
+func (p *Packer) Without(v View, b Block) (Counts, bool) {
+	supply := p.counts[v]
+	r := p.racks[b.Rack]
+	if r == nil || b.Start+b.Size() > r.trees[v].size {
+		return supply, false
+	}
+	t := &r.trees[v]
+	node := (t.size + b.Start) >> b.Level
+	if !t.full[node] {
+		return supply, false
+	}
+	level := b.Level
+	for ; node > 1 && level+1 < Levels && t.full[node/2]; node /= 2 {
+		supply[level]++
+		level++
+	}
+	supply[level]--
+	return supply, true
+}
+
+// Sub returns count cells from the offset of the slices, in their order, for
+// the member.
+func Sub(slices []primrosespar.Slice, offset, count, member int) []primrosespar.Slice {
+	var out []primrosespar.Slice
+	for _, s := range slices {
+		if offset >= s.Count {
+			offset -= s.Count
+			continue
+		}
+		n := min(s.Count-offset, count)
+		if n <= 0 {
+			break
+		}
+		out = append(out, primrosespar.Slice{Worker: s.Worker, Member: member, First: s.First + offset, Count: n})
+		offset, count = 0, count-n
+	}
+	return out
+}
--- /dev/null
+++ b/internal/place/packer/packer.go
@@ -0,0 +1,244 @@
+// Package packer keeps the accelerators of one place as buddy cells.
+//
+// The accelerators of a rack stand in one line, worker after worker by
+// position. A block of level k is an aligned run of 2^k of them. The packer
+// keeps two sets of maximal blocks: those wholly free, and those wholly
+// reclaimable, which are free or held by preemptible work and not bound to a
+// claimed guarantee. Both are updated with each cell, so that no query scans
+// the accelerators.
+//
+// # Usage
+//
+//	p := packer.New()
+//	p.SetWorkers(entries, nil)
+//	if block, ok := p.BestFit(packer.ViewFree, 3, nil); ok {
+//		p.Hold(p.Slices(block, 0, 8, 0), "job-1", packer.Preemptible)
+//	}
+//	packs := p.Packs(demand)
+//
+// Two accelerators are in one line only if the workers between them are known:
+// a missing position takes the room of the rack's largest worker and is dead.
+package packer
+
+import (
+	"math/bits"
+
+	"github.com/google/btree"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Levels is the number of block sizes; the largest block has 2^(Levels-1)
+// accelerators. A rack longer than that is a chain of such blocks.
+const Levels = 14
+
+// degree is the fan-out of the ordered sets.
+const degree = 16
+
+// State is what a cell is used for.
+type State uint8
+
+// States of a cell. Dead stands for every accelerator of a worker that takes
+// no new work.
+const (
+	Free State = iota
+	Preemptible
+	NonPreemptible
+	Dead
+)
+
+// View selects one of the two sets of maximal blocks.
+type View int
+
+// Views: wholly free blocks, and blocks that claims may take.
+const (
+	ViewFree View = iota
+	ViewReclaimable
+	views
+)
+
+// Counts is a number of blocks for each level.
+type Counts [Levels]int
+
+// Block is an aligned run of 2^Level accelerators of a rack.
+type Block struct {
+	Rack  primrosespar.Rack
+	Start int
+	Level int
+}
+
+// Size returns the number of accelerators of the block.
+func (b Block) Size() int {
+	return 1 << b.Level
+}
+
+// Cell is the state of one accelerator.
+type Cell struct {
+	Holder primrosespar.JobID
+	// Next takes the cell over when Holder releases it.
+	Next primrosespar.JobID
+	// Bound cells belong to a guarantee that is claimed in part.
+	Bound bool
+	held  State
+}
+
+// Packer keeps the cells of one place. It is not safe for concurrent use.
+type Packer struct {
+	racks   map[primrosespar.Rack]*rack
+	workers map[primrosespar.Worker]*worker
+	sets    [views][Levels]*btree.BTreeG[Block]
+	counts  [views]Counts
+	// states counts the cells of each state.
+	states [Dead + 1]int
+	cells  int
+}
+
+// New returns a packer without workers.
+func New() *Packer {
+	p := &Packer{
+		racks:   map[primrosespar.Rack]*rack{},
+		workers: map[primrosespar.Worker]*worker{},
+	}
+	for v := range p.sets {
+		for k := range p.sets[v] {
+			p.sets[v][k] = btree.NewG(degree, less)
+		}
+	}
+	return p
+}
+
+func less(a, b Block) bool {
+	if a.Rack != b.Rack {
+		return a.Rack < b.Rack
+	}
+	return a.Start < b.Start
+}
+
+// LevelOf returns the lowest level whose blocks hold n accelerators.
+func LevelOf(n int) int {
+	if n <= 1 {
+		return 0
+	}
+	return bits.Len(uint(n - 1))
+}
+
+// Packs reports whether the demanded blocks fit the reclaimable cells all at
+// once. Aligned blocks nest, so filling from the largest down is exact.
+func (p *Packer) Packs(demand Counts) bool {
+	return Fits(p.counts[ViewReclaimable], demand) < 0
+}
+
+// Fits returns the largest level at which the supply of maximal blocks does
+// not hold the demand, -1 if all of it fits.
+func Fits(supply, demand Counts) int {
+	left := 0
+	for k := Levels - 1; k >= 0; k-- {
+		left = left*2 + supply[k] - demand[k]
+		if left < 0 {
+			return k
+		}
+	}
+	return -1
+}
+
+// Supply returns the number of maximal blocks of each level.
+func (p *Packer) Supply(v View) Counts {
+	return p.counts[v]
+}
+
+// Count returns the number of cells in the state.
+func (p *Packer) Count(s State) int {
+	return p.states[s]
+}
+
+// Total returns the number of accelerators of all known workers.
+func (p *Packer) Total() int {
+	return p.cells
+}
+
+// Largest returns the size of the largest free block, 0 if none is free.
+func (p *Packer) Largest() int {
+	for k := Levels - 1; k >= 0; k-- {
+		if p.counts[ViewFree][k] > 0 {
+			return 1 << k
+		}
+	}
+	return 0
+}
+
+// BestFit returns a block of the level inside the smallest maximal block of
+// the view that holds one, so that larger blocks stay whole. With accept it
+// returns the first one accepted of those that Candidates visits.
+func (p *Packer) BestFit(v View, level int, accept func(Block) bool) (Block, bool) {
+	var found Block
+	ok := false
+	p.Candidates(v, level, func(b Block) bool {
+		if accept != nil && !accept(b) {
+			return true
+		}
+		found, ok = b, true
+		return false
+	})
+	return found, ok
+}
+
+// Candidates visits the blocks of the level inside the view's maximal blocks,
+// smallest maximal block first, until visit returns false.
+func (p *Packer) Candidates(v View, level int, visit func(Block) bool) {
+	more := true
+	for k := level; k < Levels && more; k++ {
+		p.sets[v][k].Ascend(func(outer Block) bool {
+			for s := 0; s < outer.Size() && more; s += 1 << level {
+				more = visit(Block{Rack: outer.Rack, Start: outer.Start + s, Level: level})
+			}
+			return more
+		})
+	}
+}
+
+// set changes the cell's membership in one view and keeps its maximal blocks.
+func (p *Packer) set(r *rack, v View, i int, on bool) {
+	t := &r.trees[v]
+	leaf := t.size + i
+	if t.full[leaf] == on {
+		return
+	}
+	if on {
+		p.merge(r, v, leaf)
+		return
+	}
+	top, level := leaf, 0
+	for top > 1 && t.full[top/2] && level+1 < Levels {
+		top, level = top/2, level+1
+	}
+	p.remove(r, v, top, level)
+	for n, k := leaf, 0; ; n, k = n/2, k+1 {
+		t.full[n] = false
+		if n == top {
+			return
+		}
+		p.insert(r, v, n^1, k)
+	}
+}
+
+func (p *Packer) merge(r *rack, v View, leaf int) {
+	t := &r.trees[v]
+	n, level := leaf, 0
+	t.full[n] = true
+	for n > 1 && level+1 < Levels && t.full[n^1] {
+		p.remove(r, v, n^1, level)
+		n, level = n/2, level+1
+		t.full[n] = true
+	}
+	p.insert(r, v, n, level)
+}
+
+func (p *Packer) insert(r *rack, v View, node, level int) {
+	p.counts[v][level]++
+	p.sets[v][level].ReplaceOrInsert(r.block(node, level))
+}
+
+func (p *Packer) remove(r *rack, v View, node, level int) {
+	p.counts[v][level]--
+	p.sets[v][level].Delete(r.block(node, level))
+}
--- /dev/null
+++ b/internal/place/planner/gang.go
@@ -0,0 +1,256 @@
+package planner
+
+import (
+	"cmp"
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/packer"
+)
+
+type phase int
+
+const (
+	phaseQueued phase = iota
+	// phasePending claims wait for evicted gangs to stop.
+	phasePending
+	phaseRunning
+	// phaseStopping gangs were evicted and have not stopped yet.
+	phaseStopping
+)
+
+// gang is what the planner knows of one job.
+type gang struct {
+	job      primrosespar.Job
+	account  *account
+	phase    phase
+	rank     int
+	due      time.Time
+	sequence uint64
+	slices   []primrosespar.Slice
+	borrowed bool
+	need     need
+	// draws are the guaranteed blocks a claim draws on, one for each unit.
+	draws   []*promise
+	started time.Time
+	// saved is the time of the last checkpoint, or of the start.
+	saved   time.Time
+	victims map[primrosespar.JobID]*gang
+	// waiters are the claims that this evicted gang has to make room for.
+	waiters []*gang
+	wait    primrosespar.Code
+}
+
+// need is what one member uses beside accelerators.
+type need struct {
+	cores  int
+	memory int64
+}
+
+// Ranks of the queue.
+const (
+	rankClaim = iota
+	rankUrgent
+	rankOther
+)
+
+func before(a, b *gang) bool {
+	return cmp.Or(
+		cmp.Compare(a.rank, b.rank),
+		a.due.Compare(b.due),
+		cmp.Compare(a.sequence, b.sequence),
+	) < 0
+}
+
+// shapeKey groups gangs that fail together within one plan.
+type shapeKey struct {
+	account        primrosespar.Account
+	class          primrosespar.Class
+	shape          primrosespar.Shape
+	claim, preempt bool
+}
+
+func (g *gang) shapeKey() shapeKey {
+	return shapeKey{g.job.Account, g.job.Class, g.job.Shape, g.job.Claim, g.preemptible()}
+}
+
+func (g *gang) size() int {
+	return g.job.Shape.Accelerators()
+}
+
+// units returns the number and level of the blocks that the shape takes.
+func units(s primrosespar.Shape) (count, level int) {
+	if s.Block == 0 {
+		return 0, 0
+	}
+	if s.OneRack {
+		return 1, packer.LevelOf(s.Members * s.Block)
+	}
+	return s.Members, packer.LevelOf(s.Block)
+}
+
+// unit returns the members that stand in one unit.
+func unit(s primrosespar.Shape, i int) (first, members int) {
+	if s.OneRack {
+		return 0, s.Members
+	}
+	return i, 1
+}
+
+// unitSlices gives the members of unit i their cells from the start of the
+// unit's cells.
+func unitSlices(s primrosespar.Shape, i int, cells []primrosespar.Slice) []primrosespar.Slice {
+	first, members := unit(s, i)
+	var out []primrosespar.Slice
+	for m := range members {
+		out = append(out, packer.Sub(cells, m*s.Block, s.Block, first+m)...)
+	}
+	return out
+}
+
+// preemptible reports whether the gang may run on borrowed capacity.
+func (g *gang) preemptible() bool {
+	return !g.job.Claim && g.job.Preemptible
+}
+
+// lost is the run time that the gang loses if it is stopped now.
+func (g *gang) lost(now time.Time) time.Duration {
+	if g.phase == phaseStopping {
+		return 0
+	}
+	return max(now.Sub(g.saved), 0)
+}
+
+// Add queues the job.
+func (p *Planner) Add(job primrosespar.Job, now time.Time) error {
+	if _, known := p.gangs[job.ID]; known {
+		return primrosespar.Fail(primrosespar.CodeConflict, "job %s is known already", job.ID)
+	}
+	if err := p.admit(job); err != nil {
+		return err
+	}
+	p.enqueue(p.newGang(job, now))
+	return nil
+}
+
+func (p *Planner) newGang(job primrosespar.Job, now time.Time) *gang {
+	p.sequence++
+	a := p.accountOf(job.Account)
+	g := &gang{job: job, account: a, sequence: p.sequence, rank: rankOther, due: now.Add(job.Deadline)}
+	if a.terms(job.Class).Urgent {
+		g.rank = rankUrgent
+	}
+	if job.Claim {
+		g.rank = rankClaim
+	}
+	g.need = need{cores: job.Shape.Cores, memory: job.Shape.MemoryBytes}
+	p.gangs[job.ID] = g
+	return g
+}
+
+func (p *Planner) enqueue(g *gang) {
+	g.phase = phaseQueued
+	g.wait = primrosespar.CodeOK
+	p.queue.ReplaceOrInsert(g)
+	p.fresh.ReplaceOrInsert(g)
+}
+
+func (p *Planner) dequeue(g *gang) {
+	p.queue.Delete(g)
+	p.fresh.Delete(g)
+}
+
+// Restore takes over a gang that was committed before a change of holder.
+func (p *Planner) Restore(committed primrosespar.Gang, now time.Time) {
+	if old, known := p.gangs[committed.Job.ID]; known {
+		p.drop(old)
+	}
+	if committed.State.Ended() {
+		return
+	}
+	g := p.newGang(committed.Job, now)
+	if committed.State == primrosespar.GangQueued || len(committed.Slices) == 0 {
+		p.enqueue(g)
+		return
+	}
+	g.slices, g.borrowed = committed.Slices, committed.Borrowed
+	g.started, g.saved = now, now
+	g.phase = phaseRunning
+	if committed.State == primrosespar.GangStopping {
+		g.phase = phaseStopping
+	}
+	if g.job.Claim {
+		p.rebind(g)
+	}
+	p.hold(g)
+	p.account(g, 1)
+}
+
+// Requeue frees the accelerators of a placed job and queues it again.
+func (p *Planner) Requeue(id primrosespar.JobID, _ time.Time) {
+	g := p.gangs[id]
+	if g == nil || g.phase == phaseQueued {
+		return
+	}
+	p.release(g)
+	p.enqueue(g)
+}
+
+// Remove forgets a job that ended or was cancelled.
+func (p *Planner) Remove(id primrosespar.JobID, _ primrosespar.GangState, _ time.Time) {
+	if g := p.gangs[id]; g != nil {
+		p.drop(g)
+	}
+}
+
+func (p *Planner) drop(g *gang) {
+	p.dequeue(g)
+	p.release(g)
+	delete(p.gangs, g.job.ID)
+}
+
+// hold marks the gang's cells and its use of cores and memory.
+func (p *Planner) hold(g *gang) {
+	state := packer.NonPreemptible
+	if g.borrowed {
+		state = packer.Preemptible
+	}
+	p.pack.Hold(g.slices, g.job.ID, state)
+	p.use(g, 1)
+}
+
+// release gives up all that the gang holds or has reserved.
+func (p *Planner) release(g *gang) {
+	switch g.phase {
+	case phaseQueued:
+		return
+	case phasePending:
+		p.pending.Delete(g)
+		g.account.wait(g, -1)
+		for _, v := range g.victims {
+			v.waiters = without(v.waiters, g)
+		}
+		g.victims = nil
+	default:
+		p.account(g, -1)
+	}
+	p.pack.Release(g.slices, g.job.ID)
+	p.use(g, -1)
+	p.unbind(g)
+	for _, w := range g.waiters {
+		delete(w.victims, g.job.ID)
+	}
+	g.waiters, g.slices, g.borrowed = nil, nil, false
+	g.phase = phaseQueued
+	p.changed = true
+}
+
+func without(gangs []*gang, g *gang) []*gang {
+	var out []*gang
+	for _, other := range gangs {
+		if other != g {
+			out = append(out, other)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/place/planner/place.go
@@ -0,0 +1,122 @@
+package planner
+
+import (
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/packer"
+)
+
+// maxTries bounds the blocks that the placement of one unit compares.
+const maxTries = 128
+
+// take gives cells to a gang that does not claim. It returns the reason if
+// there are none.
+func (p *Planner) take(g *gang) primrosespar.Code {
+	g.borrowed = g.preemptible()
+	ok := false
+	if g.job.Shape.Block == 0 {
+		ok = p.takeSpare(g)
+	} else {
+		ok = p.takeUnits(g)
+	}
+	if ok {
+		return primrosespar.CodePlaced
+	}
+	p.pack.Release(g.slices, g.job.ID)
+	p.use(g, -1)
+	g.slices, g.borrowed = nil, false
+	if p.pack.Count(packer.Free) >= g.size() && !g.preemptible() {
+		return primrosespar.CodeGuaranteeReserve
+	}
+	return primrosespar.CodeWaiting
+}
+
+func (p *Planner) takeUnits(g *gang) bool {
+	count, level := units(g.job.Shape)
+	if p.pack.Count(packer.Free) < g.size() {
+		return false
+	}
+	state := packer.NonPreemptible
+	if g.borrowed {
+		state = packer.Preemptible
+	}
+	for i := range count {
+		taken := p.findUnit(g, i, level)
+		if taken == nil {
+			return false
+		}
+		p.pack.Hold(taken, g.job.ID, state)
+		for _, s := range taken {
+			p.useSlice(p.hosts[s.Worker], g, s, 1)
+		}
+		g.slices = append(g.slices, taken...)
+	}
+	return true
+}
+
+// findUnit returns cells for unit i from the tightest free block.
+func (p *Planner) findUnit(g *gang, i, level int) []primrosespar.Slice {
+	var found []primrosespar.Slice
+	tries := maxTries
+	p.pack.Candidates(packer.ViewFree, level, func(b packer.Block) bool {
+		tries--
+		taken := unitSlices(g.job.Shape, i, p.pack.Slices(b, 0, b.Size(), 0))
+		if p.allowed(g, b) && p.roomFor(g, taken) {
+			found = taken
+		}
+		return found == nil && tries > 0
+	})
+	return found
+}
+
+// allowed reports whether the gang may hold the block: borrowed work always,
+// other work only if every unclaimed guarantee still packs without it.
+func (p *Planner) allowed(g *gang, b packer.Block) bool {
+	if g.borrowed || p.options.ignoreReserve {
+		return true
+	}
+	supply, ok := p.pack.Without(packer.ViewReclaimable, b)
+	return ok && packer.Fits(supply, p.demand) < 0
+}
+
+// takeSpare places members without accelerators by cores and memory. Work that
+// must not be preempted stays off workers with accelerators, whose cores and
+// memory belong to guaranteed blocks.
+func (p *Planner) takeSpare(g *gang) bool {
+	for m := range g.job.Shape.Members {
+		h := p.findSpare(g)
+		if h == nil {
+			return false
+		}
+		s := primrosespar.Slice{Worker: h.entry.Worker, Member: m}
+		p.useSlice(h, g, s, 1)
+		g.slices = append(g.slices, s)
+	}
+	return true
+}
+
+func (p *Planner) findSpare(g *gang) *host {
+	var found *host
+	for accelerated := range 2 {
+		if accelerated == 1 && !g.borrowed {
+			break
+		}
+		from := &host{entry: primrosespar.WorkerEntry{
+			Accelerators: accelerated, Cores: g.need.cores, MemoryBytes: g.need.memory,
+		}}
+		tries := maxTries
+		p.spare.AscendGreaterOrEqual(from, func(h *host) bool {
+			tries--
+			if min(h.entry.Accelerators, 1) != accelerated {
+				return false
+			}
+			if h.usable && !p.banned[h.entry.Worker] && h.left().holds(g.need) {
+				found = h
+			}
+			return found == nil && tries > 0
+		})
+		if found != nil {
+			break
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/place/planner/planner.go
@@ -0,0 +1,292 @@
+// Package planner decides where the gangs of one place run.
+//
+// Each guaranteed block is either unclaimed, and then counted in the demand
+// that the reclaimable cells must always pack, or bound: the first claim that
+// draws on it binds a physical block of its size, and no non-preemptible work
+// of others enters that block until the last claim in it ends. Releases can
+// therefore never break the pack check.
+//
+// # Usage
+//
+//	p := planner.New(planner.WithPlace("tn-charguia"))
+//	p.SetWorkers(entries)
+//	p.SetContracts(view)
+//	if err := p.Add(job, now); err != nil {
+//		// a primrosespar.Failure; the job can never run
+//	}
+//	plan := p.Plan(now)
+//
+// Workers must be known before the gangs on them are restored. An evicted gang
+// keeps its cells until Requeue or Remove; the claim that needs them is in the
+// first plan after that.
+package planner
+
+import (
+	"time"
+
+	"github.com/google/btree"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/packer"
+)
+
+// degree is the fan-out of the ordered sets.
+const degree = 16
+
+var _ primrosespar.Planner = (*Planner)(nil)
+
+// Options configures a Planner.
+type Options struct {
+	Place primrosespar.Place
+	// ignoreReserve places non-preemptible work without the pack check.
+	ignoreReserve bool
+}
+
+// Option changes one option.
+type Option func(*Options)
+
+// WithPlace names the place whose guarantees count; without it every job's
+// place is accepted and only guarantees without a place count.
+func WithPlace(place primrosespar.Place) Option {
+	return func(o *Options) { o.Place = place }
+}
+
+// Planner implements primrosespar.Planner.
+type Planner struct {
+	options  Options
+	pack     *packer.Packer
+	hosts    map[primrosespar.Worker]*host
+	kinds    map[kind]int
+	banned   map[primrosespar.Worker]bool
+	accounts map[primrosespar.Account]*account
+	gangs    map[primrosespar.JobID]*gang
+	queue    *btree.BTreeG[*gang]
+	// fresh are the queued gangs not tried since capacity last changed.
+	fresh *btree.BTreeG[*gang]
+	// pending are claims that wait for evicted gangs to stop.
+	pending *btree.BTreeG[*gang]
+	// checkpointed gangs have saved their state since the last plan.
+	checkpointed map[primrosespar.JobID]*gang
+	// spare orders the workers for members without accelerators.
+	spare *btree.BTreeG[*host]
+	// demand counts the unclaimed guaranteed blocks, promised all of them.
+	demand, promised packer.Counts
+	// whole is the supply with all accelerators alive and free.
+	whole    packer.Counts
+	changed  bool
+	sequence uint64
+	running  int
+	borrowed int
+}
+
+// New returns a planner without workers and contracts.
+func New(opts ...Option) *Planner {
+	p := &Planner{
+		pack:         packer.New(),
+		hosts:        map[primrosespar.Worker]*host{},
+		kinds:        map[kind]int{},
+		banned:       map[primrosespar.Worker]bool{},
+		accounts:     map[primrosespar.Account]*account{},
+		checkpointed: map[primrosespar.JobID]*gang{},
+		gangs:        map[primrosespar.JobID]*gang{},
+		queue:        btree.NewG(degree, before),
+		fresh:        btree.NewG(degree, before),
+		pending:      btree.NewG(degree, before),
+		spare:        btree.NewG(degree, roomier),
+	}
+	for _, opt := range opts {
+		opt(&p.options)
+	}
+	return p
+}
+
+// SetWorkers takes new or changed workers.
+func (p *Planner) SetWorkers(entries []primrosespar.WorkerEntry) {
+	for _, e := range entries {
+		p.setHost(e)
+		p.noteCheckpoints(e)
+	}
+	p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] })
+	p.whole = p.pack.Whole()
+	p.changed = true
+	p.dropBrokenClaims()
+}
+
+// SetQuarantined stops or resumes new work on the worker.
+func (p *Planner) SetQuarantined(worker primrosespar.Worker, quarantined bool) {
+	if p.banned[worker] == quarantined {
+		return
+	}
+	if quarantined {
+		p.banned[worker] = true
+	} else {
+		delete(p.banned, worker)
+	}
+	if h := p.hosts[worker]; h != nil {
+		p.SetWorkers([]primrosespar.WorkerEntry{h.entry})
+	}
+}
+
+// dropBrokenClaims queues those waiting claims again that reserved cells of a
+// worker which takes no new work any more.
+func (p *Planner) dropBrokenClaims() {
+	var broken []*gang
+	p.pending.Ascend(func(g *gang) bool {
+		if !p.usable(g.slices) {
+			broken = append(broken, g)
+		}
+		return true
+	})
+	for _, g := range broken {
+		p.release(g)
+		p.enqueue(g)
+	}
+}
+
+// usable reports whether all workers of the slices take new work.
+func (p *Planner) usable(slices []primrosespar.Slice) bool {
+	for _, s := range slices {
+		if h := p.hosts[s.Worker]; h == nil || !h.usable || p.banned[s.Worker] {
+			return false
+		}
+	}
+	return true
+}
+
+// State summarises the place.
+func (p *Planner) State() primrosespar.PlaceState {
+	state := primrosespar.PlaceState{
+		Accelerators: p.pack.Total(),
+		Free:         p.pack.Count(packer.Free),
+		Borrowed:     p.borrowed,
+		LargestBlock: p.pack.Largest(),
+		Queued:       p.queue.Len() + p.pending.Len(),
+		Running:      p.running,
+		Quarantined:  len(p.banned),
+	}
+	state.Guarantees = p.guaranteeStates()
+	return state
+}
+
+// Plan decides on everything that changed since the last call.
+func (p *Planner) Plan(now time.Time) primrosespar.Plan {
+	for id, g := range p.checkpointed {
+		g.saved = now
+		delete(p.checkpointed, id)
+	}
+	plan := &primrosespar.Plan{}
+	p.startClaims(plan, now)
+	p.startQueued(plan, now)
+	return *plan
+}
+
+// startClaims places the claims whose evicted gangs have all stopped.
+func (p *Planner) startClaims(plan *primrosespar.Plan, now time.Time) {
+	var ready []*gang
+	p.pending.Ascend(func(g *gang) bool {
+		if len(g.victims) == 0 {
+			ready = append(ready, g)
+		}
+		return true
+	})
+	for _, g := range ready {
+		p.pending.Delete(g)
+		g.account.wait(g, -1)
+		p.start(plan, g, primrosespar.CodePlaced, now)
+	}
+}
+
+// startQueued tries the waiting gangs in order: all of them if capacity
+// changed, otherwise only those that were not tried yet.
+func (p *Planner) startQueued(plan *primrosespar.Plan, now time.Time) {
+	from := p.fresh
+	if p.changed {
+		from = p.queue
+	}
+	var tries []*gang
+	from.Ascend(func(g *gang) bool {
+		tries = append(tries, g)
+		return true
+	})
+	p.changed = false
+	p.fresh.Clear(false)
+	failed := map[shapeKey]primrosespar.Code{}
+	for _, g := range tries {
+		key := g.shapeKey()
+		code, known := failed[key]
+		if !known {
+			code = p.try(plan, g, now)
+		}
+		if code == primrosespar.CodePlaced {
+			continue
+		}
+		failed[key] = code
+		if g.wait != code {
+			g.wait = code
+			plan.Waits = append(plan.Waits, primrosespar.Wait{Job: g.job.ID, Reason: code, Figures: p.figures(g)})
+		}
+	}
+}
+
+func (p *Planner) figures(g *gang) []primrosespar.Figure {
+	return []primrosespar.Figure{
+		{Name: "accelerators", Value: float64(g.size())},
+		{Name: "free", Value: float64(p.pack.Count(packer.Free))},
+		{Name: "largest_block", Value: float64(p.pack.Largest())},
+		{Name: "account_held", Value: float64(g.account.held)},
+	}
+}
+
+// try places the gang, or reserves cells for a claim that has to wait for
+// evictions. It returns the reason if it can do neither.
+func (p *Planner) try(plan *primrosespar.Plan, g *gang, now time.Time) primrosespar.Code {
+	a := g.account
+	if g.job.Claim {
+		return p.claim(plan, g, now)
+	}
+	if a.classOver(g.job.Class) > 0 {
+		return primrosespar.CodeConcurrencyLimit
+	}
+	if a.held+a.pending+g.size() > a.contract.MaxAccelerators {
+		return primrosespar.CodeQuotaExceeded
+	}
+	if !g.preemptible() && a.firm+a.promised+g.size() > a.contract.MaxAccelerators {
+		return primrosespar.CodeQuotaExceeded
+	}
+	if code := p.take(g); code != primrosespar.CodePlaced {
+		return code
+	}
+	p.dequeue(g)
+	p.start(plan, g, primrosespar.CodePlaced, now)
+	return primrosespar.CodePlaced
+}
+
+// start counts the gang as running and puts it into the plan.
+func (p *Planner) start(plan *primrosespar.Plan, g *gang, reason primrosespar.Code, now time.Time) {
+	g.phase = phaseRunning
+	g.started, g.saved = now, now
+	p.account(g, 1)
+	plan.Placements = append(plan.Placements, primrosespar.Placement{
+		Job: g.job.ID, Slices: g.slices, Borrowed: g.borrowed, Reason: reason, Figures: p.figures(g),
+	})
+}
+
+// account adds the gang to the counts of its account and the place, or takes
+// it off with sign -1.
+func (p *Planner) account(g *gang, sign int) {
+	p.running += sign
+	g.account.held += sign * g.size()
+	g.account.active[g.job.Class] += sign
+	if !g.borrowed {
+		if !g.job.Claim {
+			g.account.firm += sign * g.size()
+		}
+		return
+	}
+	p.borrowed += sign * g.size()
+	if sign > 0 {
+		g.account.lent[g.job.ID] = g
+	} else {
+		delete(g.account.lent, g.job.ID)
+	}
+}
