Add admitter with contract limits, fair queueing and shedding

Cause: the dispatcher needs per-class limits that follow from the contract alone, and an order of service in which no class starves. Change: internal/request/admitter. Rates apply on arrival; waiting calls are ordered by band (urgent, then cost of lateness by power of ten), by start-time fair queueing between accounts and by deadline inside an account. Each waiting class has a minimum share of the starts. Late calls are shed.

--- /dev/null
+++ b/internal/request/admitter/admitter.go
@@ -0,0 +1,369 @@
+// Package admitter decides which calls of a host may wait, which one runs
+// next and which are shed. All limits follow from the contracts, scaled by the
+// share of the place and divided by the live hosts.
+//
+// Rates are applied on arrival. Waiting calls are chosen by urgency and cost
+// of lateness, between accounts by start-time fair queueing, and inside an
+// account by earliest deadline. Each waiting class has a minimum share.
+//
+// # Usage
+//
+// An Admitter is not safe for concurrent use and reads no clock:
+//
+//	a := admitter.New(place)
+//	a.SetContracts(view, now)
+//	a.SetHosts(live, rank, now)
+//	ticket, err := a.Offer(admitter.Request{Account: "bascule", Class: "eligibility", Deadline: deadline}, now)
+//	run, shed := a.Next(now) // when a slot is free
+//	a.Release(run, service, true, now)
+//
+// Errors are *primrosespar.Failure; the refused call did not run.
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// minPeriod is the least number of starts after which a waiting class is due.
+const minPeriod = 16
+
+// duePerClass makes the minimum shares use at most a quarter of all starts.
+const duePerClass = 4
+
+// Request is a call that asks for admission.
+type Request struct {
+	Account  primrosespar.Account
+	Class    primrosespar.Class
+	Deadline time.Time
+	// Minted says that this process minted the key of the call, so the call
+	// may be served without the table.
+	Minted bool
+}
+
+// Shed is a waiting call that was refused after all.
+type Shed struct {
+	Ticket *Ticket
+	Code   primrosespar.Code
+}
+
+// Admitter holds the limits and queues of one host.
+type Admitter struct {
+	place    primrosespar.Place
+	accounts map[primrosespar.Account]*account
+	bands    [bandCount]laneHeap
+	due      dueHeap
+	// virtual is the start tag of the last call that was started.
+	virtual float64
+	started uint64
+	hosts   int
+	rank    int
+	current bool
+	waiting int
+}
+
+// New returns an Admitter without contracts, for one live host and without a
+// current view.
+func New(place primrosespar.Place) *Admitter {
+	return &Admitter{place: place, accounts: map[primrosespar.Account]*account{}, hosts: 1}
+}
+
+// SetHosts takes the number of live hosts and the rank of this host in their
+// order, from 0. The remainder of a division goes to the lowest ranks.
+func (a *Admitter) SetHosts(live, rank int, now time.Time) {
+	if live < 1 {
+		live = 1
+	}
+	if a.hosts == live && a.rank == rank {
+		return
+	}
+	a.hosts, a.rank = live, rank
+	a.rescale(now)
+}
+
+// SetCurrent switches between the full terms and the offline terms.
+func (a *Admitter) SetCurrent(current bool, now time.Time) {
+	if a.current == current {
+		return
+	}
+	a.current = current
+	a.rescale(now)
+}
+
+// SetContracts takes the contracts in force. It returns the waiting calls of
+// accounts and classes that no longer exist here; calls in flight finish.
+func (a *Admitter) SetContracts(view primrosespar.ContractView, now time.Time) []Shed {
+	named := map[primrosespar.Account]bool{}
+	var shed []Shed
+	for _, v := range view.Contracts {
+		named[v.Contract.Account] = true
+		shed = append(shed, a.setContract(v.Contract)...)
+	}
+	for name, acc := range a.accounts {
+		if !named[name] {
+			shed = append(shed, a.dropClasses(acc, nil, primrosespar.CodeUnknownAccount)...)
+			delete(a.accounts, name)
+		}
+	}
+	a.rescale(now)
+	return shed
+}
+
+// setContract creates or updates one account.
+func (a *Admitter) setContract(c primrosespar.Contract) []Shed {
+	acc := a.accounts[c.Account]
+	if acc == nil {
+		acc = newAccount()
+		a.accounts[c.Account] = acc
+	}
+	acc.weight = max(1, float64(c.Weight))
+	acc.share, acc.total = c.ShareIn(a.place)
+	keep := map[primrosespar.Class]bool{}
+	var shed []Shed
+	for _, t := range c.Classes {
+		if t.Kind != primrosespar.KindRequest {
+			continue
+		}
+		keep[t.Class] = true
+		q := acc.classes[t.Class]
+		if q == nil {
+			q = &queue{account: acc, dueIndex: absent}
+			acc.classes[t.Class] = q
+		}
+		a.setTerms(q, t)
+	}
+	return append(shed, a.dropClasses(acc, keep, primrosespar.CodeUnknownClass)...)
+}
+
+// setTerms moves the class to the lane of its band.
+func (a *Admitter) setTerms(q *queue, t primrosespar.ClassTerms) {
+	q.terms = t
+	lane := q.account.lanes[bandOf(t)]
+	if q.lane == lane {
+		return
+	}
+	if old := q.lane; old != nil {
+		old.remove(q)
+		a.refreshLane(old)
+	}
+	q.lane = lane
+	lane.queues = append(lane.queues, q)
+}
+
+// dropClasses removes the classes that are not kept and sheds their calls.
+func (a *Admitter) dropClasses(acc *account, keep map[primrosespar.Class]bool, code primrosespar.Code) []Shed {
+	var shed []Shed
+	for name, q := range acc.classes {
+		if keep[name] {
+			continue
+		}
+		for len(q.calls) > 0 {
+			shed = append(shed, Shed{Ticket: a.take(q, 0), Code: code})
+		}
+		a.refresh(q)
+		q.lane.remove(q)
+		q.dropped = true
+		delete(acc.classes, name)
+	}
+	return shed
+}
+
+// rescale applies share, hosts and view to the limits of every class.
+func (a *Admitter) rescale(now time.Time) {
+	for _, acc := range a.accounts {
+		for _, q := range acc.classes {
+			limit, perSecond, burst := a.scaled(q)
+			q.limit = limit
+			q.setRate(perSecond, burst, a.current, now)
+			a.refresh(q)
+		}
+	}
+}
+
+// scaled returns the limits of the class at this host. A share above zero
+// gives each host at least one, because calls reach any host of the place.
+func (a *Admitter) scaled(q *queue) (limit int, perSecond float64, burst int) {
+	acc := q.account
+	if acc.share <= 0 || acc.total <= 0 {
+		return 0, 0, 0
+	}
+	part := float64(acc.share) / float64(acc.total)
+	hosts := float64(a.hosts)
+	placeBurst := part * float64(q.terms.Burst)
+	if !a.current {
+		off := q.terms.Offline
+		if off.Concurrency <= 0 || off.RatePerSecond <= 0 {
+			return 0, 0, 0
+		}
+		perSecond = off.RatePerSecond / hosts
+		burst = int(min(placeBurst/hosts, perSecond))
+		return a.divide(off.Concurrency), perSecond, max(1, burst)
+	}
+	limit = a.divide(int(part * float64(q.terms.Concurrency)))
+	return limit, q.terms.RatePerSecond * part / hosts, max(1, int(placeBurst/hosts))
+}
+
+// divide returns this host's part of a limit of the place.
+func (a *Admitter) divide(limit int) int {
+	part := limit / a.hosts
+	if a.rank < limit%a.hosts {
+		part++
+	}
+	return max(1, part)
+}
+
+// Offer puts the call into the queue of its class or refuses it.
+func (a *Admitter) Offer(r Request, now time.Time) (*Ticket, []Shed, error) {
+	q, err := a.find(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !a.current && !q.terms.Idempotent && !r.Minted {
+		return nil, nil, primrosespar.Fail(primrosespar.CodeRestricted, "class %s is not idempotent and the contract view is not current", r.Class)
+	}
+	if q.limit == 0 {
+		return nil, nil, primrosespar.Fail(primrosespar.CodeRestricted, "class %s has no offline terms", r.Class)
+	}
+	if q.late(r.Deadline, now) {
+		return nil, nil, primrosespar.Fail(primrosespar.CodeWouldBeLate, "class %s takes %s", r.Class, q.estimate(now))
+	}
+	var shed []Shed
+	if len(q.calls) >= max(1, q.terms.Queue) {
+		shed = a.shedLate(q, now, nil)
+	}
+	if len(q.calls) >= max(1, q.terms.Queue) {
+		return nil, shed, primrosespar.Fail(primrosespar.CodeQueueFull, "%d calls of class %s wait", len(q.calls), r.Class)
+	}
+	if !q.limiter.AllowN(now, 1) {
+		return nil, shed, primrosespar.Fail(primrosespar.CodeRateLimited, "class %s may start %.3g calls a second at this host", r.Class, float64(q.limiter.Limit()))
+	}
+	t := &Ticket{request: r, queue: q}
+	q.push(t)
+	a.waiting++
+	a.refresh(q)
+	return t, shed, nil
+}
+
+// find returns the queue of the request.
+func (a *Admitter) find(r Request) (*queue, error) {
+	acc := a.accounts[r.Account]
+	if acc == nil {
+		return nil, primrosespar.Fail(primrosespar.CodeUnknownAccount, "account %s", r.Account)
+	}
+	q := acc.classes[r.Class]
+	if q == nil {
+		return nil, primrosespar.Fail(primrosespar.CodeUnknownClass, "class %s of account %s", r.Class, r.Account)
+	}
+	if acc.share <= 0 {
+		return nil, primrosespar.Fail(primrosespar.CodeWrongPlace, "account %s has no share in %s", r.Account, a.place)
+	}
+	return q, nil
+}
+
+// Next returns the call that takes the next free slot, nil if none may start,
+// and the calls that were shed on the way.
+func (a *Admitter) Next(now time.Time) (*Ticket, []Shed) {
+	var shed []Shed
+	for {
+		q := a.choose()
+		if q == nil {
+			return nil, shed
+		}
+		before := len(shed)
+		shed = a.shedLate(q, now, shed)
+		if len(shed) > before {
+			continue
+		}
+		return a.start(q), shed
+	}
+}
+
+// choose returns the queue to serve: an overdue class, else the first lane of
+// the most urgent band.
+func (a *Admitter) choose() *queue {
+	if len(a.due) > 0 && a.due[0].due <= a.started {
+		return a.due[0]
+	}
+	for band := range a.bands {
+		if len(a.bands[band]) > 0 {
+			return a.bands[band][0].earliest()
+		}
+	}
+	return nil
+}
+
+// start takes the head of the queue and charges the account.
+func (a *Admitter) start(q *queue) *Ticket {
+	t := a.take(q, 0)
+	t.running = true
+	q.running++
+	a.started++
+	acc := q.account
+	a.virtual = math.Max(a.virtual, acc.start)
+	acc.finish = acc.start + 1/acc.weight
+	acc.start = acc.finish
+	a.removeDue(q)
+	a.refresh(q)
+	a.fixAccount(acc)
+	return t
+}
+
+// shedLate removes the heads that would be late anyhow or that the restricted
+// mode forbids. The queue is in deadline order, so only heads are looked at.
+func (a *Admitter) shedLate(q *queue, now time.Time, shed []Shed) []Shed {
+	for len(q.calls) > 0 {
+		head := q.calls[0]
+		switch {
+		case !head.request.Deadline.After(now):
+			shed = append(shed, Shed{a.take(q, 0), primrosespar.CodeDeadlinePassed})
+		case q.late(head.request.Deadline, now):
+			shed = append(shed, Shed{a.take(q, 0), primrosespar.CodeWouldBeLate})
+		case !a.current && !q.terms.Idempotent && !head.request.Minted:
+			shed = append(shed, Shed{a.take(q, 0), primrosespar.CodeRestricted})
+		default:
+			a.refresh(q)
+			return shed
+		}
+	}
+	a.refresh(q)
+	return shed
+}
+
+// Cancel removes a waiting call whose caller left. It reports false if the
+// call no longer waits.
+func (a *Admitter) Cancel(t *Ticket) bool {
+	if t.running || t.index == absent {
+		return false
+	}
+	a.take(t.queue, t.index)
+	a.refresh(t.queue)
+	return true
+}
+
+// Release ends a call that was started. The service time of a call that was
+// served whole updates the estimate of its class.
+func (a *Admitter) Release(t *Ticket, service time.Duration, served bool, now time.Time) {
+	if !t.running {
+		return
+	}
+	t.running = false
+	t.queue.running--
+	if served {
+		t.queue.observe(service, now)
+	}
+	a.refresh(t.queue)
+}
+
+// Waiting returns the number of calls that wait in all queues.
+func (a *Admitter) Waiting() int { return a.waiting }
+
+// Ready reports whether a call could start now if a slot is free.
+func (a *Admitter) Ready() bool { return len(a.due) > 0 }
+
+// take removes the call at the index of the queue's heap.
+func (a *Admitter) take(q *queue, index int) *Ticket {
+	a.waiting--
+	return q.take(index)
+}
--- /dev/null
+++ b/internal/request/admitter/machine_test.go
@@ -0,0 +1,314 @@
+package admitter_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/request/admitter"
+)
+
+// TestMain fixes the seed so that every run draws the same sequences.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	m.Run()
+}
+
+// subject is what the oracle drives: an Admitter or a double of it.
+type subject interface {
+	Offer(r admitter.Request, now time.Time) (*admitter.Ticket, []admitter.Shed, error)
+	Next(now time.Time) (*admitter.Ticket, []admitter.Shed)
+	Release(t *admitter.Ticket, service time.Duration, served bool, now time.Time)
+	Cancel(t *admitter.Ticket) bool
+}
+
+// double keeps the interface but switches mechanisms off: without a reserve
+// it serves strictly by urgency, lifo ignores deadlines, and unlimited ignores
+// concurrency, queue lengths and rates.
+type double struct {
+	*admitter.Admitter
+	unlimited, lifo bool
+	tickets         []*admitter.Ticket
+	running         map[primrosespar.Class]int
+}
+
+func (d *double) Offer(r admitter.Request, now time.Time) (*admitter.Ticket, []admitter.Shed, error) {
+	if !d.unlimited {
+		t, shed, err := d.Admitter.Offer(r, now)
+		if err == nil {
+			d.tickets = append(d.tickets, t)
+		}
+		return t, shed, err
+	}
+	loose := admitter.New("p")
+	loose.SetContracts(contracts(1000), now)
+	loose.SetCurrent(true, now)
+	t, _, err := loose.Offer(r, now)
+	d.tickets = append(d.tickets, t)
+	return t, nil, err
+}
+
+func (d *double) Next(now time.Time) (*admitter.Ticket, []admitter.Shed) {
+	best := -1
+	for i, t := range d.tickets {
+		r := t.Request()
+		if !r.Deadline.After(now) || (!d.unlimited && d.running[r.Class] >= limits()[r.Class]) {
+			continue
+		}
+		if best < 0 || r.Class < d.tickets[best].Request().Class {
+			best = i
+			continue
+		}
+		b := d.tickets[best].Request()
+		if r.Class == b.Class && (d.lifo || r.Deadline.Before(b.Deadline)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, nil
+	}
+	t := d.tickets[best]
+	d.tickets = append(d.tickets[:best:best], d.tickets[best+1:]...)
+	d.running[t.Request().Class]++
+	return t, nil
+}
+
+func (d *double) Release(t *admitter.Ticket, _ time.Duration, _ bool, _ time.Time) {
+	d.running[t.Request().Class]--
+}
+
+func (d *double) Cancel(*admitter.Ticket) bool { return false }
+
+// limits are the concurrency of the classes at this host; the share of the
+// place is a half and there are two hosts.
+func limits() map[primrosespar.Class]int {
+	return map[primrosespar.Class]int{"a-urgent": 6, "b-normal": 3, "c-cheap": 2}
+}
+
+const (
+	queueBound = 40
+	burst      = 50
+	perSecond  = 20.0
+)
+
+// contracts returns two accounts with all classes, with limits times factor.
+func contracts(factor int) primrosespar.ContractView {
+	var view primrosespar.ContractView
+	for i, name := range []primrosespar.Account{"one", "two"} {
+		c := primrosespar.Contract{Account: name, Weight: i + 1, Places: []primrosespar.PlaceShare{{Place: "p", Share: 1}, {Place: "q", Share: 1}}}
+		for class, limit := range limits() {
+			c.Classes = append(c.Classes, primrosespar.ClassTerms{
+				Class: class, Kind: primrosespar.KindRequest, Idempotent: true, Urgent: class == "a-urgent",
+				LatenessCost: 1, RatePerSecond: perSecond * 4 * float64(factor), Burst: burst * 4 * factor,
+				Concurrency: limit * 4 * factor, Queue: queueBound * factor,
+			})
+		}
+		view.Contracts = append(view.Contracts, primrosespar.VersionedContract{Contract: c})
+	}
+	return view
+}
+
+type lane struct {
+	account primrosespar.Account
+	class   primrosespar.Class
+}
+
+// oracle keeps every call in plain lists and checks each decision.
+type oracle struct {
+	s       subject
+	now     time.Time
+	last    time.Time
+	waiting map[lane][]*admitter.Ticket
+	running []*admitter.Ticket
+	inUse   map[lane]int
+	tokens  map[lane]float64
+	skipped map[lane]int
+}
+
+func newOracle(s subject, now time.Time) *oracle {
+	o := &oracle{s: s, now: now, last: now, waiting: map[lane][]*admitter.Ticket{}, inUse: map[lane]int{}, tokens: map[lane]float64{}, skipped: map[lane]int{}}
+	for _, account := range []primrosespar.Account{"one", "two"} {
+		for class := range limits() {
+			o.tokens[lane{account, class}] = burst
+		}
+	}
+	return o
+}
+
+func laneOf(t *admitter.Ticket) lane { return lane{t.Request().Account, t.Request().Class} }
+
+// drop removes the call from the waiting list and reports whether it was in.
+func (o *oracle) drop(t *admitter.Ticket) bool {
+	l := laneOf(t)
+	for i, w := range o.waiting[l] {
+		if w == t {
+			o.waiting[l] = append(o.waiting[l][:i:i], o.waiting[l][i+1:]...)
+			if len(o.waiting[l]) == 0 {
+				o.skipped[l] = 0
+			}
+			return true
+		}
+	}
+	return false
+}
+
+func (o *oracle) shed(list []admitter.Shed) error {
+	for _, s := range list {
+		if s.Ticket.Request().Deadline.After(o.now) || !o.drop(s.Ticket) {
+			return fmt.Errorf("call lost: shed with %s before its deadline", s.Code)
+		}
+	}
+	return nil
+}
+
+func (o *oracle) offer(l lane, patience time.Duration) error {
+	t, shed, err := o.s.Offer(admitter.Request{Account: l.account, Class: l.class, Deadline: o.now.Add(patience)}, o.now)
+	if e := o.shed(shed); e != nil {
+		return e
+	}
+	if err != nil {
+		if o.tokens[l] > 1.001 && len(o.waiting[l]) < queueBound {
+			return fmt.Errorf("refused below all limits: %w", err)
+		}
+		return nil
+	}
+	o.tokens[l]--
+	o.waiting[l] = append(o.waiting[l], t)
+	if o.tokens[l] < -0.001 || len(o.waiting[l]) > queueBound {
+		return fmt.Errorf("limit exceeded: %v has %.2f tokens and %d waiting", l, o.tokens[l], len(o.waiting[l]))
+	}
+	return nil
+}
+
+func (o *oracle) next() error {
+	t, shed := o.s.Next(o.now)
+	if e := o.shed(shed); e != nil {
+		return e
+	}
+	if t == nil {
+		for l, list := range o.waiting {
+			if len(list) > 0 && o.inUse[l] < limits()[l.class] && list[0].Request().Deadline.After(o.now) {
+				return fmt.Errorf("call lost: %v waits below its limit and none was started", l)
+			}
+		}
+		return nil
+	}
+	if !o.drop(t) {
+		return fmt.Errorf("call lost: an unknown call was started")
+	}
+	l := laneOf(t)
+	for _, w := range o.waiting[l] {
+		if w.Request().Deadline.Before(t.Request().Deadline) && w.Request().Deadline.After(o.now) {
+			return fmt.Errorf("not the earliest deadline first in %v", l)
+		}
+	}
+	if o.inUse[l]++; o.inUse[l] > limits()[l.class] {
+		return fmt.Errorf("limit exceeded: %v runs %d", l, o.inUse[l])
+	}
+	o.running = append(o.running, t)
+	for other, list := range o.waiting {
+		if other == l || len(list) == 0 || o.inUse[other] >= limits()[other.class] {
+			o.skipped[other] = 0
+			continue
+		}
+		// Six classes are due after 4*6 starts, and each may wait for five others.
+		if o.skipped[other]++; o.skipped[other] > 4*6+6 {
+			return fmt.Errorf("starved: %v was passed over %d times", other, o.skipped[other])
+		}
+	}
+	return nil
+}
+
+func (o *oracle) release(i int) {
+	t := o.running[i]
+	o.running = append(o.running[:i:i], o.running[i+1:]...)
+	o.inUse[laneOf(t)]--
+	o.s.Release(t, time.Millisecond, false, o.now)
+}
+
+func (o *oracle) advance(d time.Duration) {
+	o.now = o.now.Add(d)
+	for l := range o.tokens {
+		o.tokens[l] = min(burst, o.tokens[l]+perSecond*d.Seconds())
+	}
+}
+
+// run draws a sequence of operations and returns the first violation.
+func run(t *rapid.T, s subject, now time.Time) error {
+	o := newOracle(s, now)
+	for range rapid.IntRange(50, 400).Draw(t, "steps") {
+		var err error
+		switch rapid.IntRange(0, 9).Draw(t, "op") {
+		case 0, 1, 2, 3:
+			l := lane{rapid.SampledFrom([]primrosespar.Account{"one", "two"}).Draw(t, "account"), rapid.SampledFrom([]primrosespar.Class{"a-urgent", "b-normal", "c-cheap"}).Draw(t, "class")}
+			for range rapid.IntRange(1, 8).Draw(t, "count") {
+				err = o.offer(l, time.Duration(rapid.IntRange(1, 60_000).Draw(t, "patience"))*time.Millisecond)
+				if err != nil {
+					return err
+				}
+			}
+		case 4, 5, 6, 7:
+			if err = o.next(); err == nil && len(o.running) > 4 {
+				o.release(rapid.IntRange(0, len(o.running)-1).Draw(t, "which"))
+			}
+		case 8:
+			o.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "pass")) * time.Millisecond)
+		case 9:
+			list := o.waiting[lane{"two", "c-cheap"}]
+			if len(list) > 0 && s.Cancel(list[0]) {
+				o.drop(list[0])
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func fresh(now time.Time) *admitter.Admitter {
+	a := admitter.New("p")
+	a.SetContracts(contracts(1), now)
+	a.SetCurrent(true, now)
+	a.SetHosts(2, 0, now)
+	return a
+}
+
+// TestAdmitterAgainstOracle guards against exceeded limits, starved classes,
+// lost calls and calls served out of deadline order.
+func TestAdmitterAgainstOracle(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rapid.Check(t, func(r *rapid.T) {
+		require.NoError(r, run(r, fresh(now), now))
+	})
+}
+
+// TestOracleFindsMissingMechanisms guards against an oracle that passes
+// without the limits, the minimum shares or the deadline order.
+func TestOracleFindsMissingMechanisms(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for want, d := range map[string]double{
+		"limit exceeded":   {unlimited: true},
+		"starved":          {},
+		"not the earliest": {lifo: true},
+	} {
+		found := map[string]int{}
+		rapid.Check(t, func(r *rapid.T) {
+			s := d
+			s.Admitter, s.running = fresh(now), map[primrosespar.Class]int{}
+			if err := run(r, &s, now); err != nil {
+				found[err.Error()[:7]]++
+			}
+		})
+		t.Logf("%s: violations by kind %v", want, found)
+		require.Positive(t, found[want[:7]], want)
+	}
+}
