Add contract amender and follower with a state machine test

Cause: an accepted contract change must be in force everywhere within seconds, never revert, and survive lost answers and racing operators.

Change: internal/contract/amender writes head, contract and log row in one transaction, finds its own write by amendment id below later amendments, keeps an amendment that lowers offline terms pending until each place acknowledged, and reports history and progress. internal/contract/follower polls the head, reads missing log rows, ignores heads older than what it has seen and counts validity from the moment the poll was sent.

The state machine found two faults while it was written: a resent amendment was reported as not written during an outage (now Resent keeps it unknown), and a first load concurrent with an amendment published rows newer than its revision (now the log is read up to the newest row).

--- /dev/null
+++ b/internal/contract/amender/options.go
@@ -0,0 +1,71 @@
+package amender
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Options configure an Amender.
+type Options struct {
+	// Table holds the contracts.
+	Table primrosespar.Table
+	// Places are all places; each has to acknowledge a lowered offline share.
+	Places []primrosespar.Place
+	// Workers lists the workers of all places for the pack check.
+	Workers func(ctx context.Context) ([]primrosespar.WorkerEntry, error)
+	// Clock gives time and timers.
+	Clock primrosespar.Clock
+	// Jitter returns a number from 0 to 1.
+	Jitter func() float64
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// WithTable sets the table.
+func WithTable(t primrosespar.Table) Option { return func(o *Options) { o.Table = t } }
+
+// WithPlaces sets all places.
+func WithPlaces(p ...primrosespar.Place) Option { return func(o *Options) { o.Places = p } }
+
+// WithWorkers sets the list of workers.
+func WithWorkers(f func(context.Context) ([]primrosespar.WorkerEntry, error)) Option {
+	return func(o *Options) { o.Workers = f }
+}
+
+// WithClock sets the clock.
+func WithClock(c primrosespar.Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithJitter sets the source of jitter.
+func WithJitter(f func() float64) Option { return func(o *Options) { o.Jitter = f } }
+
+// Bounds of one call. Twelve attempts with a delay that doubles from 50 ms to
+// 1 s take about 8 s, longer than a takeover of the store.
+const (
+	maxAttempts = 12
+	firstDelay  = 50 * time.Millisecond
+	maxDelay    = time.Second
+	// maxStale bounds the reads that are older than the named version, so that
+	// a version that does not exist is refused after less than a second.
+	maxStale = 3
+	// maxWalk bounds how many later revisions of an account are read to find
+	// an own write.
+	maxWalk = 1000
+	// pageSize is the number of rows read at once.
+	pageSize = 128
+	// enforcedWithin is the time after which a place that has not
+	// acknowledged a change serves only its offline terms.
+	enforcedWithin = 7 * time.Second
+)
+
+func defaults() Options {
+	return Options{
+		Clock:   clockwork.NewRealClock(),
+		Jitter:  func() float64 { return 1 },
+		Workers: func(context.Context) ([]primrosespar.WorkerEntry, error) { return nil, nil },
+	}
+}
--- /dev/null
+++ b/internal/contract/amender/settling.go
@@ -0,0 +1,53 @@
+package amender
+
+import (
+	"context"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Settle accepts the pending amendment of the account if each place has
+// acknowledged it. It returns the places that have not; none means that the
+// contract has no pending amendment any more. It makes one attempt: a caller
+// repeats it until nothing is pending, and any host may do so.
+func (a *Amender) Settle(ctx context.Context, account primrosespar.Account) ([]primrosespar.Place, error) {
+	now, err := a.load(ctx, account)
+	if err != nil || now.record.Pending == nil {
+		return nil, err
+	}
+	views, err := a.views(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var missing []primrosespar.Place
+	for i, view := range views {
+		if view.Revision < now.record.Pending.Revision {
+			missing = append(missing, a.opts.Places[i])
+		}
+	}
+	if len(missing) > 0 {
+		return missing, nil
+	}
+	entry := *now.record.Pending
+	entry.State = StateAccepted
+	_, err = a.commit(ctx, now, &entry, primrosespar.Txn{})
+	return nil, err
+}
+
+// Acknowledge writes that the revision is in force at all live hosts of the
+// place. The row never goes back. Conditions are those of the place lease.
+func (a *Amender) Acknowledge(ctx context.Context, place primrosespar.Place, revision primrosespar.Revision, conditions ...primrosespar.Condition) error {
+	rows, err := a.opts.Table.Get(ctx, primrosespar.ViewKey(place))
+	if err != nil {
+		return err
+	}
+	view, err := decode[View](rows[0])
+	if err != nil || view.Revision >= revision {
+		return err
+	}
+	_, err = a.opts.Table.Commit(ctx, primrosespar.Txn{
+		Conditions: append(conditions, primrosespar.Condition{Key: rows[0].Key, Version: rows[0].Version}),
+		Writes:     []primrosespar.Write{write(primrosespar.ViewKey(place), View{Revision: revision})},
+	})
+	return err
+}
--- /dev/null
+++ b/internal/contract/follower/follower.go
@@ -0,0 +1,341 @@
+// Package follower keeps the contracts of a host up to date. It polls the head
+// revision, reads the log rows that it lacks and takes knowledge from the
+// heartbeats of other hosts. It never goes back to an earlier revision.
+//
+// # Usage
+//
+//	f := follower.New(follower.WithTable(table), follower.WithLeader(isLowest))
+//	go f.Start(ctx)
+//	if f.Current() {
+//		view, _ := f.View()
+//	}
+package follower
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
+	"primrosespar.example/primrosespar/internal/contract/checker"
+)
+
+// Follower implements primrosespar.ContractSource. It is safe for concurrent
+// use, but only one goroutine may call Step.
+type Follower struct {
+	opts Options
+	// wake ends the wait of the loop when a newer revision is announced.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	loaded bool
+	view   primrosespar.ContractView
+	// proven is a moment at which view was the newest state of the table.
+	proven time.Time
+	// claimed is the newest revision that another host announced; claimedAt is
+	// when that host knew it to be the newest, or zero.
+	claimed   primrosespar.Revision
+	claimedAt time.Time
+
+	// The following fields belong to the goroutine that calls Step.
+	accounts map[primrosespar.Account]account
+	revision primrosespar.Revision
+	failures int
+}
+
+// account is the state of one account as of a revision.
+type account struct {
+	revision primrosespar.Revision
+	version  primrosespar.Version
+	deleted  bool
+	accepted primrosespar.Contract
+	// inForce is accepted with the offline terms of a pending amendment.
+	inForce primrosespar.Contract
+}
+
+var _ primrosespar.ContractSource = (*Follower)(nil)
+
+// New returns a Follower without knowledge.
+func New(opts ...Option) *Follower {
+	o := defaults()
+	for _, set := range opts {
+		set(&o)
+	}
+	return &Follower{opts: o, wake: make(chan struct{}, 1), accounts: map[primrosespar.Account]account{}}
+}
+
+// View returns the contracts and the age of that knowledge. Before the first
+// load the view is empty and the age is that of the zero time.
+func (f *Follower) View() (primrosespar.ContractView, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view, f.opts.Clock.Since(f.proven)
+}
+
+// Current reports whether the view is younger than its validity.
+func (f *Follower) Current() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded && f.opts.Clock.Since(f.proven) < f.opts.Validity
+}
+
+// Loaded reports whether the contracts have been read once.
+func (f *Follower) Loaded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded
+}
+
+// Observe takes the answer to a heartbeat that this host sent at sent. The age
+// in the answer counts from sent, which can only overstate it.
+func (f *Follower) Observe(beat primrosespar.Heartbeat, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := sent.Add(-beat.ViewAge)
+	switch {
+	case beat.Revision > f.claimed && (!f.loaded || beat.Revision > f.view.Revision):
+		f.claimed, f.claimedAt = beat.Revision, at
+		f.wakeUp()
+	case f.loaded && beat.Revision <= f.view.Revision:
+		// The head was not above the own revision at that moment.
+		f.prove(at)
+	case beat.Revision == f.claimed && at.After(f.claimedAt):
+		f.claimedAt = at
+	}
+}
+
+// Notice takes a revision from a heartbeat that another host sent. It proves
+// no age, because the time that the message took is not known.
+func (f *Follower) Notice(revision primrosespar.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision > f.claimed && (!f.loaded || revision > f.view.Revision) {
+		f.claimed, f.claimedAt = revision, time.Time{}
+		f.wakeUp()
+	}
+}
+
+// prove moves the proven moment forward.
+func (f *Follower) prove(at time.Time) {
+	if at.After(f.proven) {
+		f.proven = at
+	}
+}
+
+// wakeUp ends the wait of the loop.
+func (f *Follower) wakeUp() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Start polls until the context ends.
+func (f *Follower) Start(ctx context.Context) {
+	for {
+		delay, _ := f.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wake:
+		case <-f.opts.Clock.After(delay):
+		}
+	}
+}
+
+// Step does what is due and returns the time until the next step. After an
+// error the view stays as it is and ages.
+func (f *Follower) Step(ctx context.Context) (time.Duration, error) {
+	due, delay := f.due()
+	if !due {
+		return delay, nil
+	}
+	if err := f.poll(ctx); err != nil {
+		f.failures++
+		return f.backoff(), err
+	}
+	f.failures = 0
+	_, delay = f.due()
+	return delay, nil
+}
+
+// due reports whether a poll is due now, or else when.
+func (f *Follower) due() (bool, time.Duration) {
+	limit := f.opts.SelfPoll
+	if f.opts.Leader() {
+		limit = f.opts.Interval
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded || f.claimed > f.view.Revision {
+		return true, minDelay
+	}
+	left := limit - f.opts.Clock.Since(f.proven)
+	return left <= 0, max(left, minDelay)
+}
+
+// backoff returns the delay after a failed poll.
+func (f *Follower) backoff() time.Duration {
+	delay := maxDelay
+	if f.failures < 6 {
+		delay = min(firstDelay<<(f.failures-1), maxDelay)
+	}
+	return delay/2 + time.Duration(f.opts.Jitter()*float64(delay/2))
+}
+
+// poll reads the head and what is missing.
+func (f *Follower) poll(ctx context.Context) error {
+	sent := f.opts.Clock.Now()
+	rows, err := f.opts.Table.Get(ctx, primrosespar.ContractHeadKey())
+	if err != nil {
+		return err
+	}
+	var head amender.Head
+	if err = decode(rows[0], &head); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	loaded, claimed := f.loaded, f.claimed
+	f.mu.Unlock()
+	if head.Revision < f.revision || head.Revision < claimed {
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable,
+			"the table answered with head %d after %d was seen", head.Revision, max(f.revision, claimed))
+	}
+	target := head.Revision
+	if !loaded {
+		if target, err = f.loadAll(ctx, head.Revision); err != nil {
+			return err
+		}
+	}
+	if err = f.loadLog(ctx, target); err != nil {
+		return err
+	}
+	f.publish(sent)
+	return nil
+}
+
+// loadAll reads all contract rows. Each is at least as new as the head that
+// was read before. It returns the newest revision among them: the log up to
+// there makes all rows agree on one revision.
+func (f *Follower) loadAll(ctx context.Context, head primrosespar.Revision) (primrosespar.Revision, error) {
+	after, target := "", head
+	for {
+		rows, err := f.opts.Table.Scan(ctx, primrosespar.ContractKey(""), after, pageSize)
+		if err != nil {
+			return head, err
+		}
+		for _, row := range rows {
+			var r amender.Record
+			if err = decode(row, &r); err != nil {
+				return head, err
+			}
+			target = max(target, r.Revision)
+			for _, e := range []*amender.Entry{r.Accepted, r.Pending} {
+				if e == nil {
+					continue
+				}
+				if err = f.apply(*e); err != nil {
+					return head, err
+				}
+			}
+			after = row.Key
+		}
+		if len(rows) < pageSize {
+			break
+		}
+	}
+	f.revision = max(f.revision, head)
+	return target, nil
+}
+
+// loadLog reads the log rows up to the head. Revisions have no gaps, so a gap
+// is a stale read and ends the poll.
+func (f *Follower) loadLog(ctx context.Context, head primrosespar.Revision) error {
+	for f.revision < head {
+		rows, err := f.opts.Table.Scan(ctx, primrosespar.ContractLogKey(0)[:len("contract_log/")],
+			primrosespar.ContractLogKey(f.revision), pageSize)
+		if err != nil {
+			return err
+		}
+		if len(rows) == 0 {
+			return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "revision %d is not readable yet", f.revision+1)
+		}
+		for _, row := range rows {
+			var e amender.Entry
+			if err = decode(row, &e); err != nil {
+				return err
+			}
+			if e.Revision != f.revision+1 {
+				return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "revision %d is not readable yet", f.revision+1)
+			}
+			if err = f.apply(e); err != nil {
+				return err
+			}
+			f.revision = e.Revision
+		}
+	}
+	return nil
+}
+
+// apply takes one entry if it is newer than what is known of the account.
+func (f *Follower) apply(e amender.Entry) error {
+	now := f.accounts[e.Account]
+	if e.Revision <= now.revision {
+		return nil
+	}
+	c, err := e.Contract()
+	if err != nil {
+		return err
+	}
+	now.revision = e.Revision
+	if e.State == amender.StatePending {
+		now.inForce = checker.Restrict(now.accepted, c)
+	} else {
+		now.version, now.deleted, now.accepted, now.inForce = e.Version, e.Deleted, c, c
+	}
+	f.accounts[e.Account] = now
+	return nil
+}
+
+// publish makes the loaded revision the view, proven at sent.
+func (f *Follower) publish(sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded || f.revision > f.view.Revision {
+		f.view = f.build()
+	}
+	f.loaded = true
+	f.prove(sent)
+	if f.revision >= f.claimed {
+		f.prove(f.claimedAt)
+	}
+}
+
+// build returns the view of all accounts, ordered by name.
+func (f *Follower) build() primrosespar.ContractView {
+	view := primrosespar.ContractView{Revision: f.revision}
+	for _, a := range f.accounts {
+		if a.version > 0 && !a.deleted {
+			view.Contracts = append(view.Contracts, primrosespar.VersionedContract{Contract: a.inForce, Version: a.version})
+		}
+	}
+	slices.SortFunc(view.Contracts, func(a, b primrosespar.VersionedContract) int {
+		return strings.Compare(string(a.Contract.Account), string(b.Contract.Account))
+	})
+	return view
+}
+
+// decode reads a row value; a missing row leaves the zero value.
+func decode(row primrosespar.Row, value any) error {
+	if row.Version == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(row.Value, value); err != nil {
+		return primrosespar.Fail(primrosespar.CodeInternal, "row %s is malformed", row.Key).Because(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/contract/follower/follower_test.go
@@ -0,0 +1,306 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
+	"primrosespar.example/primrosespar/internal/contract/follower"
+)
+
+const document = `account = "%s"
+public_name = "A"
+max_accelerators = %d
+places = [{place = "p", share = 1}]
+[[classes]]
+class = "c"
+kind = "request"
+idempotent = true
+deadline = "1s"
+rate_per_second = 10
+concurrency = 10
+offline = {rate_per_second = %d, concurrency = 1}
+`
+
+const hosts = 3
+
+// machine runs operators and hosts of one place on one table.
+type machine struct {
+	clock     *clock
+	store     *store
+	operators []*client
+	amenders  []*amender.Amender
+	links     []*client
+	hosts     []*follower.Follower
+	seen      []primrosespar.Revision
+	next      int
+	// sent holds every amendment by id, refused those said not to be written.
+	sent    []amender.Amendment
+	refused map[string]bool
+}
+
+func newMachine() *machine {
+	m := &machine{clock: &clock{now: time.Unix(1000, 0)}, refused: map[string]bool{}}
+	m.store = newStore(m.clock)
+	for range 2 {
+		link := &client{store: m.store}
+		m.operators = append(m.operators, link)
+		m.amenders = append(m.amenders, amender.New(amender.WithTable(link), amender.WithClock(m.clock), amender.WithPlaces("p")))
+	}
+	for i := range hosts {
+		link := &client{store: m.store}
+		m.links = append(m.links, link)
+		m.hosts = append(m.hosts, follower.New(follower.WithTable(link), follower.WithClock(m.clock),
+			follower.WithLeader(func() bool { return i == 0 })))
+	}
+	m.seen = make([]primrosespar.Revision, hosts)
+	return m
+}
+
+func (m *machine) record(account primrosespar.Account) (r amender.Record) {
+	_ = json.Unmarshal(m.store.rows[primrosespar.ContractKey(account)].Value, &r)
+	return r
+}
+
+func head(rows map[string]primrosespar.Row) primrosespar.Revision {
+	var h amender.Head
+	_ = json.Unmarshal(rows[primrosespar.ContractHeadKey()].Value, &h)
+	return h.Revision
+}
+
+// logged reports whether the log holds the amendment.
+func (m *machine) logged(id string) bool {
+	for key, row := range m.store.rows {
+		if strings.HasPrefix(key, "contract_log/") && strings.Contains(string(row.Value), `"amendment_id":"`+id+`"`) {
+			return true
+		}
+	}
+	return false
+}
+
+// amend sends one amendment and checks that the answer is true.
+func (m *machine) amend(t require.TestingT, operator int, a amender.Amendment) error {
+	outcome, err := m.amenders[operator].Amend(context.Background(), a)
+	var failure *primrosespar.Failure
+	switch {
+	case err == nil:
+		require.True(t, m.logged(a.ID))
+		require.Equal(t, a.Base+1, outcome.Version)
+		require.False(t, m.refused[a.ID])
+	case errors.As(err, &failure) && failure.Ran == primrosespar.RanNot:
+		m.refused[a.ID] = true
+	}
+	return err
+}
+
+func (m *machine) draft(t *rapid.T, base primrosespar.Version, account primrosespar.Account) amender.Amendment {
+	m.next++
+	a := amender.Amendment{ID: fmt.Sprintf("id-%d", m.next), Account: account, Base: base}
+	a.Document = fmt.Appendf(nil, document, account, m.next, rapid.IntRange(1, 3).Draw(t, "offline"))
+	a.Delete = rapid.IntRange(0, 9).Draw(t, "delete") == 0
+	m.sent = append(m.sent, a)
+	return a
+}
+
+func drawAccount(t *rapid.T) primrosespar.Account {
+	return rapid.SampledFrom([]primrosespar.Account{"a", "b"}).Draw(t, "account")
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	operator := func(t *rapid.T) int { return rapid.IntRange(0, 1).Draw(t, "operator") }
+	host := func(t *rapid.T) int { return rapid.IntRange(0, hosts-1).Draw(t, "host") }
+	span := func(t *rapid.T, most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, "ms")) * time.Millisecond
+	}
+	return map[string]func(*rapid.T){
+		"amend": func(t *rapid.T) {
+			account := drawAccount(t)
+			base := m.record(account).Latest()
+			if rapid.Bool().Draw(t, "old") && base > 0 {
+				base--
+			}
+			_ = m.amend(t, operator(t), m.draft(t, base, account))
+		},
+		"again": func(t *rapid.T) {
+			if len(m.sent) > 0 {
+				a := rapid.SampledFrom(m.sent).Draw(t, "amendment")
+				a.Resent = true
+				if !m.refused[a.ID] {
+					_ = m.amend(t, operator(t), a)
+				}
+			}
+		},
+		"race": func(t *rapid.T) {
+			account := drawAccount(t)
+			base := m.record(account).Latest()
+			first, second := m.draft(t, base, account), m.draft(t, base, account)
+			var other error
+			m.operators[0].before = func() { other = m.amend(t, 1, second) }
+			err := m.amend(t, 0, first)
+			m.operators[0].before = nil
+			require.False(t, err == nil && other == nil && m.logged(second.ID), "both operators won")
+			if other == nil && err != nil && m.logged(second.ID) && !m.store.away {
+				require.Contains(t, []primrosespar.Code{primrosespar.CodeVersionConflict, primrosespar.CodeStoreUnknown, primrosespar.CodeUnknownAccount}, primrosespar.CodeOf(err))
+			}
+		},
+		"lose": func(t *rapid.T) { m.operators[operator(t)].lose = true },
+		"hold": func(t *rapid.T) { m.operators[operator(t)].hold = true },
+		"land": func(*rapid.T) {
+			for _, txn := range m.store.delayed {
+				_ = m.store.apply(txn)
+			}
+			m.store.delayed = nil
+		},
+		"stale operator": func(t *rapid.T) { m.operators[operator(t)].back = rapid.IntRange(1, 4).Draw(t, "back") },
+		"outage":         func(t *rapid.T) { m.store.away = rapid.Bool().Draw(t, "away") },
+		"step":           func(t *rapid.T) { _, _ = m.hosts[host(t)].Step(context.Background()) },
+		"slow step": func(t *rapid.T) {
+			h := host(t)
+			m.links[h].slow = span(t, 5000)
+			account := drawAccount(t)
+			draft := m.draft(t, m.record(account).Latest(), account)
+			m.links[h].during = func() { _ = m.amend(t, 1, draft) }
+			_, _ = m.hosts[h].Step(context.Background())
+			m.links[h].slow, m.links[h].during = 0, nil
+		},
+		// The old state is one that the host has passed: another replica of
+		// the table may answer, but a host can only notice what it knows.
+		"stale step": func(t *rapid.T) {
+			h := host(t)
+			back := 0
+			for _, rows := range m.store.past {
+				if head(rows) >= m.seen[h] {
+					back++
+				}
+			}
+			if back < len(m.store.past) {
+				m.links[h].back = back
+				_, _ = m.hosts[h].Step(context.Background())
+				m.links[h].back = 0
+			}
+		},
+		"torn step": func(t *rapid.T) {
+			h := host(t)
+			m.links[h].torn = true
+			_, _ = m.hosts[h].Step(context.Background())
+			m.links[h].torn = false
+		},
+		"heartbeat": func(t *rapid.T) {
+			from, to := m.hosts[host(t)], m.hosts[host(t)]
+			sent := m.clock.now
+			m.clock.Sleep(span(t, 400))
+			view, age := from.View()
+			m.clock.Sleep(span(t, 400))
+			if from.Loaded() {
+				to.Observe(primrosespar.Heartbeat{Revision: view.Revision, ViewAge: age}, sent)
+			}
+		},
+		"time": func(t *rapid.T) { m.clock.Sleep(span(t, 2000)) },
+		"acknowledge": func(t *rapid.T) {
+			_ = m.amenders[0].Acknowledge(context.Background(), "p", m.seen[0])
+		},
+		"settle": func(t *rapid.T) {
+			_, _ = m.amenders[operator(t)].Settle(context.Background(), drawAccount(t))
+		},
+		"": m.check,
+	}
+}
+
+// check compares every host with the truth of the table.
+func (m *machine) check(t *rapid.T) {
+	for id := range m.refused {
+		require.False(t, m.logged(id), "%s was reported as not written", id)
+	}
+	for i, h := range m.hosts {
+		view, _ := h.View()
+		require.GreaterOrEqual(t, view.Revision, m.seen[i], "host %d went back", i)
+		m.seen[i] = view.Revision
+		if h.Current() {
+			due := primrosespar.Revision(0)
+			for n, at := range m.store.changed {
+				if m.clock.Since(at) > 3*time.Second {
+					due = head(m.store.past[n])
+				}
+			}
+			require.GreaterOrEqual(t, view.Revision, due, "host %d is current without an accepted change", i)
+		}
+		require.Equal(t, m.fold(view.Revision), versions(view), "host %d at revision %d", i, view.Revision)
+	}
+}
+
+// fold returns account, version and size of all contracts as of the revision.
+func (m *machine) fold(revision primrosespar.Revision) map[primrosespar.Account]string {
+	all := map[primrosespar.Account]string{}
+	for r := primrosespar.Revision(1); r <= revision; r++ {
+		var e amender.Entry
+		_ = json.Unmarshal(m.store.rows[primrosespar.ContractLogKey(r)].Value, &e)
+		c, _ := e.Contract()
+		if e.State == amender.StateAccepted {
+			all[e.Account] = fmt.Sprint(e.Version, c.MaxAccelerators)
+		}
+		if e.State == amender.StateAccepted && e.Deleted {
+			delete(all, e.Account)
+		}
+	}
+	return all
+}
+
+func versions(view primrosespar.ContractView) map[primrosespar.Account]string {
+	all := map[primrosespar.Account]string{}
+	for _, c := range view.Contracts {
+		all[c.Contract.Account] = fmt.Sprint(c.Version, c.Contract.MaxAccelerators)
+	}
+	return all
+}
+
+// TestAcceptedChangesHold guards against an accepted change that is lost or
+// reverted, a current host without a change older than the validity time, two
+// winners of a race, and an answer "not written" for a change that is written.
+func TestAcceptedChangesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(newMachine().actions())
+	})
+}
+
+// TestLoweredOfflineShareWaits guards against a lowered offline share that is
+// accepted before the place acknowledged it, or that is not enforced meanwhile.
+func TestLoweredOfflineShareWaits(t *testing.T) {
+	m := newMachine()
+	ctx := context.Background()
+	for base, offline := range []int{3, 1} {
+		m.next++
+		require.NoError(t, m.amend(t, 0, amender.Amendment{
+			ID: fmt.Sprint(base), Account: "a", Base: primrosespar.Version(base),
+			Document: fmt.Appendf(nil, document, "a", 1, offline),
+		}))
+	}
+	_, err := m.hosts[0].Step(ctx)
+	require.NoError(t, err)
+	view, _ := m.hosts[0].View()
+	require.Equal(t, primrosespar.Version(1), view.Contracts[0].Version)
+	require.Equal(t, 1.0, view.Contracts[0].Contract.Classes[0].Offline.RatePerSecond)
+	waiting, err := m.amenders[0].Settle(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, []primrosespar.Place{"p"}, waiting)
+	require.NoError(t, m.amenders[0].Acknowledge(ctx, "p", view.Revision))
+	_, err = m.amenders[0].Settle(ctx, "a")
+	require.NoError(t, err)
+	require.Nil(t, m.record("a").Pending)
+	require.Equal(t, primrosespar.Version(2), m.record("a").Accepted.Version)
+	m.clock.Sleep(8 * time.Second)
+	progress, err := m.amenders[0].Progress(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, amender.PlaceRestricted, progress[0].State)
+	entries, err := m.amenders[0].History(ctx, "a", 10)
+	require.NoError(t, err)
+	require.Len(t, entries, 3)
+}
