Fetch replayed answers until the deadline

One failed read of the object store turned the replay of a large answer into outcome_unknown. The fetch is now repeated with backoff until the caller's deadline, and a call without a deadline never waits, so that every wait of the claimer is bounded.

--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -120,11 +120,11 @@
 	case row.Version == 0, rec.State == stateNotRun:
 		return Claim{Verdict: Free, Checked: true, key: key, digest: digest, version: row.Version}
 	case rec.State == stateDone:
-		return c.replay(ctx, rec)
+		return c.replay(ctx, call, rec)
 	case rec.State == stateClaimed:
 		return Claim{Verdict: InProgress, Attempt: rec.Attempt}
 	default:
-		claim := c.replay(ctx, rec)
+		claim := c.replay(ctx, call, rec)
 		claim.Verdict = Unknown
 		return claim
 	}
@@ -150,9 +150,9 @@
 	}
 }
 
-// replay returns the stored answer; an answer that cannot be fetched leaves
-// the outcome unknown to this caller.
-func (c *Claimer) replay(ctx context.Context, rec record) Claim {
+// replay returns the stored answer. Its body is fetched until the deadline; if
+// that fails the verdict is Unknown, since nothing partial is passed on.
+func (c *Claimer) replay(ctx context.Context, call primrosespar.Call, rec record) Claim {
 	claim := Claim{Verdict: Replay, Attempt: rec.Attempt}
 	if rec.Answer != nil {
 		claim.Answer = *rec.Answer
@@ -160,12 +160,33 @@
 	if rec.Object == "" {
 		return claim
 	}
-	body, err := c.opts.Objects.Fetch(ctx, rec.Object)
-	if err != nil {
-		return Claim{Verdict: Unknown, Attempt: rec.Attempt}
+	pause := c.opts.PollFirst
+	for {
+		body, err := c.opts.Objects.Fetch(ctx, rec.Object)
+		if err == nil {
+			claim.Answer.Body = body
+			return claim
+		}
+		if !c.wait(ctx, call, pause) {
+			return Claim{Verdict: Unknown, Attempt: rec.Attempt}
+		}
+		pause = min(2*pause, c.opts.PollLast)
+	}
+}
+
+// wait pauses within the call's deadline; it returns false if the deadline has
+// passed or the caller has gone.
+func (c *Claimer) wait(ctx context.Context, call primrosespar.Call, pause time.Duration) bool {
+	left := c.left(ctx, call)
+	if left <= 0 {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.opts.Clock.After(min(pause, left)):
+		return true
 	}
-	claim.Answer.Body = body
-	return claim
 }
 
 // Await polls the key with backoff until its claim has ended or the deadline
@@ -174,15 +195,9 @@
 func (c *Claimer) Await(ctx context.Context, call primrosespar.Call) Claim {
 	pause := c.opts.PollFirst
 	for {
-		left := c.left(ctx, call)
-		if left <= 0 {
+		if !c.wait(ctx, call, pause) {
 			return c.unfinished(call)
 		}
-		select {
-		case <-ctx.Done():
-			return c.unfinished(call)
-		case <-c.opts.Clock.After(min(pause, left)):
-		}
 		claim := c.Look(ctx, call)
 		// The key was seen claimed, so a failed read says nothing new.
 		if claim.Verdict != InProgress && claim.Verdict != StoreUnavailable {
@@ -248,10 +263,10 @@
 	pause := c.opts.PollFirst
 	sent := false
 	for {
-		versions, err := c.commit(ctx, claim.key, claim.version, value)
+		version, err := c.commit(ctx, claim.key, claim.version, value)
 		switch primrosespar.CodeOf(err) {
 		case primrosespar.CodeOK:
-			return versions, writeWon
+			return version, writeWon
 		case primrosespar.CodeConflict:
 			if !sent {
 				return 0, writeLost
@@ -272,14 +287,8 @@
 		}
 		// An unchanged row may still be changed by the write in flight; the
 		// same conditional write again decides it either way.
-		left := c.left(ctx, call)
-		if left <= 0 {
-			return 0, writeUnresolved
-		}
-		select {
-		case <-ctx.Done():
+		if !c.wait(ctx, call, pause) {
 			return 0, writeUnresolved
-		case <-c.opts.Clock.After(min(pause, left)):
 		}
 		pause = min(2*pause, c.opts.PollLast)
 	}
@@ -307,13 +316,11 @@
 }
 
 // left returns the time until the call's deadline, 0 if the caller has gone.
+// A call without a deadline does not wait, so that every wait is bounded.
 func (c *Claimer) left(ctx context.Context, call primrosespar.Call) time.Duration {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || call.Deadline.IsZero() {
 		return 0
 	}
-	if call.Deadline.IsZero() {
-		return c.opts.PollLast
-	}
 	return call.Deadline.Sub(c.opts.Clock.Now())
 }
 
