Refuse an attempt whose caller left before it began

context.AfterFunc runs on a goroutine of its own, so an attempt that began with an ended context could be sent before it was stopped. The test "caller left" failed once in a run without -race (sent true instead of false). Do now checks the caller's context first, and an unsent attempt stopped by the caller's own deadline is deadline_passed instead of caller_gone.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -135,11 +135,17 @@
 		left = a.Call.Deadline.Sub(start)
 	}
 	if left <= 0 {
-		return refuse(primrosespar.Fail(primrosespar.CodeDeadlinePassed, "the deadline passed before the send"))
+		return refuse(answerOf(primrosespar.Fail(primrosespar.CodeDeadlinePassed, "the deadline passed before the send")))
 	}
 	caller := ctx
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), left)
-	defer cancel()
+	if caller.Err() != nil {
+		// AfterFunc alone may run after the send.
+		return refuse(failed(caller, nil, false))
+	}
+	ctx, release := context.WithTimeout(context.WithoutCancel(caller), left)
+	defer release()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 
 	// The transport calls GotConn before it writes and on the goroutine of
 	// RoundTrip, so without that call no byte can have left.
@@ -149,7 +155,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if a.Idempotent || !sent {
-			cancel()
+			cancel(caller.Err())
 		}
 	})
 	defer stop()
@@ -268,7 +274,7 @@
 	switch {
 	case sent:
 		return answerOf(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "no whole answer came in time").Because(err))
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return answerOf(primrosespar.Fail(primrosespar.CodeDeadlinePassed, "the deadline passed before the send"))
 	case ctx.Err() != nil:
 		return answerOf(primrosespar.Fail(primrosespar.CodeCallerGone, "the caller left before the send"))
@@ -278,8 +284,8 @@
 }
 
 // refuse is the result of an attempt that was not started.
-func refuse(f *primrosespar.Failure) Result {
-	return Result{Answer: answerOf(f), Outcome: primrosespar.AttemptOutcome{Code: f.Code}}
+func refuse(answer primrosespar.Answer) Result {
+	return Result{Answer: answer, Outcome: primrosespar.AttemptOutcome{Code: answer.Code}}
 }
 
 // answerOf turns a failure into the answer of the caller.
