--- a/internal/request/balancer/ejection.go
+++ b/internal/request/balancer/ejection.go
@@ -138,3 +138,15 @@
 	}
 	return used
 }
+
+// Candidates returns the upstreams that would be used if they had free slots.
+func (b *Balancer) Candidates(now time.Time) []primrosespar.Upstream {
+	var names []primrosespar.Upstream
+	for name, u := range b.upstreams {
+		if !u.ejected && !u.probing && !u.leaving(now) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -0,0 +1,138 @@
+package dispatcher_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/request/dispatcher"
+)
+
+// TestMain guards against goroutines that outlive the tests.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// two gives a noisy account with a normal class and a quiet one with an
+// urgent class.
+type two struct{ source }
+
+func (two) View() (primrosespar.ContractView, time.Duration) {
+	view, _ := source{}.View()
+	noisy := view.Contracts[0]
+	quiet := noisy
+	quiet.Contract.Account = "quiet"
+	quiet.Contract.Classes = append([]primrosespar.ClassTerms(nil), noisy.Contract.Classes...)
+	quiet.Contract.Classes[0].Urgent = true
+	view.Contracts = append(view.Contracts, quiet)
+	return view, 0
+}
+
+// single returns a host that owns the 8 slots of one upstream, ready to use.
+func single() *dispatcher.Dispatcher {
+	d := dispatcher.New(dispatcher.WithHost("h", "p", "i", netip.AddrPort{}), dispatcher.WithClock(clockwork.NewRealClock()), dispatcher.WithContracts(two{}))
+	d.SetDirectory(primrosespar.Directory{Upstreams: []primrosespar.UpstreamEntry{{Upstream: "u", Place: "p", Slots: slotCount}}})
+	tick(d, 4)
+	return d
+}
+
+func tick(d *dispatcher.Dispatcher, seconds int) {
+	for range seconds {
+		time.Sleep(time.Second)
+		d.Tick()
+	}
+}
+
+// TestCancelledCallsLoseNoSlot guards against a slot that is granted while its
+// caller leaves and is then never given back.
+func TestCancelledCallsLoseNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := single()
+		random := rand.New(rand.NewPCG(1, 1))
+		var wg conc.WaitGroup
+		for range 200 {
+			patience, hold := time.Duration(random.IntN(40))*time.Millisecond, time.Duration(1+random.IntN(10))*time.Millisecond
+			wg.Go(func() {
+				for range 20 {
+					ctx, cancel := context.WithTimeout(t.Context(), patience)
+					grant, err := d.Acquire(ctx, primrosespar.Call{Account: "x", Class: "c", Deadline: time.Now().Add(50 * time.Millisecond)})
+					if err == nil {
+						time.Sleep(hold)
+						grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeOK, Sent: true, Latency: hold})
+						grant.Release(primrosespar.AttemptOutcome{})
+					}
+					cancel()
+				}
+			})
+		}
+		wg.Wait()
+		for range slotCount {
+			_, err := d.Acquire(t.Context(), primrosespar.Call{Account: "x", Class: "c", Deadline: time.Now().Add(time.Second)})
+			require.NoError(t, err)
+		}
+		_, err := d.Acquire(t.Context(), primrosespar.Call{Account: "x", Class: "c", Deadline: time.Now().Add(time.Second)})
+		require.Equal(t, primrosespar.CodeDeadlinePassed, primrosespar.CodeOf(err), "a ninth slot")
+	})
+}
+
+// lateUnderBurst returns how many of 100 calls of the account miss a deadline
+// of 300 ms while another account always has 200 calls waiting.
+func lateUnderBurst(t *testing.T, account primrosespar.Account) int {
+	late := 0
+	synctest.Test(t, func(t *testing.T) {
+		d := single()
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg conc.WaitGroup
+		call := func(account primrosespar.Account) error {
+			grant, err := d.Acquire(ctx, primrosespar.Call{Account: account, Class: "c", Deadline: time.Now().Add(300 * time.Millisecond)})
+			if err != nil {
+				time.Sleep(time.Millisecond)
+				return err
+			}
+			time.Sleep(100 * time.Millisecond)
+			grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeOK, Sent: true, Latency: 100 * time.Millisecond})
+			return nil
+		}
+		for range 200 {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					_ = call("x")
+				}
+			})
+		}
+		var missed atomic.Int64
+		for range 100 {
+			d.Tick()
+			time.Sleep(100 * time.Millisecond)
+			wg.Go(func() {
+				began := time.Now()
+				if call(account) != nil || time.Since(began) > 300*time.Millisecond {
+					missed.Add(1)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		late = int(missed.Load())
+		cancel()
+		wg.Wait()
+	})
+	return late
+}
+
+// TestBurstDelaysNoUrgentClass guards against an account whose burst pushes
+// the urgent class of another past its deadline. Calls under the burst's own
+// account and class stand for a host without sharing.
+func TestBurstDelaysNoUrgentClass(t *testing.T) {
+	shared, own := lateUnderBurst(t, "x"), lateUnderBurst(t, "quiet")
+	t.Logf("late of 100: %d in the same queue, %d as an urgent class", shared, own)
+	require.Greater(t, shared, 20)
+	require.Zero(t, own)
+}
