Add messenger between hosts over drpc with CBOR

Cause: hosts of a place exchange heartbeats, forwarded calls and notices. Change: internal/member/messenger, client and server, hand-written drpc.Description, messages up to 2 MiB, optional TLS. A drpc connection carries one call at a time, so forwarded calls use up to 8 connections of their own beside the one for heartbeats and notices. TLS has no test yet.

--- /dev/null
+++ b/internal/member/messenger/messenger_test.go
@@ -0,0 +1,140 @@
+package messenger_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/member/messenger"
+)
+
+// TestMain guards against connections and goroutines that outlive the tests.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// handler answers like a host; execute runs on request.
+type handler struct {
+	execute func(ctx context.Context, call primrosespar.Call) (primrosespar.Answer, error)
+}
+
+func (handler) HandleBeat(_ context.Context, beat primrosespar.Heartbeat) (primrosespar.Heartbeat, error) {
+	beat.Host = "answer to " + beat.Host
+	return beat, nil
+}
+
+func (h handler) HandleExecute(ctx context.Context, call primrosespar.Call) (primrosespar.Answer, error) {
+	return h.execute(ctx, call)
+}
+
+func (handler) HandleNotify(_ context.Context, place primrosespar.Place, _ primrosespar.JobID) error {
+	return primrosespar.Fail(primrosespar.CodeNotHolder, "place %s", place)
+}
+
+// serve starts a server on a loopback address and returns its stop function.
+func serve(t *testing.T, address string, h handler) (netip.AddrPort, func()) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = messenger.Serve(ctx, listener, h, messenger.WithClock(clockwork.NewRealClock())) })
+	return netip.MustParseAddrPort(listener.Addr().String()), func() { cancel(); wg.Wait() }
+}
+
+func client(t *testing.T) *messenger.Messenger {
+	m := messenger.New(messenger.WithClock(clockwork.NewRealClock()), messenger.WithTimeout(5*time.Second))
+	t.Cleanup(func() { _ = m.Close() })
+	return m
+}
+
+// TestMessagesRoundTrip guards against fields and result codes lost on the
+// wire, and against a deadline that depends on the sender's clock.
+func TestMessagesRoundTrip(t *testing.T) {
+	got := make(chan primrosespar.Call, 1)
+	to, stop := serve(t, "127.0.0.1:0", handler{func(_ context.Context, call primrosespar.Call) (primrosespar.Answer, error) {
+		got <- call
+		return primrosespar.Answer{Status: 201, Body: []byte("done")}, nil
+	}})
+	defer stop()
+	m := client(t)
+	beat := primrosespar.Heartbeat{
+		Host: "h", Place: "p", Incarnation: "i", Address: to, Revision: 7, ViewAge: time.Second, Draining: true,
+		Usage: []primrosespar.SlotUsage{{Upstream: "u", Used: 1, Wanted: 2, Lent: 3, Term: time.Second}}, Leaving: []primrosespar.Upstream{"l"},
+	}
+	answer, err := m.Beat(t.Context(), to, beat)
+	require.NoError(t, err)
+	beat.Host = "answer to h"
+	require.Equal(t, beat, answer)
+	require.Equal(t, primrosespar.CodeNotHolder, primrosespar.CodeOf(m.Notify(t.Context(), to, "p", "j")))
+	done, err := m.Execute(t.Context(), to, primrosespar.Call{ID: "r", Body: []byte("b"), Deadline: time.Now().Add(time.Minute)})
+	require.NoError(t, err)
+	require.Equal(t, "done", string(done.Body))
+	call := <-got
+	require.True(t, call.Left > 0 && call.Left <= time.Minute && !call.Deadline.IsZero())
+}
+
+// TestPeerIsDialledAgain guards against a peer that stays unreachable after
+// its process was replaced.
+func TestPeerIsDialledAgain(t *testing.T) {
+	to, stop := serve(t, "127.0.0.1:0", handler{})
+	m := client(t)
+	_, err := m.Beat(t.Context(), to, primrosespar.Heartbeat{Host: "h"})
+	require.NoError(t, err)
+	stop()
+	_, err = m.Beat(t.Context(), to, primrosespar.Heartbeat{Host: "h"})
+	require.Equal(t, primrosespar.CodePeerUnavailable, primrosespar.CodeOf(err))
+	_, stop = serve(t, to.String(), handler{})
+	defer stop()
+	_, err = m.Beat(t.Context(), to, primrosespar.Heartbeat{Host: "h"})
+	require.NoError(t, err)
+}
+
+// TestCallsDelayNoHeartbeat guards against a forwarded call that holds the
+// only connection, so that its host counts as dead.
+func TestCallsDelayNoHeartbeat(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	to, stop := serve(t, "127.0.0.1:0", handler{func(context.Context, primrosespar.Call) (primrosespar.Answer, error) {
+		close(entered)
+		<-release
+		return primrosespar.Answer{}, nil
+	}})
+	defer stop()
+	m := client(t)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		_, err := m.Execute(context.Background(), to, primrosespar.Call{Left: time.Minute})
+		require.NoError(t, err)
+	})
+	<-entered
+	_, err := m.Beat(t.Context(), to, primrosespar.Heartbeat{Host: "h"})
+	close(release)
+	wg.Wait()
+	require.NoError(t, err)
+}
+
+// TestFailedCallsAreTrue guards against "not run" for a call that may have
+// run, and against "unknown" for one of which no byte was sent.
+func TestFailedCallsAreTrue(t *testing.T) {
+	to, stop := serve(t, "127.0.0.1:0", handler{func(ctx context.Context, _ primrosespar.Call) (primrosespar.Answer, error) {
+		<-ctx.Done()
+		return primrosespar.Answer{}, ctx.Err()
+	}})
+	m := client(t)
+	_, err := m.Execute(t.Context(), to, primrosespar.Call{Left: 50 * time.Millisecond})
+	var f *primrosespar.Failure
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, primrosespar.RanUnknown, f.Ran)
+	_, err = m.Execute(t.Context(), to, primrosespar.Call{Left: time.Second, Body: make([]byte, 3<<20)})
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, primrosespar.RanNot, f.Ran)
+	stop()
+	_, err = m.Execute(t.Context(), to, primrosespar.Call{Left: time.Second})
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, primrosespar.RanNot, f.Ran)
+}
