Add back-fill, batch order, learned sizes and urgent work

A plain deadline queue blocks on the first large job, or lets small jobs take each freed accelerator ahead of it.

The oldest blocked job gets a reservation of blocks and a start that do not move while it waits; younger work enters those blocks only if the estimator is sure that it ends before. Jobs that overran are not trusted again. The queue orders claims, urgent work, the reserved job, then accounts by held accelerators per weight and jobs by deadline over the root of the cost of lateness. Freed capacity is planned once per batch. Cores and memory bound workers with the larger of declared and learned size; shortfalls show in State.

--- a/internal/place/packer/locate.go
+++ b/internal/place/packer/locate.go
@@ -1,6 +1,10 @@
 package packer
 
-import "primrosespar.example/primrosespar"
+import (
+	"slices"
+
+	"primrosespar.example/primrosespar"
+)
 
 // Locate returns the block of the level that holds the slice's first cell.
 func (p *Packer) Locate(s primrosespar.Slice, level int) (Block, bool) {
@@ -52,3 +56,19 @@
 	}
 	return out
 }
+
+// Nodes visits every aligned block of the level that has no dead place in the
+// line, in order, until visit returns false.
+func (p *Packer) Nodes(level int, visit func(Block) bool) {
+	for _, name := range p.names {
+		r := p.racks[name]
+		for start := 0; start+1<<level <= len(r.line); start += 1 << level {
+			if slices.Contains(r.line[start:start+1<<level], nil) {
+				continue
+			}
+			if !visit(Block{Rack: name, Start: start, Level: level}) {
+				return
+			}
+		}
+	}
+}
--- a/internal/place/packer/packer.go
+++ b/internal/place/packer/packer.go
@@ -86,8 +86,10 @@
 type Packer struct {
 	racks   map[primrosespar.Rack]*rack
 	workers map[primrosespar.Worker]*worker
-	sets    [views][Levels]*btree.BTreeG[Block]
-	counts  [views]Counts
+	// names are the racks in order.
+	names  []primrosespar.Rack
+	sets   [views][Levels]*btree.BTreeG[Block]
+	counts [views]Counts
 	// states counts the cells of each state.
 	states [Dead + 1]int
 	cells  int
--- a/internal/place/packer/rack.go
+++ b/internal/place/packer/rack.go
@@ -97,6 +97,8 @@
 	if r == nil {
 		r = &rack{name: w.entry.Rack}
 		p.racks[w.entry.Rack] = r
+		i, _ := slices.BinarySearch(p.names, r.name)
+		p.names = slices.Insert(p.names, i, r.name)
 	}
 	r.members = append(r.members, w)
 	slices.SortFunc(r.members, func(a, b *worker) int {
--- a/internal/place/planner/claim.go
+++ b/internal/place/planner/claim.go
@@ -53,17 +53,51 @@
 			victims[id] = v
 		}
 	}
+	p.settle(plan, g, victims, now)
+	return primrosespar.CodePlaced
+}
+
+// settle starts a gang whose cells are reserved, or evicts the victims first.
+func (p *Planner) settle(plan *primrosespar.Plan, g *gang, victims map[primrosespar.JobID]*gang, now time.Time) {
 	p.dequeue(g)
 	if len(victims) == 0 {
 		p.start(plan, g, primrosespar.CodePlaced, now)
-		return primrosespar.CodePlaced
+		return
 	}
 	g.phase = phasePending
 	g.victims = victims
 	g.account.wait(g, 1)
 	p.pending.ReplaceOrInsert(g)
 	p.evictAll(plan, g, now)
-	return primrosespar.CodePlaced
+}
+
+// takeUrgent evicts borrowed gangs for urgent work outside a guarantee, where
+// all unclaimed guarantees still pack without its cells.
+func (p *Planner) takeUrgent(plan *primrosespar.Plan, g *gang, now time.Time) bool {
+	victims := map[primrosespar.JobID]*gang{}
+	count, level := units(g.job.Shape)
+	for i := range count {
+		var best *spot
+		p.visitUpTo(packer.ViewReclaimable, level, maxReclaimTries, func(b packer.Block) {
+			if !p.allowed(g, b) {
+				return
+			}
+			s := p.spotAt(g, i, nil, p.pack.Slices(b, 0, b.Size(), 0), now)
+			if s != nil && p.withinShare(g, s.slices) && s.better(best) {
+				best = s
+			}
+		})
+		if best == nil {
+			p.undoClaim(g)
+			return false
+		}
+		p.reserve(g, best)
+		for id, v := range best.victims {
+			victims[id] = v
+		}
+	}
+	p.settle(plan, g, victims, now)
+	return true
 }
 
 // claimRefusal says why no spot was found: too few accelerators are left, or
@@ -89,8 +123,10 @@
 	if s.bind != nil {
 		p.bind(s.promise, s.bind)
 	}
-	s.promise.draws++
-	g.draws = append(g.draws, s.promise)
+	if s.promise != nil {
+		s.promise.draws++
+		g.draws = append(g.draws, s.promise)
+	}
 	p.pack.Reserve(s.slices, g.job.ID)
 	for _, slice := range s.slices {
 		p.useSlice(p.hosts[slice.Worker], g, slice, 1)
--- a/internal/place/planner/gang.go
+++ b/internal/place/planner/gang.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/estimator"
 	"primrosespar.example/primrosespar/internal/place/packer"
 )
 
@@ -39,6 +40,16 @@
 	// waiters are the claims that this evicted gang has to make room for.
 	waiters []*gang
 	wait    primrosespar.Code
+	// blocked is since when no capacity was found, zero if it was not missing.
+	blocked time.Time
+	// distrusted gangs ran longer than their estimate once.
+	distrusted bool
+	// restored gangs started at an unknown time before this planner did.
+	restored bool
+	// peak is the largest use that a member reported.
+	peak estimator.Size
+	// marks are the members whose last report shows a checkpoint.
+	marks map[int]bool
 }
 
 // need is what one member uses beside accelerators.
@@ -68,10 +79,21 @@
 	class          primrosespar.Class
 	shape          primrosespar.Shape
 	claim, preempt bool
+	// distrusted and declared decide on back-fill into the reservation, which
+	// its holder enters freely.
+	distrusted, holder bool
+	declared           time.Duration
 }
 
-func (g *gang) shapeKey() shapeKey {
-	return shapeKey{g.job.Account, g.job.Class, g.job.Shape, g.job.Claim, g.preemptible()}
+func (g *gang) shapeKey(reserved *target) shapeKey {
+	key := shapeKey{
+		account: g.job.Account, class: g.job.Class, shape: g.job.Shape,
+		claim: g.job.Claim, preempt: g.preemptible(),
+	}
+	if reserved != nil {
+		key.distrusted, key.holder, key.declared = g.distrusted, reserved.holder == g, g.job.Declared
+	}
+	return key
 }
 
 func (g *gang) size() int {
@@ -136,14 +158,13 @@
 func (p *Planner) newGang(job primrosespar.Job, now time.Time) *gang {
 	p.sequence++
 	a := p.accountOf(job.Account)
-	g := &gang{job: job, account: a, sequence: p.sequence, rank: rankOther, due: now.Add(job.Deadline)}
+	g := &gang{job: job, account: a, sequence: p.sequence, rank: rankOther, due: dueTime(job, a.terms(job.Class), now), marks: map[int]bool{}}
 	if a.terms(job.Class).Urgent {
 		g.rank = rankUrgent
 	}
 	if job.Claim {
 		g.rank = rankClaim
 	}
-	g.need = need{cores: job.Shape.Cores, memory: job.Shape.MemoryBytes}
 	p.gangs[job.ID] = g
 	return g
 }
@@ -151,6 +172,7 @@
 func (p *Planner) enqueue(g *gang) {
 	g.phase = phaseQueued
 	g.wait = primrosespar.CodeOK
+	g.need = p.needOf(g.job)
 	p.queue.ReplaceOrInsert(g)
 	p.fresh.ReplaceOrInsert(g)
 }
@@ -173,6 +195,8 @@
 		p.enqueue(g)
 		return
 	}
+	g.need = p.needOf(g.job)
+	g.restored = true
 	g.slices, g.borrowed = committed.Slices, committed.Borrowed
 	g.started, g.saved = now, now
 	g.phase = phaseRunning
@@ -187,24 +211,30 @@
 }
 
 // Requeue frees the accelerators of a placed job and queues it again.
-func (p *Planner) Requeue(id primrosespar.JobID, _ time.Time) {
+func (p *Planner) Requeue(id primrosespar.JobID, now time.Time) {
 	g := p.gangs[id]
 	if g == nil || g.phase == phaseQueued {
 		return
 	}
+	if g.phase != phasePending && now.Sub(g.started) > p.estimate(g).High {
+		g.distrusted = true
+	}
+	g.restored = false
 	p.release(g)
 	p.enqueue(g)
 }
 
 // Remove forgets a job that ended or was cancelled.
-func (p *Planner) Remove(id primrosespar.JobID, _ primrosespar.GangState, _ time.Time) {
+func (p *Planner) Remove(id primrosespar.JobID, outcome primrosespar.GangState, now time.Time) {
 	if g := p.gangs[id]; g != nil {
+		p.observe(g, outcome, now)
 		p.drop(g)
 	}
 }
 
 func (p *Planner) drop(g *gang) {
 	p.dequeue(g)
+	p.forgetWaiting(g)
 	p.release(g)
 	delete(p.gangs, g.job.ID)
 }
@@ -241,6 +271,8 @@
 		delete(w.victims, g.job.ID)
 	}
 	g.waiters, g.slices, g.borrowed = nil, nil, false
+	clear(g.marks)
+	delete(p.checkpointed, g.job.ID)
 	g.phase = phaseQueued
 	p.changed = true
 }
--- a/internal/place/planner/host.go
+++ b/internal/place/planner/host.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/estimator"
 )
 
 // host is one worker with its use of cores and memory.
@@ -86,16 +88,61 @@
 	p.spare.ReplaceOrInsert(h)
 }
 
-// noteCheckpoints remembers which running gangs have a checkpoint that is
-// newer than the last plan.
-func (p *Planner) noteCheckpoints(e primrosespar.WorkerEntry) {
+// noteTasks takes the use that running members report, and notes the gangs of
+// which all members have a checkpoint since the last plan.
+func (p *Planner) noteTasks(e primrosespar.WorkerEntry) {
 	for _, t := range e.Tasks {
-		if g := p.gangs[t.Gang]; g != nil && t.Checkpointed && g.phase == phaseRunning {
+		g := p.gangs[t.Gang]
+		if g == nil || g.phase != phaseRunning {
+			continue
+		}
+		g.peak.Cores = max(g.peak.Cores, int(math.Ceil(t.UsedCores)))
+		g.peak.MemoryBytes = max(g.peak.MemoryBytes, t.UsedMemoryBytes)
+		if !t.Checkpointed {
+			delete(g.marks, t.Member)
+			continue
+		}
+		if g.marks[t.Member] {
+			continue
+		}
+		g.marks[t.Member] = true
+		if len(g.marks) == g.job.Shape.Members {
 			p.checkpointed[t.Gang] = g
 		}
 	}
 }
 
+// needOf is the larger of declared and learned size. The learned part is
+// limited to what the job was admitted for: the share of its accelerators for
+// work that must not be preempted, else the largest worker.
+func (p *Planner) needOf(job primrosespar.Job) need {
+	declared := estimator.Size{Cores: job.Shape.Cores, MemoryBytes: job.Shape.MemoryBytes}
+	learned := p.estimator.Size(job.Account, job.Class, declared)
+	firm := job.Claim || !job.Preemptible
+	var most need
+	for k := range p.kinds {
+		room := k.size
+		if job.Shape.Block > 0 {
+			if k.accelerators == 0 {
+				continue
+			}
+			room = k.roomOf(job.Shape.Block, firm)
+		}
+		if most == (need{}) {
+			most = room
+		}
+		if firm && job.Shape.Block > 0 {
+			most = need{min(most.cores, room.cores), min(most.memory, room.memory)}
+			continue
+		}
+		most = need{max(most.cores, room.cores), max(most.memory, room.memory)}
+	}
+	return need{
+		max(declared.Cores, min(learned.Cores, most.cores)),
+		max(declared.MemoryBytes, min(learned.MemoryBytes, most.memory)),
+	}
+}
+
 // use adds the gang's cores and memory to its workers, or takes them off.
 func (p *Planner) use(g *gang, sign int) {
 	for _, s := range g.slices {
@@ -121,11 +168,19 @@
 // the share that its accelerators bring along, so that it never takes what a
 // claim on the other accelerators of the worker needs.
 func (p *Planner) roomFor(g *gang, taken []primrosespar.Slice) bool {
+	if !g.preemptible() && !p.withinShare(g, taken) {
+		return false
+	}
+	return p.eachWorker(g, taken, func(h *host, _ int, want need) bool {
+		return h.left().holds(want)
+	})
+}
+
+// withinShare reports whether the gang's members need no more than their
+// accelerators bring along.
+func (p *Planner) withinShare(g *gang, taken []primrosespar.Slice) bool {
 	return p.eachWorker(g, taken, func(h *host, count int, want need) bool {
-		if !h.left().holds(want) {
-			return false
-		}
-		return g.preemptible() || h.kind().share(count).holds(want)
+		return h.kind().share(count).holds(want)
 	})
 }
 
--- a/internal/place/planner/machine_test.go
+++ b/internal/place/planner/machine_test.go
@@ -343,7 +343,7 @@
 // TestMachineSeesMissingReserve guards against a state machine that would pass
 // without the reservation check: it has to fail when the check is off.
 func TestMachineSeesMissingReserve(t *testing.T) {
-	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "1s", "rapid.seed": "1"} {
+	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "1s", "rapid.seed": "1", "rapid.checks": "2000"} {
 		old := flag.Lookup(name).Value.String()
 		require.NoError(t, flag.Set(name, value))
 		defer func() { require.NoError(t, flag.Set(name, old)) }()
--- a/internal/place/planner/place.go
+++ b/internal/place/planner/place.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"time"
+
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/place/packer"
 )
@@ -10,13 +12,13 @@
 
 // take gives cells to a gang that does not claim. It returns the reason if
 // there are none.
-func (p *Planner) take(g *gang) primrosespar.Code {
+func (p *Planner) take(g *gang, now time.Time) primrosespar.Code {
 	g.borrowed = g.preemptible()
 	ok := false
 	if g.job.Shape.Block == 0 {
 		ok = p.takeSpare(g)
 	} else {
-		ok = p.takeUnits(g)
+		ok = p.takeUnits(g, now)
 	}
 	if ok {
 		return primrosespar.CodePlaced
@@ -30,7 +32,7 @@
 	return primrosespar.CodeWaiting
 }
 
-func (p *Planner) takeUnits(g *gang) bool {
+func (p *Planner) takeUnits(g *gang, now time.Time) bool {
 	count, level := units(g.job.Shape)
 	if p.pack.Count(packer.Free) < g.size() {
 		return false
@@ -40,7 +42,7 @@
 		state = packer.Preemptible
 	}
 	for i := range count {
-		taken := p.findUnit(g, i, level)
+		taken := p.findUnit(g, i, level, now)
 		if taken == nil {
 			return false
 		}
@@ -53,21 +55,38 @@
 	return true
 }
 
-// findUnit returns cells for unit i from the tightest free block.
-func (p *Planner) findUnit(g *gang, i, level int) []primrosespar.Slice {
-	var found []primrosespar.Slice
+// findUnit returns cells for unit i from the tightest free block. Borrowed
+// work first looks where the free cells still pack all unclaimed guarantees,
+// so that a claim has nothing to evict.
+func (p *Planner) findUnit(g *gang, i, level int, now time.Time) []primrosespar.Slice {
+	var found, second []primrosespar.Slice
 	tries := maxTries
 	p.pack.Candidates(packer.ViewFree, level, func(b packer.Block) bool {
 		tries--
 		taken := unitSlices(g.job.Shape, i, p.pack.Slices(b, 0, b.Size(), 0))
-		if p.allowed(g, b) && p.roomFor(g, taken) {
+		if !p.allowed(g, b) || !p.passes(g, b, now) || !p.roomFor(g, taken) {
+			return tries > 0
+		}
+		if !g.borrowed || p.spares(b) {
 			found = taken
+		} else if second == nil {
+			second = taken
 		}
 		return found == nil && tries > 0
 	})
+	if found == nil {
+		return second
+	}
 	return found
 }
 
+// spares reports whether the free cells without the block pack all unclaimed
+// guarantees.
+func (p *Planner) spares(b packer.Block) bool {
+	supply, ok := p.pack.Without(packer.ViewFree, b)
+	return ok && packer.Fits(supply, p.demand) < 0
+}
+
 // allowed reports whether the gang may hold the block: borrowed work always,
 // other work only if every unclaimed guarantee still packs without it.
 func (p *Planner) allowed(g *gang, b packer.Block) bool {
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -27,6 +27,7 @@
 	"github.com/google/btree"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/estimator"
 	"primrosespar.example/primrosespar/internal/place/packer"
 )
 
@@ -72,11 +73,18 @@
 	// demand counts the unclaimed guaranteed blocks, promised all of them.
 	demand, promised packer.Counts
 	// whole is the supply with all accelerators alive and free.
-	whole    packer.Counts
-	changed  bool
-	sequence uint64
-	running  int
-	borrowed int
+	whole packer.Counts
+	// target is the reservation of the oldest blocked job, oldest the job that
+	// gets the next one.
+	target *target
+	oldest *gang
+	// stalled jobs have waited too long to be passed by younger ones.
+	stalled   map[waitKind]*gang
+	estimator *estimator.Estimator
+	changed   bool
+	sequence  uint64
+	running   int
+	borrowed  int
 }
 
 // New returns a planner without workers and contracts.
@@ -89,6 +97,8 @@
 		accounts:     map[primrosespar.Account]*account{},
 		checkpointed: map[primrosespar.JobID]*gang{},
 		gangs:        map[primrosespar.JobID]*gang{},
+		stalled:      map[waitKind]*gang{},
+		estimator:    estimator.New(),
 		queue:        btree.NewG(degree, before),
 		fresh:        btree.NewG(degree, before),
 		pending:      btree.NewG(degree, before),
@@ -104,7 +114,7 @@
 func (p *Planner) SetWorkers(entries []primrosespar.WorkerEntry) {
 	for _, e := range entries {
 		p.setHost(e)
-		p.noteCheckpoints(e)
+		p.noteTasks(e)
 	}
 	p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] })
 	p.whole = p.pack.Whole()
@@ -208,24 +218,30 @@
 		tries = append(tries, g)
 		return true
 	})
+	p.arrange(tries)
 	p.changed = false
 	p.fresh.Clear(false)
 	failed := map[shapeKey]primrosespar.Code{}
 	for _, g := range tries {
-		key := g.shapeKey()
+		key := g.shapeKey(p.target)
 		code, known := failed[key]
-		if !known {
+		if !known || p.stalls(g) {
 			code = p.try(plan, g, now)
 		}
 		if code == primrosespar.CodePlaced {
+			p.forgetWaiting(g)
 			continue
 		}
-		failed[key] = code
+		p.noteBlocked(g, code, now)
+		if !p.stalls(g) {
+			failed[key] = code
+		}
 		if g.wait != code {
 			g.wait = code
 			plan.Waits = append(plan.Waits, primrosespar.Wait{Job: g.job.ID, Reason: code, Figures: p.figures(g)})
 		}
 	}
+	p.reserveOldest(now)
 }
 
 func (p *Planner) figures(g *gang) []primrosespar.Figure {
@@ -253,11 +269,21 @@
 	if !g.preemptible() && a.firm+a.promised+g.size() > a.contract.MaxAccelerators {
 		return primrosespar.CodeQuotaExceeded
 	}
-	if code := p.take(g); code != primrosespar.CodePlaced {
+	if p.stalls(g) {
+		return primrosespar.CodeWaiting
+	}
+	if code := p.take(g, now); code != primrosespar.CodePlaced {
+		if g.rank == rankUrgent && !g.preemptible() && g.size() > 0 && p.takeUrgent(plan, g, now) {
+			return primrosespar.CodePlaced
+		}
 		return code
 	}
 	p.dequeue(g)
-	p.start(plan, g, primrosespar.CodePlaced, now)
+	reason := primrosespar.CodePlaced
+	if t := p.target; t != nil && t.holder.sequence < g.sequence && t.holder.rank <= g.rank {
+		reason = primrosespar.CodeBackfilled
+	}
+	p.start(plan, g, reason, now)
 	return primrosespar.CodePlaced
 }
 
--- /dev/null
+++ b/internal/place/planner/planner_test.go
@@ -0,0 +1,178 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/planner"
+)
+
+func start() time.Time { return time.Unix(1_000_000, 0) }
+
+// fixture returns a planner with a rack of two workers with 8 accelerators, and
+// account a, which has the guarantees, next to account b, which has none.
+func fixture(guarantees ...primrosespar.Guarantee) *planner.Planner {
+	p := planner.New(planner.WithPlace(place))
+	var entries []primrosespar.WorkerEntry
+	for i := range 2 {
+		entries = append(entries, primrosespar.WorkerEntry{
+			Worker: primrosespar.Worker(fmt.Sprintf("w-%d", i)), Place: place, Rack: "r-0",
+			Position: i, Cores: 16, MemoryBytes: 64, Accelerators: 8, Alive: true,
+		})
+	}
+	p.SetWorkers(entries)
+	contract := func(account primrosespar.Account, guarantees ...primrosespar.Guarantee) primrosespar.VersionedContract {
+		return primrosespar.VersionedContract{Contract: primrosespar.Contract{
+			Account: account, Weight: 1, MaxAccelerators: 64, Guarantees: guarantees,
+			Classes: []primrosespar.ClassTerms{{Class: "c", Kind: primrosespar.KindGang, Preemptible: true}},
+		}}
+	}
+	p.SetContracts(primrosespar.ContractView{Contracts: []primrosespar.VersionedContract{contract("a", guarantees...), contract("b")}})
+	return p
+}
+
+func gangJob(id string, account primrosespar.Account, members, block int) primrosespar.Job {
+	return primrosespar.Job{
+		ID: primrosespar.JobID(id), Account: account, Class: "c", Place: place, Preemptible: true,
+		Shape: primrosespar.Shape{Members: members, Block: block}, Declared: time.Hour, Deadline: 10 * time.Hour,
+	}
+}
+
+func placements(plan primrosespar.Plan) []string {
+	var out []string
+	for _, placement := range plan.Placements {
+		out = append(out, string(placement.Job))
+	}
+	return out
+}
+
+// TestCancellationWave guards against small jobs that take what a wave of
+// cancellations frees before the older large job is considered.
+func TestCancellationWave(t *testing.T) {
+	p := fixture()
+	for i := range 16 {
+		require.NoError(t, p.Add(gangJob(fmt.Sprintf("running-%d", i), "b", 1, 1), start()))
+	}
+	require.Len(t, p.Plan(start()).Placements, 16)
+	require.NoError(t, p.Add(gangJob("large", "b", 1, 16), start()))
+	require.Empty(t, p.Plan(start()).Placements)
+	for i := range 20 {
+		small := gangJob(fmt.Sprintf("small-%d", i), "b", 1, 1)
+		small.Deadline = time.Minute
+		require.NoError(t, p.Add(small, start()))
+	}
+	for i := range 16 {
+		p.Remove(primrosespar.JobID(fmt.Sprintf("running-%d", i)), primrosespar.GangCancelled, start())
+	}
+	require.Equal(t, []string{"large"}, placements(p.Plan(start())))
+}
+
+// TestBackfillNeedsTrust guards against a blocked job that is pushed back by
+// back-filled jobs of unknown, too long or overrun run time.
+func TestBackfillNeedsTrust(t *testing.T) {
+	p := fixture()
+	now := start()
+	for i := range 10 {
+		id := fmt.Sprintf("history-%d", i)
+		require.NoError(t, p.Add(gangJob(id, "b", 1, 1), now))
+		p.Plan(now)
+		p.Remove(primrosespar.JobID(id), primrosespar.GangDone, now.Add(10*time.Minute))
+	}
+	blocker := gangJob("blocker", "a", 1, 8)
+	require.NoError(t, p.Add(blocker, now))
+	p.Plan(now)
+	require.NoError(t, p.Add(gangJob("large", "a", 1, 16), now))
+	p.Plan(now)
+	require.NoError(t, p.Add(gangJob("unknown", "a", 1, 4), now))
+	require.NoError(t, p.Add(gangJob("short", "b", 1, 4), now))
+	plan := p.Plan(now)
+	require.Equal(t, []string{"short"}, placements(plan))
+	require.Equal(t, primrosespar.CodeBackfilled, plan.Placements[0].Reason)
+	p.Requeue("short", now.Add(30*time.Minute))
+	require.Empty(t, p.Plan(now.Add(30*time.Minute)).Placements, "a job that overran its estimate is trusted again")
+	now = now.Add(50 * time.Minute)
+	require.NoError(t, p.Add(gangJob("late", "b", 1, 4), now))
+	require.Empty(t, p.Plan(now).Placements)
+	p.Remove("blocker", primrosespar.GangDone, now)
+	require.Equal(t, "large", placements(p.Plan(now))[0])
+}
+
+// TestEvictionLosesLeastWork guards against stopping the gang that has most to
+// lose, and against a claim that starts before its victim has stopped.
+func TestEvictionLosesLeastWork(t *testing.T) {
+	p := fixture(primrosespar.Guarantee{Place: place, Block: 8, Count: 1})
+	require.NoError(t, p.Add(gangJob("old", "b", 1, 8), start()))
+	p.Plan(start())
+	now := start().Add(time.Hour)
+	require.NoError(t, p.Add(gangJob("new", "b", 1, 8), now))
+	p.Plan(now)
+	claim := gangJob("claim", "a", 2, 4)
+	claim.Claim = true
+	require.NoError(t, p.Add(claim, now))
+	plan := p.Plan(now.Add(time.Minute))
+	require.Empty(t, plan.Placements)
+	require.Len(t, plan.Evictions, 1)
+	require.Equal(t, primrosespar.JobID("new"), plan.Evictions[0].Victim)
+	require.Equal(t, time.Minute, plan.Evictions[0].LostWork)
+	require.Empty(t, p.Plan(now).Placements)
+	p.Requeue("new", now)
+	require.Equal(t, []string{"claim"}, placements(p.Plan(now)))
+}
+
+// TestImpossibleJobs guards against jobs that wait for ever.
+func TestImpossibleJobs(t *testing.T) {
+	p := fixture(primrosespar.Guarantee{Place: place, Block: 8, Count: 1})
+	refuse := func(code primrosespar.Code, bound string, change func(*primrosespar.Job)) {
+		job := gangJob("j", "a", 1, 4)
+		change(&job)
+		err := p.Add(job, start())
+		require.Equal(t, code, primrosespar.CodeOf(err))
+		require.ErrorContains(t, err, bound)
+	}
+	refuse(primrosespar.CodeQuotaExceeded, "max_accelerators 64", func(j *primrosespar.Job) { j.Shape.Members = 17 })
+	refuse(primrosespar.CodeImpossibleShape, "has 0 blocks of 32", func(j *primrosespar.Job) { j.Shape.Block = 32 })
+	refuse(primrosespar.CodeImpossibleShape, "guarantee has 2", func(j *primrosespar.Job) { j.Claim, j.Shape.Members = true, 3 })
+	refuse(primrosespar.CodeImpossibleShape, "guarantees leave", func(j *primrosespar.Job) { j.Preemptible, j.Shape.Members = false, 3 })
+	refuse(primrosespar.CodeImpossibleShape, "at most 16 cores", func(j *primrosespar.Job) { j.Shape.Cores = 17 })
+	refuse(primrosespar.CodeImpossibleShape, "at most 8 cores", func(j *primrosespar.Job) { j.Claim, j.Shape.Cores = true, 9 })
+}
+
+// TestLearnedSizeBounds guards against filling a worker beyond its memory with
+// jobs that declare too little.
+func TestLearnedSizeBounds(t *testing.T) {
+	p := fixture()
+	for i := range 8 {
+		id := primrosespar.JobID(fmt.Sprintf("history-%d", i))
+		require.NoError(t, p.Add(gangJob(string(id), "b", 1, 1), start()))
+		worker := p.Plan(start()).Placements[0].Slices[0].Worker
+		p.SetWorkers([]primrosespar.WorkerEntry{{
+			Worker: worker, Place: place, Rack: "r-0", Position: int(worker[2] - '0'), Cores: 16, MemoryBytes: 64, Accelerators: 8, Alive: true,
+			Tasks: []primrosespar.TaskStatus{{Gang: id, State: primrosespar.TaskRunning, UsedMemoryBytes: 30}},
+		}})
+		p.Remove(id, primrosespar.GangDone, start().Add(time.Hour))
+	}
+	for i := range 8 {
+		require.NoError(t, p.Add(gangJob(fmt.Sprintf("j-%d", i), "b", 1, 1), start()))
+	}
+	require.Len(t, p.Plan(start()).Placements, 4, "two jobs of 30 bytes fit a worker of 64")
+}
+
+// TestShortfallIsReported guards against a shortfall that no state shows and
+// against admissions that make it worse.
+func TestShortfallIsReported(t *testing.T) {
+	p := fixture(primrosespar.Guarantee{Place: place, Block: 8, Count: 2})
+	p.SetQuarantined("w-0", true)
+	state := p.State()
+	require.Equal(t, 1, state.Quarantined)
+	require.Equal(t, []primrosespar.GuaranteeState{{Account: "a", Block: 8, Count: 2, Claimable: 1}}, state.Guarantees)
+	claim := gangJob("claim", "a", 2, 8)
+	claim.Claim = true
+	require.NoError(t, p.Add(claim, start()))
+	require.Equal(t, primrosespar.CodeGuaranteeShort, p.Plan(start()).Waits[0].Reason)
+	p.SetQuarantined("w-0", false)
+	require.Equal(t, []string{"claim"}, placements(p.Plan(start())))
+}
