--- a/internal/document/decoder/decoder.go
+++ b/internal/document/decoder/decoder.go
@@ -52,7 +52,9 @@
 	Min, Max float64
 	Choices  []string
 	// Check returns what a valid text looks like, or nothing if it is valid.
-	Check  func(text string) string
+	Check func(text string) string
+	// Secret keeps the value out of messages.
+	Secret bool
 	Help   string
 	Fields []Field
 }
--- a/internal/document/decoder/reader.go
+++ b/internal/document/decoder/reader.go
@@ -109,7 +109,7 @@
 // typed reports a value of the wrong type.
 func (d *reader) typed(ok bool, raw any, f Field, path string) bool {
 	if !ok {
-		d.fault(path, "%s is a %s, a %s is required", show(raw), typeName(raw), f.Kind)
+		d.fault(path, "%s is a %s, a %s is required", f.show(raw), typeName(raw), f.Kind)
 	}
 	return ok
 }
@@ -119,7 +119,7 @@
 	if n >= f.Min && n <= f.Max {
 		return true
 	}
-	d.fault(path, "%s is out of range; the bounds are %s", show(raw), f.Bounds())
+	d.fault(path, "%s is out of range; the bounds are %s", f.show(raw), f.Bounds())
 	return false
 }
 
@@ -133,16 +133,16 @@
 		return nil, false
 	}
 	if strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) >= 0 {
-		d.fault(path, "%s has characters that cannot be printed", show(raw))
+		d.fault(path, "%s has characters that cannot be printed", f.show(raw))
 		return nil, false
 	}
 	if len(f.Choices) > 0 && !contains(f.Choices, s) {
-		d.fault(path, "%s is not one of %s", show(raw), strings.Join(f.Choices, ", "))
+		d.fault(path, "%s is not one of %s", f.show(raw), strings.Join(f.Choices, ", "))
 		return nil, false
 	}
 	if f.Check != nil && s != "" {
 		if want := f.Check(s); want != "" {
-			d.fault(path, "%s is not %s", show(raw), want)
+			d.fault(path, "%s is not %s", f.show(raw), want)
 			return nil, false
 		}
 	}
@@ -157,7 +157,7 @@
 	}
 	span, err := time.ParseDuration(s)
 	if err != nil {
-		d.fault(path, "%s is not a duration such as \"9.3s\"", show(raw))
+		d.fault(path, "%s is not a duration such as \"9.3s\"", f.show(raw))
 		return nil, false
 	}
 	return span, d.bounded(float64(span), raw, f, path)
@@ -241,7 +241,10 @@
 }
 
 // show returns a short form of a raw value.
-func show(raw any) string {
+func (f Field) show(raw any) string {
+	if f.Secret {
+		return "the value"
+	}
 	text := fmt.Sprint(raw)
 	if s, ok := raw.(string); ok {
 		text = strconv.Quote(s)
--- /dev/null
+++ b/internal/entry/configurer/configurer.go
@@ -0,0 +1,245 @@
+// Package configurer converts the settings of an entry host from TOML. All
+// errors are reported at once.
+//
+// # Usage
+//
+//	settings, err := configurer.Parse(data)
+package configurer
+
+import (
+	"net/netip"
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+)
+
+// Settings are what a host process is told at its start.
+type Settings struct {
+	Host      primrosespar.Host
+	Place     primrosespar.Place
+	Region    string
+	Places    []PlaceSettings
+	Listen    Listen
+	Platform  Platform
+	Callers   []CallerToken
+	Operators []OperatorToken
+	TLS       TLS
+	Limits    Limits
+	Timeouts  Timeouts
+}
+
+// PlaceSettings name one place of the installation.
+type PlaceSettings struct {
+	Place  primrosespar.Place
+	Region string
+}
+
+// Listen holds the addresses of the host.
+type Listen struct {
+	Callers, Operators, Peers netip.AddrPort
+}
+
+// Platform holds the URLs of the platform's services.
+type Platform struct {
+	Table, Objects, Hosts, Workers string
+}
+
+// CallerToken admits callers of an account.
+type CallerToken struct {
+	Account primrosespar.Account
+	Token   Secret
+}
+
+// OperatorToken admits an operator.
+type OperatorToken struct {
+	Operator string
+	Token    Secret
+}
+
+// Secret is a text that no format verb prints.
+type Secret string
+
+// String returns a placeholder.
+func (Secret) String() string { return "(hidden)" }
+
+// GoString returns a placeholder.
+func (Secret) GoString() string { return "(hidden)" }
+
+// MarshalText returns a placeholder.
+func (Secret) MarshalText() ([]byte, error) { return []byte("(hidden)"), nil }
+
+// TLS names the PEM files; all are empty without TLS.
+type TLS struct {
+	Certificate, Key, Authority string
+}
+
+// Enabled reports whether the host speaks TLS.
+func (t TLS) Enabled() bool { return t.Certificate != "" }
+
+// Limits bound what the host takes on.
+type Limits struct {
+	BodyBytes, AnswerBytes, Requests, Connections, MintedKeys, WorkBytes int
+	// RecordDecisions bounds the buffer of decision records, RecordBytes what
+	// the place writes of them per 10 s.
+	RecordDecisions, RecordBytes int
+}
+
+// Timeouts are the times of the host.
+type Timeouts struct {
+	Lease, LeaseRenew                      time.Duration
+	ViewValidity, ViewPoll                 time.Duration
+	Beat, Membership, Handover             time.Duration
+	WorkerLease, WorkerRenew, WorkerSilent time.Duration
+	Release, PlatformCall, PeerCall, Drain time.Duration
+}
+
+// Parse returns the settings. The error is a Failure with CodeBadRequest whose
+// cause is decoder.Faults.
+func Parse(data []byte) (Settings, error) {
+	tree, faults := decoder.Decode(data, Fields())
+	faults = append(faults, check(tree)...)
+	if len(faults) > 0 {
+		faults.Sort()
+		return Settings{}, primrosespar.Fail(primrosespar.CodeBadRequest,
+			"settings: %d errors", len(faults)).Because(faults)
+	}
+	return convert(tree), nil
+}
+
+// convert builds the settings from a tree without faults.
+func convert(tree decoder.Tree) Settings {
+	listen, platform, tls := tree.Table("listen"), tree.Table("platform"), tree.Table("tls")
+	s := Settings{
+		Host:   primrosespar.Host(tree.Text("host")),
+		Place:  primrosespar.Place(tree.Text("place")),
+		Region: tree.Text("region"),
+		Listen: Listen{
+			Callers:   netip.MustParseAddrPort(listen.Text("callers")),
+			Operators: netip.MustParseAddrPort(listen.Text("operators")),
+			Peers:     netip.MustParseAddrPort(listen.Text("peers")),
+		},
+		Platform: Platform{
+			Table:   platform.Text("table"),
+			Objects: platform.Text("objects"),
+			Hosts:   platform.Text("hosts"),
+			Workers: platform.Text("workers"),
+		},
+		TLS:      TLS{tls.Text("certificate"), tls.Text("key"), tls.Text("authority")},
+		Limits:   limits(tree.Table("limits")),
+		Timeouts: timeouts(tree.Table("timeouts")),
+	}
+	for _, p := range tree.Tables("places") {
+		s.Places = append(s.Places, PlaceSettings{primrosespar.Place(p.Text("place")), p.Text("region")})
+	}
+	for _, c := range tree.Tables("callers") {
+		s.Callers = append(s.Callers, CallerToken{primrosespar.Account(c.Text("account")), Secret(c.Text("token"))})
+	}
+	for _, o := range tree.Tables("operators") {
+		s.Operators = append(s.Operators, OperatorToken{o.Text("operator"), Secret(o.Text("token"))})
+	}
+	return s
+}
+
+// limits converts the limits.
+func limits(t decoder.Tree) Limits {
+	return Limits{
+		BodyBytes:       t.Int("body_bytes"),
+		AnswerBytes:     t.Int("answer_bytes"),
+		Requests:        t.Int("requests"),
+		Connections:     t.Int("connections"),
+		MintedKeys:      t.Int("minted_keys"),
+		WorkBytes:       t.Int("work_bytes"),
+		RecordDecisions: t.Int("record_decisions"),
+		RecordBytes:     t.Int("record_bytes"),
+	}
+}
+
+// timeouts converts the times.
+func timeouts(t decoder.Tree) Timeouts {
+	return Timeouts{
+		Lease:        t.Duration("lease"),
+		LeaseRenew:   t.Duration("lease_renew"),
+		ViewValidity: t.Duration("view_validity"),
+		ViewPoll:     t.Duration("view_poll"),
+		Beat:         t.Duration("beat"),
+		Membership:   t.Duration("membership"),
+		Handover:     t.Duration("handover"),
+		WorkerLease:  t.Duration("worker_lease"),
+		WorkerRenew:  t.Duration("worker_renew"),
+		WorkerSilent: t.Duration("worker_silent"),
+		Release:      t.Duration("release"),
+		PlatformCall: t.Duration("platform_call"),
+		PeerCall:     t.Duration("peer_call"),
+		Drain:        t.Duration("drain"),
+	}
+}
+
+// check reports faults that concern more than one field.
+func check(tree decoder.Tree) decoder.Faults {
+	var faults decoder.Faults
+	regions := map[string]string{}
+	for _, p := range tree.Tables("places") {
+		if _, twice := regions[p.Text("place")]; twice && p.Has("place") {
+			faults = append(faults, p.Fault("place", "%q stands twice", p.Text("place")))
+		}
+		regions[p.Text("place")] = p.Text("region")
+	}
+	region, known := regions[tree.Text("place")]
+	if tree.Has("place") && len(regions) > 0 && !known {
+		faults = append(faults, tree.Fault("place", "%q is not among the places", tree.Text("place")))
+	}
+	if known && tree.Has("region") && region != tree.Text("region") {
+		faults = append(faults, tree.Fault("region", "%q is not %q, the region of the place", tree.Text("region"), region))
+	}
+	tokens := map[string]bool{}
+	for _, t := range append(tree.Tables("callers"), tree.Tables("operators")...) {
+		if t.Has("token") && tokens[t.Text("token")] {
+			faults = append(faults, t.Fault("token", "the token stands twice"))
+		}
+		tokens[t.Text("token")] = true
+	}
+	faults = append(faults, checkFiles(tree.Table("tls"))...)
+	return append(faults, checkTimes(tree.Table("timeouts"))...)
+}
+
+// checkFiles reports TLS files of which only some are named.
+func checkFiles(tls decoder.Tree) decoder.Faults {
+	var faults decoder.Faults
+	named := tls.Text("certificate") + tls.Text("key") + tls.Text("authority")
+	for _, key := range []string{"certificate", "key", "authority"} {
+		if named != "" && tls.Text(key) == "" {
+			faults = append(faults, tls.Fault(key, "missing; TLS needs all three files"))
+		}
+	}
+	return faults
+}
+
+// checkTimes reports renewals that leave no room for a second one.
+func checkTimes(times decoder.Tree) decoder.Faults {
+	var faults decoder.Faults
+	for _, pair := range [][2]string{
+		{"lease_renew", "lease"},
+		{"view_poll", "view_validity"},
+		{"beat", "membership"},
+		{"worker_renew", "worker_lease"},
+	} {
+		short, long := times.Duration(pair[0]), times.Duration(pair[1])
+		if times.Has(pair[0]) && times.Has(pair[1]) && 2*short > long {
+			faults = append(faults, times.Fault(pair[0], "%s is above half of %s, which is %s", short, pair[1], long))
+		}
+	}
+	return faults
+}
+
+// Manual returns docs/settings.md.
+func Manual() string {
+	return "# Settings\n\n" +
+		"One TOML document of at most 64 KiB per host. Durations are strings such as `\"1.5s\"`. " +
+		"Generated from the parser's table; do not edit.\n\n" +
+		decoder.Manual(Fields()) +
+		"\nFurther rules:\n\n" +
+		"- `place` is among `places` and `region` is its region; places and tokens are unique.\n" +
+		"- TLS names all three files or none.\n" +
+		"- `lease_renew`, `view_poll`, `beat` and `worker_renew` are at most half of `lease`, `view_validity`, `membership` and `worker_lease`.\n"
+}
--- /dev/null
+++ b/internal/entry/configurer/fields.go
@@ -0,0 +1,146 @@
+package configurer
+
+import (
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"primrosespar.example/primrosespar/internal/contract/parser"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+)
+
+// Bounds of the settings.
+const (
+	maxName   = 63
+	maxPlaces = 64
+	maxTokens = 1024
+	// minToken is the shortest token; 16 characters cannot be guessed within
+	// the rate that a host answers at.
+	minToken  = 16
+	maxToken  = 256
+	maxPath   = 4096
+	maxURL    = 2048
+	maxBody   = 16 << 20
+	maxBuffer = 100_000
+)
+
+// Fields returns the table of all keys of the settings.
+func Fields() []decoder.Field {
+	return []decoder.Field{
+		name("host", "Name of this host, unique in its place; the lowest live name polls the contracts."),
+		name("place", "Place of this host; one of `places`."),
+		name("region", "Region of this host's place."),
+		{Key: "places", Kind: decoder.Tables, Required: true, Min: 1, Max: maxPlaces, Help: "All places of the installation.", Fields: []decoder.Field{
+			name("place", "Name of the place."),
+			name("region", "Region that the place belongs to."),
+		}},
+		{Key: "listen", Kind: decoder.Table, Required: true, Help: "Addresses of this host.", Fields: []decoder.Field{
+			address("callers", "Address for callers."),
+			address("operators", "Address for operators, health and metrics."),
+			address("peers", "Address for other hosts of the place."),
+		}},
+		{Key: "platform", Kind: decoder.Table, Required: true, Help: "Services of the platform.", Fields: []decoder.Field{
+			link("table", "URL of the table service."),
+			link("objects", "URL of the object store."),
+			link("hosts", "URL of the list of hosts and upstreams."),
+			link("workers", "URL of the worker service."),
+		}},
+		{Key: "callers", Kind: decoder.Tables, Max: maxTokens, Help: "Tokens of callers.", Fields: []decoder.Field{
+			name("account", "Client account that the token belongs to."),
+			token(),
+		}},
+		{Key: "operators", Kind: decoder.Tables, Max: maxTokens, Help: "Tokens of operators.", Fields: []decoder.Field{
+			name("operator", "Name of the operator in the history of contracts."),
+			token(),
+		}},
+		{Key: "tls", Kind: decoder.Table, Help: "TLS; all files or none.", Fields: []decoder.Field{
+			{Key: "certificate", Kind: decoder.Text, Max: maxPath, Help: "PEM file of this host's certificate."},
+			{Key: "key", Kind: decoder.Text, Max: maxPath, Help: "PEM file of its private key."},
+			{Key: "authority", Kind: decoder.Text, Max: maxPath, Help: "PEM file of the authority that signs hosts and the platform."},
+		}},
+		{Key: "limits", Kind: decoder.Table, Help: "Limits of this host.", Fields: limitFields()},
+		{Key: "timeouts", Kind: decoder.Table, Help: "Times; those of leases and views must be the same at all hosts.", Fields: timeoutFields()},
+	}
+}
+
+// limitFields returns the keys of the limits. The defaults keep a host within
+// 128 MB.
+func limitFields() []decoder.Field {
+	whole := func(key, unit, standard string, least, most float64, help string) decoder.Field {
+		return decoder.Field{Key: key, Kind: decoder.Whole, Unit: unit, Default: standard, Min: least, Max: most, Help: help}
+	}
+	return []decoder.Field{
+		whole("body_bytes", "bytes", "1048576", 1024, maxBody, "Largest body of a request."),
+		whole("answer_bytes", "bytes", "4194304", 1024, 4*maxBody, "Largest answer of an upstream."),
+		whole("requests", "requests", "1024", 1, maxBuffer, "Requests in the host at once, queued ones included."),
+		whole("connections", "connections", "4096", 1, maxBuffer, "Open connections of callers and operators."),
+		whole("minted_keys", "keys", "65536", 1, 1<<20, "Minted keys that the host remembers."),
+		whole("work_bytes", "bytes", "65536", 1, 1<<20, "Largest payload of a job."),
+		whole("record_decisions", "decisions", "8192", 16, maxBuffer, "Decision records that wait for the object store."),
+		whole("record_bytes", "bytes", "65536", 1024, 1<<20, "Bytes of decision records that the place writes per 10 s."),
+	}
+}
+
+// timeoutFields returns the keys of the timeouts. The defaults are those of
+// docs/design.md, section 8.
+func timeoutFields() []decoder.Field {
+	span := func(key, standard string, least, most time.Duration, help string) decoder.Field {
+		return decoder.Field{Key: key, Kind: decoder.Span, Default: standard, Min: float64(least), Max: float64(most), Help: help}
+	}
+	const ms, s = time.Millisecond, time.Second
+	return []decoder.Field{
+		span("lease", "6s", s, 60*s, "Time without a renewal after which a candidate takes the place lease."),
+		span("lease_renew", "2s", 100*ms, 30*s, "Time between renewals of the place lease."),
+		span("view_validity", "3s", 500*ms, 5*s, "How long the contracts count as current after a poll was sent."),
+		span("view_poll", "1s", 100*ms, 4*s, "Time between polls of the contract head."),
+		span("beat", "1s", 100*ms, 5*s, "Time between heartbeats to each host of the place."),
+		span("membership", "3s", 500*ms, 30*s, "Time without a heartbeat after which a host counts as dead."),
+		span("handover", "3s", 500*ms, 30*s, "Wait before a slot that moved here is used."),
+		span("worker_lease", "10s", s, 60*s, "Lease of a worker."),
+		span("worker_renew", "3s", 500*ms, 30*s, "Time between renewals of a worker lease."),
+		span("worker_silent", "5s", s, 30*s, "Time after which a silent worker counts as lost."),
+		span("release", "2s", 100*ms, 30*s, "Time within which all members of a gang confirm their release."),
+		span("platform_call", "1s", 50*ms, 10*s, "Limit of one call to the platform."),
+		span("peer_call", "500ms", 10*ms, 10*s, "Limit of one call to another host, except `Execute`."),
+		span("drain", "30s", s, 600*s, "Limit of a graceful shutdown."),
+	}
+}
+
+func name(key, help string) decoder.Field {
+	return decoder.Field{Key: key, Kind: decoder.Text, Required: true, Min: 1, Max: maxName, Check: parser.CheckName, Help: help}
+}
+
+func token() decoder.Field {
+	return decoder.Field{Key: "token", Kind: decoder.Text, Required: true, Min: minToken, Max: maxToken, Secret: true, Help: "Bearer token; never printed."}
+}
+
+func address(key, help string) decoder.Field {
+	return decoder.Field{Key: key, Kind: decoder.Text, Required: true, Min: 1, Max: maxName, Check: checkAddress, Help: help + " IP address and port."}
+}
+
+func link(key, help string) decoder.Field {
+	return decoder.Field{Key: key, Kind: decoder.Text, Required: true, Min: 1, Max: maxURL, Check: checkURL, Help: help}
+}
+
+// checkAddress returns what a valid address looks like, or nothing.
+func checkAddress(text string) string {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return "an IP address and port such as \"127.0.0.1:7101\""
+	}
+	return ""
+}
+
+// checkURL returns what a valid URL looks like, or nothing. The host is an IP
+// address, since a process resolves no names.
+func checkURL(text string) string {
+	const want = "a URL with an IP address such as \"http://127.0.0.1:7001\""
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.User != nil {
+		return want
+	}
+	if _, err = netip.ParseAddr(strings.Trim(u.Hostname(), "[]")); err != nil {
+		return want
+	}
+	return ""
+}
