Add operator commands, HTTP client and generated manuals

Cause: operators control the system through contracts and need commands whose exit codes and JSON output scripts can rely on.

Change: internal/operator/caller holds the HTTP client and the bodies that the server shares, printer writes tables or JSON, handler holds the kong commands.

Measured: handler tests pass; with a changed meaning of a code TestCodesManualIsCurrent fails. make lint build race passes.

--- a/cmd/primrosespar/main.go
+++ b/cmd/primrosespar/main.go
@@ -2,34 +2,41 @@
 //
 // # Usage
 //
-//	primrosespar version
+//	primrosespar contract apply nord.contract.toml --base 3
+//	primrosespar --help
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"primrosespar.example/primrosespar/internal/operator/handler"
 )
 
-// version is the release that the binary was built from.
-const version = "0.1.0"
+//go:generate env UPDATE_DOCS=1 go test -count=1 -run ManualIsCurrent primrosespar.example/primrosespar/internal/...
+
+// usageExit is the exit code for a command line that does not parse.
+const usageExit = 2
 
-// cli is the command line.
+// cli is the command line. The entry command is added beside the operator
+// commands, with a Run method of its own.
 type cli struct {
-	Version versionCommand `cmd:"" help:"Print the version."`
+	handler.Commands
 }
 
-// versionCommand prints the version.
-type versionCommand struct{}
-
-// Run prints the version.
-func (versionCommand) Run() error {
-	_, err := fmt.Fprintln(os.Stdout, version)
-	return err
+func main() {
+	os.Exit(run(os.Args[1:]))
 }
 
-func main() {
-	ctx := kong.Parse(&cli{}, kong.Name("primrosespar"))
-	ctx.FatalIfErrorf(ctx.Run())
+// run parses the command line, runs the command and returns the exit code.
+func run(args []string) int {
+	var c cli
+	parser := kong.Must(&c, handler.KongOptions()...)
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		parser.Errorf("%s", err)
+		return usageExit
+	}
+	return handler.Run(ctx, &c.Commands, os.Stdout, os.Stderr)
 }
--- /dev/null
+++ b/internal/operator/caller/caller.go
@@ -0,0 +1,251 @@
+// Package caller is the HTTP client of an entry host for operators, with the
+// shapes of the bodies that client and host share.
+//
+// # Usage
+//
+//	c := caller.New(caller.WithServer("http://127.0.0.1:7102"), caller.WithToken(token))
+//	answer, err := c.Contract(ctx, "nord")
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Limits of one call.
+const (
+	// callTimeout covers an amendment that waits for a takeover of the store.
+	callTimeout = 15 * time.Second
+	dialTimeout = 3 * time.Second
+	maxAnswer   = 16 << 20
+	// applyAttempts bounds how often an amendment is sent; its id makes
+	// sending it again safe.
+	applyAttempts = 3
+)
+
+// Options configure a Caller.
+type Options struct {
+	Server string
+	Token  string
+	// Transport sends the calls.
+	Transport http.RoundTripper
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// WithServer sets the URL of the entry host.
+func WithServer(url string) Option { return func(o *Options) { o.Server = url } }
+
+// WithToken sets the operator's token.
+func WithToken(token string) Option { return func(o *Options) { o.Token = token } }
+
+// WithTransport sets the transport.
+func WithTransport(t http.RoundTripper) Option { return func(o *Options) { o.Transport = t } }
+
+// Caller calls one entry host.
+type Caller struct {
+	opts   Options
+	client *http.Client
+}
+
+// New returns a Caller.
+func New(opts ...Option) *Caller {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	o := Options{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	for _, set := range opts {
+		set(&o)
+	}
+	return &Caller{opts: o, client: &http.Client{Transport: o.Transport, Timeout: callTimeout}}
+}
+
+// call is one HTTP call.
+type call struct {
+	method, path string
+	query        url.Values
+	header       http.Header
+	body         []byte
+	contentType  string
+	// writes says that the call may take effect without an answer.
+	writes bool
+}
+
+// do sends the call and decodes the answer. A refusal becomes a Failure.
+func (c *Caller) do(ctx context.Context, call call, answer any) error {
+	target := strings.TrimSuffix(c.opts.Server, "/") + call.path
+	if len(call.query) > 0 {
+		target += "?" + call.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+	if err != nil {
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "the server is not a URL")
+	}
+	for key, values := range call.header {
+		request.Header[key] = values
+	}
+	if call.contentType != "" {
+		request.Header.Set("Content-Type", call.contentType)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.opts.Token)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return call.failure(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return call.failure(err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return refusal(response.StatusCode, data)
+	}
+	if err = json.Unmarshal(data, answer); err != nil {
+		return call.failure(err)
+	}
+	return nil
+}
+
+// failure converts an error of the connection. Without a connection nothing
+// was sent.
+func (c call) failure(err error) error {
+	var op *net.OpError
+	if !c.writes || errors.As(err, &op) && op.Op == "dial" {
+		return primrosespar.Fail(primrosespar.CodePeerUnavailable, "no answer from the host").Because(err)
+	}
+	return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "no whole answer from the host").Because(err)
+}
+
+// refusal converts the body of a refusal.
+func refusal(status int, data []byte) error {
+	var r Refusal
+	if err := json.Unmarshal(data, &r); err != nil || r.Name == "" {
+		return primrosespar.FailUnknown(primrosespar.CodeInternal, "the host answered with status %d", status)
+	}
+	message := r.Message
+	for _, fault := range r.Faults {
+		message += "\n" + fault.String()
+	}
+	failure := primrosespar.Fail(r.Code, "%s", message)
+	failure.Ran = r.Ran
+	return failure
+}
+
+// contractPath returns the path of a contract.
+func contractPath(account primrosespar.Account) string {
+	return "/v1/contracts/" + url.PathEscape(string(account))
+}
+
+// Contract reads the contract of an account.
+func (c *Caller) Contract(ctx context.Context, account primrosespar.Account) (answer ContractAnswer, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: contractPath(account)}, &answer)
+	return answer, err
+}
+
+// Apply amends the version of a contract. It sends the amendment again, with
+// the same id, if no answer came.
+func (c *Caller) Apply(ctx context.Context, account primrosespar.Account, base primrosespar.Version, id string, document []byte) (answer ContractAnswer, err error) {
+	for attempt := range applyAttempts {
+		header := http.Header{}
+		header.Set(HeaderIfMatch, strconv.FormatUint(uint64(base), 10))
+		header.Set(HeaderAmendmentID, id)
+		if attempt > 0 {
+			header.Set(HeaderResent, "1")
+		}
+		err = c.do(ctx, call{
+			method: http.MethodPut, path: contractPath(account), header: header,
+			body: document, contentType: TypeTOML, writes: true,
+		}, &answer)
+		if !unknown(err) {
+			return answer, err
+		}
+	}
+	return answer, err
+}
+
+// unknown reports whether the call may have taken effect.
+func unknown(err error) bool {
+	var failure *primrosespar.Failure
+	return errors.As(err, &failure) && failure.Ran == primrosespar.RanUnknown
+}
+
+// History reads the amendments of an account, newest first.
+func (c *Caller) History(ctx context.Context, account primrosespar.Account) (answer HistoryAnswer, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: contractPath(account) + "/history"}, &answer)
+	return answer, err
+}
+
+// Check asks whether a document would be accepted.
+func (c *Caller) Check(ctx context.Context, document []byte) (answer CheckAnswer, err error) {
+	err = c.do(ctx, call{method: http.MethodPost, path: "/v1/contracts/check", body: document, contentType: TypeTOML}, &answer)
+	return answer, err
+}
+
+// Submit submits a job. The key lets the host recognise the same submission.
+func (c *Caller) Submit(ctx context.Context, key string, job JobRequest) (answer JobAnswer, err error) {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return answer, err
+	}
+	header := http.Header{}
+	header.Set(HeaderRequestKey, key)
+	header.Set(HeaderAccount, string(job.Account))
+	err = c.do(ctx, call{
+		method: http.MethodPost, path: "/v1/jobs", header: header,
+		body: body, contentType: TypeJSON, writes: true,
+	}, &answer)
+	return answer, err
+}
+
+// Jobs lists the jobs of an account, or all without one.
+func (c *Caller) Jobs(ctx context.Context, account primrosespar.Account) (answer JobsAnswer, err error) {
+	query := url.Values{}
+	if account != "" {
+		query.Set("account", string(account))
+	}
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query}, &answer)
+	return answer, err
+}
+
+// Job reads one job.
+func (c *Caller) Job(ctx context.Context, id primrosespar.JobID) (answer JobAnswer, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/jobs/" + url.PathEscape(string(id))}, &answer)
+	return answer, err
+}
+
+// Cancel cancels a job; cancelling twice has the effect of once.
+func (c *Caller) Cancel(ctx context.Context, id primrosespar.JobID) (answer JobAnswer, err error) {
+	err = c.do(ctx, call{method: http.MethodDelete, path: "/v1/jobs/" + url.PathEscape(string(id)), writes: true}, &answer)
+	return answer, err
+}
+
+// Status reads the state of the host's place.
+func (c *Caller) Status(ctx context.Context) (answer StatusAnswer, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/status"}, &answer)
+	return answer, err
+}
+
+// Explain reads the decisions on one id.
+func (c *Caller) Explain(ctx context.Context, id string) (answer ExplainAnswer, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/explain/" + url.PathEscape(id)}, &answer)
+	return answer, err
+}
+
+// Incidents reads the report of a period.
+func (c *Caller) Incidents(ctx context.Context, from, to time.Time) (answer IncidentAnswer, err error) {
+	query := url.Values{}
+	query.Set("from", from.Format(QueryTime))
+	query.Set("to", to.Format(QueryTime))
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/incidents", query: query}, &answer)
+	return answer, err
+}
--- /dev/null
+++ b/internal/operator/caller/shapes.go
@@ -0,0 +1,165 @@
+package caller
+
+import (
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
+	"primrosespar.example/primrosespar/internal/contract/checker"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+)
+
+// Headers of the caller interface.
+const (
+	HeaderAccount     = "X-Account"
+	HeaderRequestKey  = "X-Request-Key"
+	HeaderRequestID   = "X-Request-Id"
+	HeaderResultCode  = "X-Result-Code"
+	HeaderDeadline    = "X-Deadline-Ms"
+	HeaderIfMatch     = "If-Match"
+	HeaderAmendmentID = "X-Amendment-Id"
+	// HeaderResent is "1" if the amendment was sent before.
+	HeaderResent = "X-Resent"
+)
+
+// Content types of the caller interface.
+const (
+	TypeJSON = "application/json"
+	TypeTOML = "application/toml"
+)
+
+// Span is a duration that JSON holds as text such as "1h30m0s".
+type Span time.Duration
+
+// MarshalText returns the duration as text.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// UnmarshalText reads the duration from text.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	*s = Span(d)
+	return err
+}
+
+// Refusal is the body of every answer that is not a success.
+type Refusal struct {
+	Code      primrosespar.Code      `json:"code"`
+	Name      string                 `json:"name"`
+	Message   string                 `json:"message"`
+	Ran       primrosespar.Ran       `json:"ran"`
+	RequestID primrosespar.RequestID `json:"request_id"`
+	// Faults are the errors of a document.
+	Faults []decoder.Fault `json:"faults,omitempty"`
+}
+
+// ContractAnswer answers GET and PUT /v1/contracts/:account.
+type ContractAnswer struct {
+	Account  primrosespar.Account  `json:"account"`
+	Code     primrosespar.Code     `json:"code"`
+	Version  primrosespar.Version  `json:"version"`
+	Revision primrosespar.Revision `json:"revision"`
+	State    amender.State         `json:"state"`
+	Deleted  bool                  `json:"deleted,omitempty"`
+	Document string                `json:"document,omitempty"`
+	// Pending is the amendment that waits for acknowledgement.
+	Pending *amender.Entry          `json:"pending,omitempty"`
+	Places  []amender.PlaceProgress `json:"places,omitempty"`
+}
+
+// HistoryAnswer answers GET /v1/contracts/:account/history, newest first.
+type HistoryAnswer struct {
+	Entries []amender.Entry `json:"entries"`
+}
+
+// CheckAnswer answers POST /v1/contracts/check.
+type CheckAnswer struct {
+	Code       primrosespar.Code   `json:"code"`
+	Faults     []decoder.Fault     `json:"faults,omitempty"`
+	Shortfalls []checker.Shortfall `json:"shortfalls,omitempty"`
+	// LowersOffline says that the amendment would wait for all places.
+	LowersOffline bool `json:"lowers_offline,omitempty"`
+}
+
+// JobRequest is the body of POST /v1/jobs.
+type JobRequest struct {
+	Account     primrosespar.Account `json:"account"`
+	Class       primrosespar.Class   `json:"class"`
+	Place       primrosespar.Place   `json:"place"`
+	Shape       primrosespar.Shape   `json:"shape"`
+	Claim       bool                 `json:"claim,omitempty"`
+	Preemptible bool                 `json:"preemptible,omitempty"`
+	Declared    Span                 `json:"declared"`
+	Deadline    Span                 `json:"deadline"`
+	Work        []byte               `json:"work,omitempty"`
+}
+
+// JobAnswer is one job; it answers POST, GET and DELETE of a job.
+type JobAnswer struct {
+	ID          primrosespar.JobID     `json:"id"`
+	Account     primrosespar.Account   `json:"account"`
+	Class       primrosespar.Class     `json:"class"`
+	Place       primrosespar.Place     `json:"place"`
+	Shape       primrosespar.Shape     `json:"shape"`
+	State       primrosespar.GangState `json:"state"`
+	Reason      primrosespar.Code      `json:"reason"`
+	Attempt     uint64                 `json:"attempt"`
+	Borrowed    bool                   `json:"borrowed,omitempty"`
+	Claim       bool                   `json:"claim,omitempty"`
+	Preemptions int                    `json:"preemptions,omitempty"`
+	Submitted   time.Time              `json:"submitted"`
+	Slices      []primrosespar.Slice   `json:"slices,omitempty"`
+}
+
+// JobsAnswer answers GET /v1/jobs.
+type JobsAnswer struct {
+	Jobs []JobAnswer `json:"jobs"`
+}
+
+// HostStatus is one host of the place as the answering host sees it.
+type HostStatus struct {
+	Host     primrosespar.Host     `json:"host"`
+	Alive    bool                  `json:"alive"`
+	Draining bool                  `json:"draining,omitempty"`
+	Revision primrosespar.Revision `json:"revision"`
+}
+
+// UpstreamStatus is one upstream as the answering host sees it.
+type UpstreamStatus struct {
+	Upstream primrosespar.Upstream `json:"upstream"`
+	Slots    int                   `json:"slots"`
+	Used     int                   `json:"used"`
+	Leaving  bool                  `json:"leaving,omitempty"`
+	Ejected  bool                  `json:"ejected,omitempty"`
+}
+
+// StatusAnswer answers GET /v1/status.
+type StatusAnswer struct {
+	Host       primrosespar.Host        `json:"host"`
+	Place      primrosespar.Place       `json:"place"`
+	Version    string                   `json:"version"`
+	Revision   primrosespar.Revision    `json:"revision"`
+	ViewAge    Span                     `json:"view_age"`
+	Restricted bool                     `json:"restricted"`
+	Draining   bool                     `json:"draining"`
+	Holder     primrosespar.Host        `json:"holder"`
+	State      *primrosespar.PlaceState `json:"state,omitempty"`
+	Hosts      []HostStatus             `json:"hosts"`
+	Upstreams  []UpstreamStatus         `json:"upstreams"`
+}
+
+// ExplainAnswer answers GET /v1/explain/:id.
+type ExplainAnswer struct {
+	ID        string                  `json:"id"`
+	Decisions []primrosespar.Decision `json:"decisions"`
+	Story     string                  `json:"story"`
+}
+
+// IncidentAnswer answers GET /v1/incidents.
+type IncidentAnswer struct {
+	From     time.Time `json:"from"`
+	To       time.Time `json:"to"`
+	Markdown string    `json:"markdown"`
+}
+
+// QueryTime is the time format of the query of /v1/incidents.
+const QueryTime = time.RFC3339
--- /dev/null
+++ b/internal/operator/handler/contracts.go
@@ -0,0 +1,149 @@
+package handler
+
+import (
+	"context"
+	"errors"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/parser"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+	"primrosespar.example/primrosespar/internal/operator/caller"
+	"primrosespar.example/primrosespar/internal/operator/printer"
+)
+
+// contractCommands are the commands for contracts.
+type contractCommands struct {
+	Check   contractCheck   `cmd:"" help:"Check a contract document; with --offline only its own fields, without a host."`
+	Apply   contractApply   `cmd:"" help:"Amend a contract. Names the version that is amended; a newer one gives a conflict."`
+	Show    contractShow    `cmd:"" help:"Show a contract and how far it is in force."`
+	History contractHistory `cmd:"" help:"List the amendments of a contract."`
+	Diff    contractDiff    `cmd:"" help:"Compare a document with the contract in force."`
+}
+
+type contractCheck struct {
+	File    string `arg:"" help:"Contract document." type:"path"`
+	Offline bool   `help:"Do not ask a host whether the guarantees pack."`
+}
+
+// Run checks the document here first, so that its errors need no host.
+func (c *contractCheck) Run(env *Env) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	answer := caller.CheckAnswer{}
+	if _, err = parser.Parse(data); err != nil {
+		var faults decoder.Faults
+		errors.As(err, &faults)
+		answer = caller.CheckAnswer{Code: primrosespar.CodeOf(err), Faults: faults}
+	} else if !c.Offline {
+		if answer, err = env.caller.Check(context.Background(), data); err != nil {
+			return err
+		}
+	}
+	if err = env.printer.Check(answer); err != nil {
+		return err
+	}
+	if answer.Code.Info().Exit != 0 {
+		return primrosespar.Fail(answer.Code, "%s", c.File)
+	}
+	return nil
+}
+
+type contractApply struct {
+	File      string `arg:"" help:"Contract document." type:"path"`
+	Base      uint64 `required:"" help:"Version that is amended; 0 for a new contract."`
+	Amendment string `help:"Id of the amendment; give the same id to send it again after an unknown outcome." placeholder:"ID"`
+}
+
+// Run applies the document.
+func (c *contractApply) Run(env *Env) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	contract, err := parser.Parse(data)
+	if err != nil {
+		return err
+	}
+	id := c.Amendment
+	if id == "" {
+		id = newID()
+	}
+	answer, err := env.caller.Apply(context.Background(), contract.Account, primrosespar.Version(c.Base), id, data)
+	if err != nil {
+		var failure *primrosespar.Failure
+		if errors.As(err, &failure) && failure.Ran == primrosespar.RanUnknown {
+			return primrosespar.FailUnknown(failure.Code, "amendment %s; send it again with --amendment %s", id, id).Because(err)
+		}
+		return err
+	}
+	return env.printer.Contract(answer)
+}
+
+type contractShow struct {
+	Account string `arg:"" help:"Client account."`
+}
+
+// Run shows the contract.
+func (c *contractShow) Run(env *Env) error {
+	answer, err := env.caller.Contract(context.Background(), primrosespar.Account(c.Account))
+	if err != nil {
+		return err
+	}
+	return env.printer.Contract(answer)
+}
+
+type contractHistory struct {
+	Account string `arg:"" help:"Client account."`
+}
+
+// Run lists the amendments.
+func (c *contractHistory) Run(env *Env) error {
+	answer, err := env.caller.History(context.Background(), primrosespar.Account(c.Account))
+	if err != nil {
+		return err
+	}
+	return env.printer.History(answer)
+}
+
+type contractDiff struct {
+	File string `arg:"" help:"Contract document." type:"path"`
+}
+
+// diffAnswer is the JSON form of a comparison.
+type diffAnswer struct {
+	Account primrosespar.Account `json:"account"`
+	Version primrosespar.Version `json:"version"`
+	Diff    string               `json:"diff"`
+}
+
+// Run compares canonical texts, so that order and comments do not matter.
+func (c *contractDiff) Run(env *Env) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	contract, err := parser.Parse(data)
+	if err != nil {
+		return err
+	}
+	answer, err := env.caller.Contract(context.Background(), contract.Account)
+	if err != nil {
+		return err
+	}
+	inForce, err := parser.Parse([]byte(answer.Document))
+	if err != nil {
+		return err
+	}
+	old, err := parser.Canonical(inForce)
+	if err != nil {
+		return err
+	}
+	changed, err := parser.Canonical(contract)
+	if err != nil {
+		return err
+	}
+	text := printer.Diff(string(old), string(changed))
+	return env.printer.Text(diffAnswer{contract.Account, answer.Version, text}, text)
+}
