Add decision recorder, stories of one id and incident reports

Cause: past behaviour must be explainable, and a public report may show nothing of one account to another.

Change: internal/record/recorder keeps a bounded buffer and writes batches of JSON lines within a byte budget under names that sort by time, place and host; dropped records are counted and recorded as record_loss. internal/record/reporter tells the story of one id and writes the incident report from kinds, codes, places and classes only, with public names.

--- /dev/null
+++ b/internal/record/recorder/reading.go
@@ -0,0 +1,66 @@
+package recorder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Bounds of one read. A period with more is cut and says so.
+const (
+	maxObjects = 4096
+	maxRead    = 50_000
+	pageSize   = 256
+	// slack is how much later than a decision its batch may be named.
+	slack = 10 * time.Minute
+)
+
+// Read returns the decisions from one time up to another that match, and
+// whether some are missing: batches that are unreadable or beyond the bounds.
+func Read(ctx context.Context, objects primrosespar.Objects, from, to time.Time, match func(primrosespar.Decision) bool) ([]primrosespar.Decision, bool, error) {
+	after := Prefix + from.UTC().Format(timeFormat)
+	end := Prefix + to.Add(slack).UTC().Format(timeFormat)
+	var decisions []primrosespar.Decision
+	missing := false
+	for seen := 0; seen < maxObjects; {
+		names, err := objects.Names(ctx, Prefix, after, pageSize)
+		if err != nil {
+			return nil, false, err
+		}
+		for _, name := range names {
+			if name > end {
+				return decisions, missing, nil
+			}
+			data, err := objects.Fetch(ctx, name)
+			if err != nil {
+				missing = true
+			}
+			for _, line := range bytes.Split(data, []byte("\n")) {
+				var d primrosespar.Decision
+				if len(line) == 0 {
+					continue
+				}
+				if json.Unmarshal(line, &d) != nil {
+					missing = true
+					continue
+				}
+				if d.At.Before(from) || !d.At.Before(to) || !match(d) {
+					continue
+				}
+				if len(decisions) == maxRead {
+					return decisions, true, nil
+				}
+				decisions = append(decisions, d)
+			}
+			after = name
+			seen++
+		}
+		if len(names) < pageSize {
+			return decisions, missing, nil
+		}
+	}
+	return decisions, true, nil
+}
--- /dev/null
+++ b/internal/record/reporter/incident.go
@@ -0,0 +1,182 @@
+package reporter
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+const (
+	// maxRows bounds the rows of one timeline.
+	maxRows = 200
+	// joinWithin is the time within which equal decisions share a row.
+	joinWithin = time.Minute
+)
+
+// Reporter writes incident reports. A report shows no subject, detail, figure
+// or internal name, because those may tell of another account.
+type Reporter struct {
+	names map[primrosespar.Account]string
+}
+
+// New takes the public names of the accounts.
+func New(names map[primrosespar.Account]string) *Reporter {
+	return &Reporter{names: names}
+}
+
+// Incident returns the report of a period in Markdown. The general section
+// has only decisions that belong to no account.
+func (r *Reporter) Incident(from, to time.Time, decisions []primrosespar.Decision, missing bool) string {
+	var general []primrosespar.Decision
+	accounts := map[primrosespar.Account][]primrosespar.Decision{}
+	for _, d := range order(decisions) {
+		switch {
+		case d.At.Before(from) || !d.At.Before(to):
+		case d.Account == "":
+			general = append(general, d)
+		default:
+			accounts[d.Account] = append(accounts[d.Account], d)
+		}
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "# Incident report\n\nPeriod: %s to %s (UTC).\n\n", stamp(from), stamp(to))
+	b.WriteString("Each row gives the time of the first and the last of equal decisions, what was decided, where, and how often. Clocks of hosts may differ by some milliseconds.\n")
+	completeness(&b, general, missing)
+	b.WriteString("\n## The system as a whole\n\n")
+	section(&b, general)
+	for _, s := range r.sections(accounts) {
+		fmt.Fprintf(&b, "\n## %s\n\n", escape(s.title))
+		section(&b, s.decisions)
+	}
+	return b.String()
+}
+
+// accountSection is the part of a report about one account.
+type accountSection struct {
+	title     string
+	account   primrosespar.Account
+	decisions []primrosespar.Decision
+}
+
+// sections orders the accounts by public name. An account without one, or
+// with one that another account has, gets a number, so that no section holds
+// two accounts.
+func (r *Reporter) sections(accounts map[primrosespar.Account][]primrosespar.Decision) []accountSection {
+	var list []accountSection
+	for account, decisions := range accounts {
+		list = append(list, accountSection{r.names[account], account, decisions})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].title != list[j].title {
+			return list[i].title < list[j].title
+		}
+		return list[i].account < list[j].account
+	})
+	used := map[string]bool{}
+	for i := range list {
+		title := list[i].title
+		if title == "" {
+			title = "Account without a public name"
+		}
+		list[i].title = title
+		for n := 2; used[list[i].title]; n++ {
+			list[i].title = fmt.Sprintf("%s (%d)", title, n)
+		}
+		used[list[i].title] = true
+	}
+	return list
+}
+
+// completeness says whether records are missing.
+func completeness(b *strings.Builder, general []primrosespar.Decision, missing bool) {
+	lost := 0
+	for _, d := range general {
+		if d.Kind == primrosespar.DecisionLoss {
+			lost += lostIn(d)
+		}
+	}
+	switch {
+	case missing:
+		fmt.Fprintf(b, "\nSome stored records could not be read or were left out, and at least %d were never stored. The counts are lower bounds.\n", lost)
+	case lost > 0:
+		fmt.Fprintf(b, "\n%d records were never stored, because the store was away or too slow. The counts are lower bounds.\n", lost)
+	default:
+		b.WriteString("\nNo loss of records is known for this period.\n")
+	}
+}
+
+// section writes the counts and the timeline of a list of decisions.
+func section(b *strings.Builder, decisions []primrosespar.Decision) {
+	if len(decisions) == 0 {
+		b.WriteString("Nothing was decided in this period.\n")
+		return
+	}
+	counts := map[primrosespar.Code]int{}
+	for _, d := range decisions {
+		counts[d.Code]++
+	}
+	for _, info := range primrosespar.Codes() {
+		if n := counts[info.Code]; n > 0 {
+			fmt.Fprintf(b, "- %s: %s\n", times(n), info.Meaning)
+		}
+	}
+	timeline(b, decisions)
+}
+
+// row is one line of a timeline.
+type row struct {
+	first, last time.Time
+	sample      primrosespar.Decision
+	count       int
+}
+
+// timeline writes a table in which equal decisions within a minute share a row.
+func timeline(b *strings.Builder, decisions []primrosespar.Decision) {
+	type key struct {
+		kind  primrosespar.DecisionKind
+		code  primrosespar.Code
+		place primrosespar.Place
+		class primrosespar.Class
+	}
+	var rows []*row
+	open := map[key]*row{}
+	for _, d := range decisions {
+		k := key{d.Kind, d.Code, d.Place, d.Class}
+		if now := open[k]; now != nil && d.At.Sub(now.first) < joinWithin {
+			now.last = d.At
+			now.count++
+			continue
+		}
+		open[k] = &row{first: d.At, last: d.At, sample: d, count: 1}
+		rows = append(rows, open[k])
+	}
+	b.WriteString("\n| from | to | place | class | what | result | count |\n|---|---|---|---|---|---|---|\n")
+	for i, now := range rows {
+		if i == maxRows {
+			fmt.Fprintf(b, "\n%d more rows are left out.\n", len(rows)-maxRows)
+			return
+		}
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %d |\n", stamp(now.first), stamp(now.last),
+			escape(string(now.sample.Place)), escape(string(now.sample.Class)), what(now.sample.Kind), now.sample.Code, now.count)
+	}
+}
+
+// stamp writes a time to the second.
+func stamp(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05") }
+
+// times writes a count in words.
+func times(n int) string {
+	if n == 1 {
+		return "once"
+	}
+	return fmt.Sprintf("%d times", n)
+}
+
+// escape keeps a name from being read as Markdown.
+func escape(text string) string {
+	return strings.NewReplacer("\\", "\\\\", "|", "\\|", "*", "\\*", "_", "\\_", "#", "\\#",
+		"<", "\\<", "[", "\\[", "`", "\\`", "\n", " ").Replace(text)
+}
