Test the follower loop and guarantees of racing accounts

Cause: the state machine drives single steps, so the loop and the pack check under a race of two accounts had no test.

Change: TestLoop runs Start in virtual time; TestGuaranteesOfRacingAccounts- Pack lets a second account commit between check and commit of the first. config print uses typed bodies and is checked for every key and for tokens.

--- /dev/null
+++ b/internal/contract/follower/start_test.go
@@ -0,0 +1,97 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
+	"primrosespar.example/primrosespar/internal/contract/follower"
+)
+
+// TestLoop guards against a loop that does not end with its context, polls
+// more often than once per second, loses currency between polls, or waits for
+// the next poll when a heartbeat announced a newer revision.
+func TestLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMachine()
+		link := &counting{client: m.links[0]}
+		f := follower.New(follower.WithTable(link), follower.WithClock(clockwork.NewRealClock()))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { f.Start(ctx); close(ended) }()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			require.True(t, f.Current())
+		}
+		require.LessOrEqual(t, link.reads.Load(), int64(12))
+		link.mu.Lock()
+		require.NoError(t, m.amend(t, 0, amender.Amendment{ID: "x", Account: "a", Document: fmt.Appendf(nil, document, "a", 1, 1)}))
+		link.mu.Unlock()
+		f.Notice(1)
+		synctest.Wait()
+		view, _ := f.View()
+		require.Equal(t, primrosespar.Revision(1), view.Revision)
+		link.mu.Lock()
+		m.store.away = true
+		link.mu.Unlock()
+		reads := link.reads.Load()
+		time.Sleep(60 * time.Second)
+		synctest.Wait()
+		require.False(t, f.Current())
+		require.Less(t, link.reads.Load()-reads, int64(30))
+		cancel()
+		<-ended
+	})
+}
+
+// counting counts the reads of the head.
+type counting struct {
+	*client
+	// mu guards the store between the loop and the test.
+	mu    sync.Mutex
+	reads atomic.Int64
+}
+
+func (c *counting) Get(ctx context.Context, keys ...string) ([]primrosespar.Row, error) {
+	c.reads.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.client.Get(ctx, keys...)
+}
+
+func (c *counting) Scan(ctx context.Context, prefix, after string, limit int) ([]primrosespar.Row, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.client.Scan(ctx, prefix, after, limit)
+}
+
+// TestGuaranteesOfRacingAccountsPack guards against two accounts that both
+// get the last block because each was checked before the other was written.
+func TestGuaranteesOfRacingAccountsPack(t *testing.T) {
+	m := newMachine()
+	workers := amender.WithWorkers(func(context.Context) ([]primrosespar.WorkerEntry, error) {
+		return []primrosespar.WorkerEntry{{Place: "p", Rack: "r", Accelerators: 8}}, nil
+	})
+	var errs []error
+	amend := func(link *client, account primrosespar.Account) {
+		text := fmt.Sprintf(document, account, 8, 1) + "[[guarantees]]\nplace = \"p\"\nblock = 8\ncount = 1\n"
+		a := amender.New(amender.WithTable(link), amender.WithClock(m.clock), amender.WithPlaces("p"), workers)
+		_, err := a.Amend(context.Background(), amender.Amendment{ID: string(account), Account: account, Document: []byte(text)})
+		errs = append(errs, err)
+	}
+	m.operators[0].before = func() { amend(m.operators[1], "b") }
+	amend(m.operators[0], "a")
+	require.NoError(t, errs[0])
+	require.Equal(t, primrosespar.CodeGuaranteesDontPack, primrosespar.CodeOf(errs[1]))
+	require.Len(t, m.fold(9), 1)
+}
--- a/internal/entry/configurer/canonical.go
+++ b/internal/entry/configurer/canonical.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"time"
-
-	"primrosespar.example/primrosespar/internal/document/decoder"
 )
 
 // Canonical returns the settings as JSON with all defaults, in the order of
@@ -23,17 +21,17 @@
 		operators[i] = tokenText{Operator: o.Operator, Token: o.Token.String()}
 	}
 	return json.MarshalIndent(struct {
-		Host      string         `json:"host"`
-		Place     string         `json:"place"`
-		Region    string         `json:"region"`
-		Places    []placeText    `json:"places"`
-		Listen    any            `json:"listen"`
-		Platform  any            `json:"platform"`
-		Callers   []tokenText    `json:"callers"`
-		Operators []tokenText    `json:"operators"`
-		TLS       any            `json:"tls"`
-		Limits    map[string]int `json:"limits"`
-		Timeouts  any            `json:"timeouts"`
+		Host      string      `json:"host"`
+		Place     string      `json:"place"`
+		Region    string      `json:"region"`
+		Places    []placeText `json:"places"`
+		Listen    any         `json:"listen"`
+		Platform  any         `json:"platform"`
+		Callers   []tokenText `json:"callers"`
+		Operators []tokenText `json:"operators"`
+		TLS       any         `json:"tls"`
+		Limits    limitsText  `json:"limits"`
+		Timeouts  timesText   `json:"timeouts"`
 	}{
 		string(s.Host), string(s.Place), s.Region, places,
 		struct {
@@ -53,7 +51,7 @@
 			Key         string `json:"key"`
 			Authority   string `json:"authority"`
 		}(s.TLS),
-		s.Limits.byKey(), s.Timeouts.byKey(),
+		limitsText(s.Limits), times(s.Timeouts),
 	}, "", "  ")
 }
 
@@ -68,33 +66,57 @@
 	Token    string `json:"token"`
 }
 
-// byKey returns the limits by their keys in the settings.
-func (l Limits) byKey() map[string]int {
-	values := []int{
-		l.BodyBytes, l.AnswerBytes, l.Requests, l.Connections, l.MintedKeys, l.WorkBytes,
-		l.RecordDecisions, l.RecordBytes,
-	}
-	return zip(limitFields(), values)
+// limitsText and timesText have the keys of the settings.
+type limitsText struct {
+	BodyBytes       int `json:"body_bytes"`
+	AnswerBytes     int `json:"answer_bytes"`
+	Requests        int `json:"requests"`
+	Connections     int `json:"connections"`
+	MintedKeys      int `json:"minted_keys"`
+	WorkBytes       int `json:"work_bytes"`
+	RecordDecisions int `json:"record_decisions"`
+	RecordBytes     int `json:"record_bytes"`
 }
 
-// byKey returns the times by their keys in the settings.
-func (t Timeouts) byKey() map[string]string {
-	spans := []time.Duration{
-		t.Lease, t.LeaseRenew, t.ViewValidity, t.ViewPoll, t.Beat, t.Membership, t.Handover,
-		t.WorkerLease, t.WorkerRenew, t.WorkerSilent, t.Release, t.PlatformCall, t.PeerCall, t.Drain,
-	}
-	texts := make([]string, len(spans))
-	for i, span := range spans {
-		texts[i] = span.String()
-	}
-	return zip(timeoutFields(), texts)
+type timesText struct {
+	Lease        spanText `json:"lease"`
+	LeaseRenew   spanText `json:"lease_renew"`
+	ViewValidity spanText `json:"view_validity"`
+	ViewPoll     spanText `json:"view_poll"`
+	Beat         spanText `json:"beat"`
+	Membership   spanText `json:"membership"`
+	Handover     spanText `json:"handover"`
+	WorkerLease  spanText `json:"worker_lease"`
+	WorkerRenew  spanText `json:"worker_renew"`
+	WorkerSilent spanText `json:"worker_silent"`
+	Release      spanText `json:"release"`
+	PlatformCall spanText `json:"platform_call"`
+	PeerCall     spanText `json:"peer_call"`
+	Drain        spanText `json:"drain"`
 }
 
-// zip pairs the keys of a table with values in the same order.
-func zip[T any](fields []decoder.Field, values []T) map[string]T {
-	pairs := make(map[string]T, len(fields))
-	for i, f := range fields {
-		pairs[f.Key] = values[i]
+// spanText is a duration that JSON holds as text.
+type spanText time.Duration
+
+// MarshalText returns the duration as text.
+func (s spanText) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// times converts the times.
+func times(t Timeouts) timesText {
+	return timesText{
+		Lease:        spanText(t.Lease),
+		LeaseRenew:   spanText(t.LeaseRenew),
+		ViewValidity: spanText(t.ViewValidity),
+		ViewPoll:     spanText(t.ViewPoll),
+		Beat:         spanText(t.Beat),
+		Membership:   spanText(t.Membership),
+		Handover:     spanText(t.Handover),
+		WorkerLease:  spanText(t.WorkerLease),
+		WorkerRenew:  spanText(t.WorkerRenew),
+		WorkerSilent: spanText(t.WorkerSilent),
+		Release:      spanText(t.Release),
+		PlatformCall: spanText(t.PlatformCall),
+		PeerCall:     spanText(t.PeerCall),
+		Drain:        spanText(t.Drain),
 	}
-	return pairs
 }
--- a/internal/entry/configurer/configurer_test.go
+++ b/internal/entry/configurer/configurer_test.go
@@ -73,6 +73,14 @@
 	s, err := configurer.Parse(data)
 	require.NoError(t, err)
 	require.NotContains(t, fmt.Sprintf("%v %+v %#v", s, s, s), "example-caller")
+	printed, err := configurer.Canonical(s)
+	require.NoError(t, err)
+	require.NotContains(t, string(printed), "example-caller")
+	for _, f := range configurer.Fields() {
+		for _, inner := range f.Fields {
+			require.Contains(t, string(printed), `"`+inner.Key+`":`, "config print lacks a key")
+		}
+	}
 }
 
 // TestManualIsCurrent guards against a manual that differs from the parser.
