Test the conflict of two operators and draw jitter by default

Cause: the conflict of two operators was only covered by drawn sequences, and without a given source the delays had no jitter, so hosts would come back from an outage in step.

Change: a fixed case for two operators that race and for an own write that lies below a later one; amender and follower default to a random jitter; the settings parser has a fuzz target.

Measured: without conditions on the commit the new test fails (the slow operator's amendment replaces the quick one).

--- a/internal/contract/amender/options.go
+++ b/internal/contract/amender/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -65,7 +66,7 @@
 func defaults() Options {
 	return Options{
 		Clock:   clockwork.NewRealClock(),
-		Jitter:  func() float64 { return 1 },
+		Jitter:  rand.Float64,
 		Workers: func(context.Context) ([]primrosespar.WorkerEntry, error) { return nil, nil },
 	}
 }
--- a/internal/contract/follower/follower_test.go
+++ b/internal/contract/follower/follower_test.go
@@ -51,15 +51,18 @@
 func newMachine() *machine {
 	m := &machine{clock: &clock{now: time.Unix(1000, 0)}, refused: map[string]bool{}}
 	m.store = newStore(m.clock)
+	// Sequences repeat only with fixed delays.
+	jitter := func() float64 { return 0.5 }
 	for range 2 {
 		link := &client{store: m.store}
 		m.operators = append(m.operators, link)
-		m.amenders = append(m.amenders, amender.New(amender.WithTable(link), amender.WithClock(m.clock), amender.WithPlaces("p")))
+		m.amenders = append(m.amenders, amender.New(amender.WithTable(link), amender.WithClock(m.clock),
+			amender.WithJitter(jitter), amender.WithPlaces("p")))
 	}
 	for i := range hosts {
 		link := &client{store: m.store}
 		m.links = append(m.links, link)
-		m.hosts = append(m.hosts, follower.New(follower.WithTable(link), follower.WithClock(m.clock),
+		m.hosts = append(m.hosts, follower.New(follower.WithTable(link), follower.WithClock(m.clock), follower.WithJitter(jitter),
 			follower.WithLeader(func() bool { return i == 0 })))
 	}
 	m.seen = make([]primrosespar.Revision, hosts)
--- a/internal/contract/follower/options.go
+++ b/internal/contract/follower/options.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -65,7 +66,7 @@
 func defaults() Options {
 	return Options{
 		Clock:    clockwork.NewRealClock(),
-		Jitter:   func() float64 { return 1 },
+		Jitter:   rand.Float64,
 		Leader:   func() bool { return true },
 		Validity: validity,
 		Interval: interval,
--- a/internal/contract/follower/start_test.go
+++ b/internal/contract/follower/start_test.go
@@ -95,3 +95,20 @@
 	require.Equal(t, primrosespar.CodeGuaranteesDontPack, primrosespar.CodeOf(errs[1]))
 	require.Len(t, m.fold(9), 1)
 }
+
+// TestSecondOfTwoOperatorsGetsConflict guards against an operator whose change
+// replaces one that it has not seen, and against a message without versions.
+func TestSecondOfTwoOperatorsGetsConflict(t *testing.T) {
+	m := newMachine()
+	draft := func(id string, base primrosespar.Version) amender.Amendment {
+		return amender.Amendment{ID: id, Account: "a", Base: base, Document: fmt.Appendf(nil, document, "a", 1, 1)}
+	}
+	require.NoError(t, m.amend(t, 0, draft("first", 0)))
+	m.operators[0].before = func() { require.NoError(t, m.amend(t, 1, draft("quick", 1))) }
+	err := m.amend(t, 0, draft("slow", 1))
+	require.Equal(t, primrosespar.CodeVersionConflict, primrosespar.CodeOf(err))
+	require.ErrorContains(t, err, "contract a has version 2, the amendment names version 1")
+	require.Equal(t, "quick", m.record("a").Accepted.AmendmentID)
+	// The first amendment lies below a later one and is still recognised.
+	require.NoError(t, m.amend(t, 1, draft("first", 0)))
+}
--- a/internal/entry/configurer/configurer_test.go
+++ b/internal/entry/configurer/configurer_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// FuzzParse guards against settings that make the parser panic.
+func FuzzParse(f *testing.F) {
+	data, err := os.ReadFile("../../../examples/coop/burnie-a.toml")
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte("listen = 1\ncallers = [[]]\n[[places]]\nplace = []\n[tls]\nkey = \"k\"\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := configurer.Parse(data); err != nil {
+			require.Equal(t, primrosespar.CodeBadRequest, primrosespar.CodeOf(err))
+		}
+	})
+}
+
 // TestFaults guards against errors that are lost or that show a token.
 func TestFaults(t *testing.T) {
 	data, err := os.ReadFile("../../../examples/coop/burnie-a.toml")
