Serve own waiting calls before lending gained slots

Cause: HandleBeat lent slots that a host had just gained before its own waiting calls could take them. If the answer was lost, nobody used them for a term. Change: dispatcher.HandleBeat starts waiting calls before it lends. The simulation has delays, losses and service times of 1 to 100 ms. New test for a drain with waiting calls.

--- /dev/null
+++ b/internal/request/dispatcher/drain_test.go
@@ -0,0 +1,39 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+)
+
+// TestDrainServesWaitingCalls guards against a planned stop that drops calls
+// that wait or gives up the slots that they need.
+func TestDrainServesWaitingCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := single()
+		var wg conc.WaitGroup
+		for range 3 * slotCount {
+			wg.Go(func() {
+				grant, err := d.Acquire(t.Context(), primrosespar.Call{Account: "x", Class: "c", Deadline: time.Now().Add(30 * time.Second)})
+				require.NoError(t, err)
+				time.Sleep(2 * time.Second)
+				grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeOK, Sent: true, Latency: 2 * time.Second})
+			})
+		}
+		synctest.Wait()
+		d.SetDraining(true)
+		_, err := d.Acquire(t.Context(), primrosespar.Call{Account: "x", Class: "c", Deadline: time.Now().Add(time.Second)})
+		require.Equal(t, primrosespar.CodeDraining, primrosespar.CodeOf(err))
+		tick(d, 1)
+		require.False(t, d.Beat("peer").Draining)
+		tick(d, 7)
+		wg.Wait()
+		require.True(t, d.Beat("peer").Draining)
+		require.Empty(t, d.Beat("peer").Usage)
+	})
+}
--- a/internal/request/dispatcher/membership.go
+++ b/internal/request/dispatcher/membership.go
@@ -121,9 +121,11 @@
 			wants[u.Upstream] = u.Wanted
 		}
 	}
-	answer := d.beat(beat.Host, wants, now)
+	// Own waiting calls come first; only what they leave idle is lent.
 	d.sync(now)
 	d.pump(now)
+	answer := d.beat(beat.Host, wants, now)
+	d.sync(now)
 	return answer, nil
 }
 
--- a/internal/request/dispatcher/simulation_test.go
+++ b/internal/request/dispatcher/simulation_test.go
@@ -55,6 +55,8 @@
 	// workers is the demand of each host at the start. A host with little
 	// demand has idle slots that are lent only with the next heartbeat.
 	workers []int
+	// random draws the delays, losses and times of service.
+	random *rand.Rand
 
 	mu      sync.Mutex
 	members []*member
@@ -66,7 +68,7 @@
 }
 
 func newPlace() *place {
-	return &place{workers: []int{70, 30, 30, 2}, inUse: map[primrosespar.Upstream]map[*member]int{}, starts: map[primrosespar.Upstream]int{}}
+	return &place{random: rand.New(rand.NewPCG(1, 3)), workers: []int{70, 30, 30, 2}, inUse: map[primrosespar.Upstream]map[*member]int{}, starts: map[primrosespar.Upstream]int{}}
 }
 
 func (p *place) directory() primrosespar.Directory {
@@ -112,7 +114,7 @@
 			m.d.SetDirectory(p.directory())
 			m.d.Tick()
 			for _, peer := range peers {
-				p.exchange(m, peer)
+				p.wg.Go(func() { p.exchange(m, peer) })
 			}
 		}
 		time.Sleep(time.Second)
@@ -133,10 +135,15 @@
 		return
 	}
 	sent := time.Now()
-	time.Sleep(time.Millisecond)
-	answer, err := peer.d.HandleBeat(context.Background(), p.strip(m.d.Beat(peer.name)))
-	time.Sleep(time.Millisecond)
-	if err == nil {
+	there, back, lost := p.draw(), p.draw(), p.draw()
+	beat := p.strip(m.d.Beat(peer.name))
+	time.Sleep(there)
+	if lost < 10*time.Millisecond {
+		return
+	}
+	answer, err := peer.d.HandleBeat(context.Background(), beat)
+	time.Sleep(back)
+	if err == nil && lost >= 20*time.Millisecond {
 		p.mu.Lock()
 		peer.last = answer
 		p.mu.Unlock()
@@ -151,7 +158,14 @@
 	return beat
 }
 
-// work holds one slot after another for 50 ms each.
+// draw returns 1 to 100 ms.
+func (p *place) draw() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(1+p.random.IntN(100)) * time.Millisecond
+}
+
+// work holds one slot after another for 1 to 100 ms each.
 func (p *place) work(ctx context.Context, m *member) {
 	for ctx.Err() == nil {
 		grant, err := m.d.Acquire(ctx, primrosespar.Call{Account: "x", Class: "c", Deadline: time.Now().Add(time.Minute)})
@@ -161,12 +175,13 @@
 		}
 		u := grant.Target().Upstream
 		p.use(u, m, 1)
-		time.Sleep(50 * time.Millisecond)
+		service := p.draw()
+		time.Sleep(service)
 		for p.isPaused(m) && ctx.Err() == nil {
 			time.Sleep(50 * time.Millisecond)
 		}
 		p.use(u, m, -1)
-		grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeOK, Sent: true, Latency: 50 * time.Millisecond, Leaving: u == p.leaver() && m.name == "h0"})
+		grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeOK, Sent: true, Latency: service, Leaving: u == p.leaver() && m.name == "h0"})
 	}
 }
 
