Count calls in flight of a class that an amendment removed

Cause: a class that was removed and brought back started with no calls in flight and could run more than its concurrency. Change: the admitter remembers a removed class until its last call ended. Result: TestAmendmentKeepsCallsInFlight passes; with the memory off (edit, reverted) two calls run at a concurrency of 1.

--- a/internal/member/messenger/messenger_test.go
+++ b/internal/member/messenger/messenger_test.go
@@ -38,12 +38,14 @@
 }
 
 // serve starts a server on a loopback address and returns its stop function.
-func serve(t *testing.T, address string, h handler) (netip.AddrPort, func()) {
+func serve(t *testing.T, address string, h handler, opts ...messenger.Option) (netip.AddrPort, func()) {
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
-	wg.Go(func() { _ = messenger.Serve(ctx, listener, h, messenger.WithClock(clockwork.NewRealClock())) })
+	wg.Go(func() {
+		_ = messenger.Serve(ctx, listener, h, append(opts, messenger.WithClock(clockwork.NewRealClock()))...)
+	})
 	return netip.MustParseAddrPort(listener.Addr().String()), func() { cancel(); wg.Wait() }
 }
 
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -104,7 +104,10 @@
 	for name, acc := range a.accounts {
 		if !named[name] {
 			shed = append(shed, a.dropClasses(acc, nil, primrosespar.CodeUnknownAccount)...)
-			delete(a.accounts, name)
+			acc.dropped = true
+			if len(acc.classes) == 0 {
+				delete(a.accounts, name)
+			}
 		}
 	}
 	a.rescale(now)
@@ -118,6 +121,7 @@
 		acc = newAccount()
 		a.accounts[c.Account] = acc
 	}
+	acc.dropped = false
 	acc.weight = max(1, float64(c.Weight))
 	acc.share, acc.total = c.ShareIn(a.place)
 	keep := map[primrosespar.Class]bool{}
@@ -139,6 +143,7 @@
 
 // setTerms moves the class to the lane of its band.
 func (a *Admitter) setTerms(q *queue, t primrosespar.ClassTerms) {
+	q.dropped = false
 	q.terms = t
 	lane := q.account.lanes[bandOf(t)]
 	if q.lane == lane {
@@ -152,7 +157,9 @@
 	lane.queues = append(lane.queues, q)
 }
 
-// dropClasses removes the classes that are not kept and sheds their calls.
+// dropClasses removes the classes that are not kept and sheds their calls. A
+// class with calls in flight is remembered until they end, so that they count
+// if an amendment brings the class back.
 func (a *Admitter) dropClasses(acc *account, keep map[primrosespar.Class]bool, code primrosespar.Code) []Shed {
 	var shed []Shed
 	for name, q := range acc.classes {
@@ -163,9 +170,11 @@
 			shed = append(shed, Shed{Ticket: a.take(q, 0), Code: code})
 		}
 		a.refresh(q)
-		q.lane.remove(q)
 		q.dropped = true
-		delete(acc.classes, name)
+		if q.running == 0 {
+			q.lane.remove(q)
+			delete(acc.classes, name)
+		}
 	}
 	return shed
 }
@@ -249,11 +258,11 @@
 // find returns the queue of the request.
 func (a *Admitter) find(r Request) (*queue, error) {
 	acc := a.accounts[r.Account]
-	if acc == nil {
+	if acc == nil || acc.dropped {
 		return nil, primrosespar.Fail(primrosespar.CodeUnknownAccount, "account %s", r.Account)
 	}
 	q := acc.classes[r.Class]
-	if q == nil {
+	if q == nil || q.dropped {
 		return nil, primrosespar.Fail(primrosespar.CodeUnknownClass, "class %s of account %s", r.Class, r.Account)
 	}
 	if acc.share <= 0 {
@@ -354,6 +363,22 @@
 		t.queue.observe(service, now)
 	}
 	a.refresh(t.queue)
+	if t.queue.dropped {
+		a.forget(t)
+	}
+}
+
+// forget removes a dropped class, and its account, after its last call.
+func (a *Admitter) forget(t *Ticket) {
+	q, name := t.queue, t.request.Account
+	if q.running > 0 {
+		return
+	}
+	q.lane.remove(q)
+	delete(q.account.classes, t.request.Class)
+	if q.account.dropped && len(q.account.classes) == 0 && a.accounts[name] == q.account {
+		delete(a.accounts, name)
+	}
 }
 
 // Waiting returns the number of calls that wait in all queues.
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -98,3 +98,30 @@
 	require.NoError(t, err)
 	require.Zero(t, a.Waiting()-1)
 }
+
+// TestAmendmentKeepsCallsInFlight guards against a class that is removed and
+// brought back and then runs more calls than its concurrency.
+func TestAmendmentKeepsCallsInFlight(t *testing.T) {
+	now := time.Unix(1000, 0)
+	terms := wide()
+	terms.Concurrency = 1
+	view := one(terms, map[primrosespar.Account]int{"x": 1})
+	a := admitter.New("p")
+	a.SetCurrent(true, now)
+	var started []*admitter.Ticket
+	for range 2 {
+		a.SetContracts(view, now)
+		for range 2 {
+			_, _, err := a.Offer(admitter.Request{Account: "x", Class: "c", Deadline: now.Add(time.Hour)}, now)
+			require.NoError(t, err)
+		}
+		for run, _ := a.Next(now); run != nil; run, _ = a.Next(now) {
+			started = append(started, run)
+		}
+		a.SetContracts(primrosespar.ContractView{}, now)
+		require.Zero(t, a.Waiting())
+		_, _, err := a.Offer(admitter.Request{Account: "x", Class: "c", Deadline: now.Add(time.Hour)}, now)
+		require.Equal(t, primrosespar.CodeUnknownAccount, primrosespar.CodeOf(err))
+	}
+	require.Len(t, started, 1)
+}
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -64,6 +64,8 @@
 	lanes        [bandCount]*lane
 	start        float64
 	finish       float64
+	// dropped says that the contract is gone and calls are still in flight.
+	dropped bool
 	// ready counts the classes that could start a call.
 	ready int
 }
@@ -113,6 +115,7 @@
 	calls   callHeap
 	limit   int
 	running int
+	// dropped says that the contract no longer names the class.
 	dropped bool
 	// due is the number of starts at which the minimum share takes effect.
 	due      uint64
