Put the entry host together and answer operators over HTTP

Cause: the parts of the request path, contracts and placement need one process. Change: daemon (listeners, loops, drain), operator endpoints of the server (contracts, status, explain, incidents). A plain key that cannot be checked is refused as not run only with the caller's word that it is the first use; an upstream's own refusal frees the key for another attempt.

--- a/code.go
+++ b/code.go
@@ -156,7 +156,7 @@
 		{CodeNotRun, "not_run", 503, exitRefused, "The request did not run anywhere."},
 		{CodeKeyExpired, "key_expired", 410, exitUnknown, "The minted key is no longer known; whether it was used is not known. It is not run again."},
 
-		{CodeStoreUnavailable, "store_unavailable", 503, exitPlatform, "The platform's store cannot be reached. Not run."},
+		{CodeStoreUnavailable, "store_unavailable", 503, exitPlatform, "The platform's store cannot be reached. This call was not run; ran says whether an earlier one under the same key may have."},
 		{CodeStoreUnknown, "store_unknown", 503, exitPlatform, "The store gave no answer to a write that may have taken effect."},
 		{CodeConflict, "conflict", 409, exitConflict, "Another writer was first; nothing was written."},
 		{CodeRestricted, "restricted", 503, exitPlatform, "The place has no current view of the contracts and the work is outside the offline terms. Not run."},
--- a/internal/entry/authorizer/authorizer.go
+++ b/internal/entry/authorizer/authorizer.go
@@ -33,11 +33,14 @@
 	Role   Role
 	// Account is the client account of a caller.
 	Account primrosespar.Account
+	// Name is an operator's name in the history of contracts.
+	Name string
 }
 
 // Identity is who made a request.
 type Identity struct {
 	Role    Role
+	Name    string
 	Account primrosespar.Account
 }
 
@@ -58,7 +61,7 @@
 	for _, t := range tokens {
 		a.entries = append(a.entries, entry{
 			digest:   sha256.Sum256([]byte(t.Secret)),
-			identity: Identity{Role: t.Role, Account: t.Account},
+			identity: Identity{Role: t.Role, Name: t.Name, Account: t.Account},
 		})
 	}
 	return a
--- /dev/null
+++ b/internal/entry/daemon/daemon.go
@@ -0,0 +1,220 @@
+// Package daemon puts the parts of an entry host together and runs them.
+//
+// # Usage
+//
+//	d := daemon.New(settings, daemon.Platform{Table: table, ...}, daemon.Failed(log))
+//	err := d.Run(ctx) // serves until ctx ends, then stops gracefully
+//
+// A planned stop first makes the host unready, goes on serving until the
+// balancer has noticed, then finishes what is in flight, gives the place lease
+// back and writes what waits for the platform.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/configurer"
+	"primrosespar.example/primrosespar/internal/member/messenger"
+)
+
+// Platform is the platform as this host reaches it.
+type Platform struct {
+	Table   primrosespar.Table
+	Objects primrosespar.Objects
+	Hosts   primrosespar.Hosts
+	Workers primrosespar.Workers
+}
+
+// Options are the parts of a Daemon that have defaults.
+type Options struct {
+	Clock primrosespar.Clock
+	// Failed is told of errors that the daemon goes on after.
+	Failed func(part string, err error)
+	// Started is told of the bound addresses.
+	Started func(Addresses)
+	// PublicTLS and PeerTLS encrypt the listeners; nil leaves them plain.
+	PublicTLS *tls.Config
+	PeerTLS   *tls.Config
+	// Version is shown in the status.
+	Version string
+	// Grace is how long an unready host goes on taking new work, so that the
+	// balancer notices first.
+	Grace time.Duration
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// Failed sets who is told of errors.
+func Failed(f func(part string, err error)) Option {
+	return func(o *Options) { o.Failed = f }
+}
+
+// Started sets who is told of the bound addresses.
+func Started(f func(Addresses)) Option {
+	return func(o *Options) { o.Started = f }
+}
+
+// TLS sets the encryption of the listeners for callers and operators and of
+// the messages between hosts.
+func TLS(public, peers *tls.Config) Option {
+	return func(o *Options) { o.PublicTLS, o.PeerTLS = public, peers }
+}
+
+// Version sets the version that the status shows.
+func Version(v string) Option {
+	return func(o *Options) { o.Version = v }
+}
+
+// Grace sets how long an unready host goes on taking new work.
+func Grace(d time.Duration) Option {
+	return func(o *Options) { o.Grace = d }
+}
+
+// Addresses are the bound addresses of a host.
+type Addresses struct {
+	Callers   netip.AddrPort `json:"callers"`
+	Operators netip.AddrPort `json:"operators"`
+	Peers     netip.AddrPort `json:"peers"`
+}
+
+// Daemon is one entry host process.
+type Daemon struct {
+	settings configurer.Settings
+	platform Platform
+	options  Options
+}
+
+// New returns a Daemon that is not running.
+func New(settings configurer.Settings, platform Platform, opts ...Option) *Daemon {
+	return &Daemon{settings: settings, platform: platform, options: newOptions(opts)}
+}
+
+// listeners are the three open listeners.
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	open, err := d.listen(ctx)
+	if err != nil {
+		return err
+	}
+	host := d.build(open)
+	if d.options.Started != nil {
+		d.options.Started(open.addresses())
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	host.start(work, &wg)
+	wg.Go(func() { d.note("peers", messenger.Serve(work, open.peers, host, host.messengerOptions()...)) })
+	callers := d.serve(open.callers, host.server.Callers(), &wg)
+	operators := d.serve(open.operators, host.server.Operators(), &wg)
+
+	<-ctx.Done()
+	host.drain(context.WithoutCancel(ctx))
+	d.shutdown(callers, operators)
+	stop()
+	wg.Wait()
+	return host.close()
+}
+
+// Limits of every HTTP connection. The write limit is above the longest
+// deadline that a caller may ask for.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	writeTimeout   = 6 * time.Minute
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+func (d *Daemon) serve(l net.Listener, handler http.Handler, wg *conc.WaitGroup) *http.Server {
+	s := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		TLSConfig:         d.options.PublicTLS,
+	}
+	if d.options.PublicTLS != nil {
+		l = tls.NewListener(l, d.options.PublicTLS)
+	}
+	wg.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.note("listener", err)
+		}
+	})
+	return s
+}
+
+// shutdown closes the HTTP servers after their last answers.
+func (d *Daemon) shutdown(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.note("shutdown", err)
+			_ = s.Close()
+		}
+	}
+}
+
+func (d *Daemon) listen(ctx context.Context) (listeners, error) {
+	var open listeners
+	var config net.ListenConfig
+	for _, l := range []struct {
+		at   netip.AddrPort
+		into *net.Listener
+	}{
+		{d.settings.Listen.Callers, &open.callers},
+		{d.settings.Listen.Operators, &open.operators},
+		{d.settings.Listen.Peers, &open.peers},
+	} {
+		listener, err := config.Listen(ctx, "tcp", l.at.String())
+		if err != nil {
+			open.close()
+			return open, eris.Wrapf(err, "listen on %s", l.at)
+		}
+		*l.into = listener
+	}
+	return open, nil
+}
+
+func (l listeners) close() {
+	for _, open := range []net.Listener{l.callers, l.operators, l.peers} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
+func (l listeners) addresses() Addresses {
+	return Addresses{Callers: bound(l.callers), Operators: bound(l.operators), Peers: bound(l.peers)}
+}
+
+func bound(l net.Listener) netip.AddrPort {
+	address, _ := netip.ParseAddrPort(l.Addr().String())
+	return address
+}
+
+// note passes an error on; the daemon goes on.
+func (d *Daemon) note(part string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) && d.options.Failed != nil {
+		d.options.Failed(part, err)
+	}
+}
--- /dev/null
+++ b/internal/entry/daemon/host.go
@@ -0,0 +1,230 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	mathrand "math/rand/v2"
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
+	"primrosespar.example/primrosespar/internal/contract/follower"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
+	"primrosespar.example/primrosespar/internal/entry/meter"
+	"primrosespar.example/primrosespar/internal/entry/server"
+	"primrosespar.example/primrosespar/internal/member/heartbeater"
+	"primrosespar.example/primrosespar/internal/member/leaser"
+	"primrosespar.example/primrosespar/internal/member/messenger"
+	"primrosespar.example/primrosespar/internal/place/planner"
+	"primrosespar.example/primrosespar/internal/place/runner"
+	"primrosespar.example/primrosespar/internal/place/submitter"
+	"primrosespar.example/primrosespar/internal/record/recorder"
+	"primrosespar.example/primrosespar/internal/request/claimer"
+	"primrosespar.example/primrosespar/internal/request/dispatcher"
+	"primrosespar.example/primrosespar/internal/request/forwarder"
+	"primrosespar.example/primrosespar/internal/request/minter"
+	"primrosespar.example/primrosespar/internal/request/retrier"
+	"primrosespar.example/primrosespar/internal/request/router"
+)
+
+// host holds the running parts of one process.
+type host struct {
+	daemon      *Daemon
+	incarnation primrosespar.Incarnation
+	addresses   Addresses
+
+	contracts  *follower.Follower
+	amender    *amender.Amender
+	dispatcher *dispatcher.Dispatcher
+	members    *members
+	messenger  *messenger.Messenger
+	heartbeats *heartbeater.Heartbeater
+	forwarder  *forwarder.Forwarder
+	claims     *claimer.Claimer
+	router     *router.Router
+	recorder   *recorder.Recorder
+	counted    *counted
+	lease      *leaser.Leaser
+	runner     *runner.Runner
+	racks      *racks
+	meter      *meter.Meter
+	server     *server.Server
+	mint       func(account primrosespar.Account) (string, error)
+}
+
+// Sizes of random values in bytes.
+const (
+	incarnationBytes = 16
+	secretBytes      = 32
+	attemptBytes     = 12
+	requestBytes     = 8
+)
+
+// random returns n random bytes.
+func random(n int) []byte {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails since Go 1.24
+	return b
+}
+
+func randomName(n int) string { return hex.EncodeToString(random(n)) }
+
+func newAttempt() primrosespar.AttemptID {
+	return primrosespar.AttemptID(randomName(attemptBytes))
+}
+
+func newRequest() primrosespar.RequestID {
+	return primrosespar.RequestID("r-" + randomName(requestBytes))
+}
+
+// build makes the parts in the order in which they need each other.
+func (d *Daemon) build(open listeners) *host {
+	h := &host{
+		daemon:      d,
+		incarnation: primrosespar.Incarnation(randomName(incarnationBytes)),
+		addresses:   open.addresses(),
+		meter:       meter.New(),
+	}
+	h.buildRecords()
+	h.buildMembers()
+	h.buildRequests()
+	h.buildPlace()
+	h.buildServer()
+	return h
+}
+
+func (h *host) buildRecords() {
+	s := h.daemon.settings
+	h.recorder = recorder.New(
+		recorder.WithObjects(h.daemon.platform.Objects),
+		recorder.WithClock(h.daemon.options.Clock),
+		recorder.WithIdentity(s.Place, s.Host, h.incarnation),
+		recorder.WithCapacity(s.Limits.RecordDecisions),
+		recorder.WithBudget(h.recordBudget),
+	)
+	h.counted = &counted{next: h.recorder, meter: h.meter}
+}
+
+// recordBudget is this host's part of the place's bytes per interval.
+func (h *host) recordBudget() int {
+	live := max(1, len(h.dispatcher.View().Live))
+	return h.daemon.settings.Limits.RecordBytes / live
+}
+
+func (h *host) buildMembers() {
+	d := h.daemon
+	clock, s := d.options.Clock, d.settings
+	h.contracts = follower.New(
+		follower.WithTable(d.platform.Table),
+		follower.WithClock(clock),
+		follower.WithJitter(mathrand.Float64),
+		follower.WithLeader(func() bool { return h.dispatcher.View().Rank(s.Host) == 0 }),
+		follower.WithValidity(s.Timeouts.ViewValidity),
+	)
+	h.dispatcher = dispatcher.New(
+		dispatcher.WithHost(s.Host, s.Place, h.incarnation, h.addresses.Peers),
+		dispatcher.WithClock(clock),
+		dispatcher.WithContracts(h.contracts),
+		dispatcher.WithRandom(mathrand.IntN),
+		dispatcher.WithMinted(minter.IsMinted),
+	)
+	h.members = newMembers(h.dispatcher, h.contracts)
+	h.messenger = messenger.New(h.messengerOptions()...)
+	h.heartbeats = heartbeater.New(h.members, h.messenger, heartbeater.WithClock(clock))
+}
+
+func (h *host) messengerOptions() []messenger.Option {
+	return []messenger.Option{
+		messenger.WithClock(h.daemon.options.Clock),
+		messenger.WithTimeout(h.daemon.settings.Timeouts.PeerCall),
+		messenger.WithTLS(h.daemon.options.PeerTLS),
+	}
+}
+
+func (h *host) buildRequests() {
+	d := h.daemon
+	clock, s := d.options.Clock, d.settings
+	minted := minter.New(
+		minter.WithProcess(s.Place, s.Host, h.incarnation, random(secretBytes)),
+		minter.WithClock(clock),
+		minter.WithBounds(mintedLife, s.Limits.MintedKeys, mintedBytes),
+	)
+	h.claims = claimer.New(
+		claimer.WithStore(d.platform.Table, d.platform.Objects),
+		claimer.WithClock(clock),
+		claimer.WithAttempts(newAttempt),
+	)
+	h.forwarder = forwarder.New(forwarder.WithClock(clock), forwarder.WithAnswerLimit(int64(s.Limits.AnswerBytes)))
+	h.router = router.New(
+		router.WithProcess(s.Place, s.Host),
+		router.WithClock(clock),
+		router.WithContracts(h.contracts, h.dispatcher),
+		router.WithRecorder(h.counted),
+		router.WithKeys(h.claims, minted),
+		router.WithAttempts(h.forwarder, retrier.New(retrier.WithClock(clock), retrier.WithRandom(mathrand.Float64)), newAttempt),
+		router.WithPeers(h.messenger, h.members.find),
+	)
+	h.mint = minted.Mint
+}
+
+// Bounds of minted keys: how long one may be used, and the memory of the
+// answers kept for repeated calls.
+const (
+	mintedLife  = 10 * time.Minute
+	mintedBytes = 16 << 20
+)
+
+func (h *host) buildPlace() {
+	d := h.daemon
+	clock, s := d.options.Clock, d.settings
+	h.lease = leaser.New(d.platform.Table, clock, leaser.Identity{
+		Place: s.Place, Host: s.Host, Incarnation: h.incarnation, Address: h.addresses.Peers,
+	}, leaser.Duration(s.Timeouts.Lease))
+	h.runner = runner.New(runner.Parts{
+		Place: s.Place, Host: s.Host, Table: d.platform.Table, Workers: d.platform.Workers,
+		Clock: clock, Lease: h.lease, Contracts: h.contracts, Recorder: h.counted,
+		Planner: func() primrosespar.Planner { return planner.New(planner.WithPlace(s.Place)) },
+		Failed:  func(err error) { d.note("runner", err) },
+	}, runner.Renewal(s.Timeouts.LeaseRenew), runner.WorkerLease(s.Timeouts.WorkerLease))
+	h.racks = newRacks(d.platform.Workers, clock, s.Places)
+	h.amender = amender.New(
+		amender.WithTable(d.platform.Table),
+		amender.WithClock(clock),
+		amender.WithJitter(mathrand.Float64),
+		amender.WithPlaces(placesOf(s.Places)...),
+		amender.WithWorkers(h.racks.all),
+	)
+}
+
+func (h *host) buildServer() {
+	d := h.daemon
+	clock, s := d.options.Clock, d.settings
+	h.server = server.New(server.Parts{
+		Place: s.Place, Host: s.Host, Clock: clock, Router: h.router, Contracts: h.contracts,
+		Authorizer: authorizer.New(tokensOf(s)...), Meter: h.meter,
+		Jobs: submitter.New(d.platform.Table, h.contracts, clock, submitter.Random(random), submitter.Check(h.racks.check)),
+		Mint: h.mint, NewID: newRequest, Notify: h.notify,
+		Amender: h.amender, Objects: d.platform.Objects, Recorder: h.counted,
+		AllWorkers: h.racks.all, Status: h.status, Flush: h.recorder.Flush,
+	}, server.MaxBody(int64(s.Limits.BodyBytes)))
+}
+
+// notify tells the holder of the place lease about a job. If it cannot be
+// reached, its next scan of the inbox finds the job.
+func (h *host) notify(place primrosespar.Place, id primrosespar.JobID) {
+	if place != h.daemon.settings.Place {
+		return
+	}
+	if _, held := h.lease.Held(); held {
+		h.runner.Notify(id)
+		return
+	}
+	holder, known := h.lease.Holder()
+	if !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), h.daemon.settings.Timeouts.PeerCall)
+	defer cancel()
+	h.daemon.note("notify", h.messenger.Notify(ctx, holder.Address, place, id))
+}
--- /dev/null
+++ b/internal/entry/daemon/loops.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Periods of the loops.
+const (
+	directoryPeriod = 2 * time.Second
+	ackPeriod       = time.Second
+	settlePeriod    = 10 * time.Second
+	sweepPeriod     = 10 * time.Minute
+)
+
+// start runs all loops until ctx ends.
+func (h *host) start(ctx context.Context, wg *conc.WaitGroup) {
+	wg.Go(func() { h.contracts.Start(ctx) })
+	wg.Go(func() { h.daemon.note("heartbeats", h.heartbeats.Run(ctx)) })
+	wg.Go(func() { h.daemon.note("runner", h.runner.Run(ctx)) })
+	wg.Go(func() { h.recorder.Start(ctx) })
+	wg.Go(func() { h.claims.Run(ctx) })
+	wg.Go(func() { h.every(ctx, directoryPeriod, "host list", h.readDirectory) })
+	wg.Go(func() { h.every(ctx, ackPeriod, "acknowledgement", h.acknowledge) })
+	wg.Go(func() { h.every(ctx, settlePeriod, "pending contracts", h.settle) })
+	wg.Go(func() { h.every(ctx, sweepPeriod, "claim sweep", h.sweep) })
+}
+
+// every calls f at once and then each period.
+func (h *host) every(ctx context.Context, period time.Duration, part string, f func(context.Context) error) {
+	for ctx.Err() == nil {
+		h.daemon.note(part, f(ctx))
+		select {
+		case <-ctx.Done():
+		case <-h.daemon.options.Clock.After(period):
+		}
+	}
+}
+
+// readDirectory takes the platform's list; on an error the last one stays.
+func (h *host) readDirectory(ctx context.Context) error {
+	directory, err := h.daemon.platform.Hosts.List(ctx, h.daemon.settings.Place)
+	if err != nil {
+		return err
+	}
+	h.dispatcher.SetDirectory(directory)
+	return nil
+}
+
+// acknowledge lets the holder of the place lease say which contract revision
+// all live hosts of the place have.
+func (h *host) acknowledge(ctx context.Context) error {
+	lease, held := h.lease.Held()
+	if !held || !h.contracts.Current() {
+		return nil
+	}
+	view, _ := h.contracts.View()
+	revision, all := h.members.revision(h.dispatcher.View().Live, h.daemon.settings.Host, view.Revision)
+	if !all || revision == 0 {
+		return nil
+	}
+	return h.amender.Acknowledge(ctx, h.daemon.settings.Place, revision, lease.Condition)
+}
+
+// settle accepts pending amendments that every place has acknowledged.
+func (h *host) settle(ctx context.Context) error {
+	if _, held := h.lease.Held(); !held {
+		return nil
+	}
+	accounts, err := h.amender.Pending(ctx)
+	if err != nil {
+		return err
+	}
+	for _, account := range accounts {
+		if _, err := h.amender.Settle(ctx, account); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sweep deletes ended claims past their retention. Only the holder of the
+// first place sweeps, since the claims of all places are in one table.
+func (h *host) sweep(ctx context.Context) error {
+	s := h.daemon.settings
+	if _, held := h.lease.Held(); !held || s.Place != s.Places[0].Place {
+		return nil
+	}
+	_, err := h.claims.Sweep(ctx, func(account primrosespar.Account) (time.Duration, bool) {
+		view, _ := h.contracts.View()
+		c, ok := view.Find(account)
+		return c.Contract.Retention, ok
+	})
+	return err
+}
+
+// drain stops taking new work and waits for what is in flight.
+func (h *host) drain(ctx context.Context) {
+	clock := h.daemon.options.Clock
+	h.server.StartDrain()
+	clock.Sleep(h.daemon.options.Grace)
+	h.dispatcher.SetDraining(true)
+	limit, cancel := context.WithTimeout(ctx, h.daemon.settings.Timeouts.Drain)
+	defer cancel()
+	h.daemon.note("drain", h.server.Drain(limit))
+	h.daemon.note("claims", h.claims.Drain(limit))
+	h.daemon.note("lease", h.lease.Release(limit))
+}
+
+// close ends what the loops left open.
+func (h *host) close() error {
+	h.forwarder.Close()
+	return h.messenger.Close()
+}
--- a/internal/entry/server/answer.go
+++ b/internal/entry/server/answer.go
@@ -8,12 +8,16 @@
 	"strconv"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+	"primrosespar.example/primrosespar/internal/operator/caller"
 )
 
 // refuse answers with the error's code.
 func (s *Server) refuse(w http.ResponseWriter, err error, id primrosespar.RequestID) {
 	failure := asFailure(err)
-	s.refusal(w, failure.Code, failure.Ran, failure.Message, id)
+	var faults decoder.Faults
+	errors.As(err, &faults)
+	s.refusal(w, failure.Code, failure.Ran, failure.Message, id, faults)
 }
 
 // asFailure gives every error a code.
@@ -30,20 +34,14 @@
 }
 
 // refusal writes the JSON form of a code.
-func (s *Server) refusal(w http.ResponseWriter, code primrosespar.Code, ran primrosespar.Ran, message string, id primrosespar.RequestID) {
+func (s *Server) refusal(w http.ResponseWriter, code primrosespar.Code, ran primrosespar.Ran, message string, id primrosespar.RequestID, faults []decoder.Fault) {
 	info := code.Info()
 	status := info.HTTP
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 	}
 	w.Header().Set("X-Result-Code", strconv.Itoa(int(code)))
-	writeJSON(w, status, struct {
-		Code      primrosespar.Code      `json:"code"`
-		Name      string                 `json:"name"`
-		Message   string                 `json:"message"`
-		Ran       primrosespar.Ran       `json:"ran"`
-		RequestID primrosespar.RequestID `json:"request_id,omitempty"`
-	}{code, info.Name, message, ran, id})
+	writeJSON(w, status, caller.Refusal{Code: code, Name: info.Name, Message: message, Ran: ran, RequestID: id, Faults: faults})
 }
 
 // writeJSON writes a value; a caller that left is not an error.
@@ -87,5 +85,9 @@
 	if text := err.Error(); len(text) > len(unknown) && text[:len(unknown)] == unknown {
 		return primrosespar.Fail(primrosespar.CodeUnknownField, "field %s does not exist", text[len(unknown):])
 	}
-	return primrosespar.Fail(primrosespar.CodeBadSyntax, "the body is not a JSON document: %s", err.Error())
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return primrosespar.Fail(primrosespar.CodeBadSyntax, "the body is not a JSON document: %s", err.Error())
+	}
+	return primrosespar.Fail(primrosespar.CodeBadRequest, "%s", err.Error())
 }
--- a/internal/entry/server/calls.go
+++ b/internal/entry/server/calls.go
@@ -42,6 +42,7 @@
 		Account:     account,
 		Class:       primrosespar.Class(p.ByName("class")),
 		Key:         r.Header.Get("X-Request-Key"),
+		First:       r.Header.Get("X-First-Attempt") == "1",
 		ContentType: r.Header.Get("Content-Type"),
 	}
 	if len(call.Key) > maxKeyBytes || !printable(call.Key) {
@@ -105,8 +106,8 @@
 // answer passes the upstream's answer on, or the refusal.
 func (s *Server) answer(w http.ResponseWriter, a primrosespar.Answer, id primrosespar.RequestID) {
 	w.Header().Set("X-Request-Id", string(id))
-	if a.Status == 0 {
-		s.refusal(w, a.Code, a.Ran, a.Message, id)
+	if a.Status == 0 || a.Message != "" {
+		s.refusal(w, a.Code, a.Ran, a.Message, id, nil)
 		return
 	}
 	w.Header().Set("X-Result-Code", strconv.Itoa(int(a.Code)))
--- /dev/null
+++ b/internal/entry/server/contracts.go
@@ -0,0 +1,195 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
+	"primrosespar.example/primrosespar/internal/contract/checker"
+	"primrosespar.example/primrosespar/internal/contract/parser"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
+	"primrosespar.example/primrosespar/internal/operator/caller"
+)
+
+// historyLimit bounds the entries of one history answer.
+const historyLimit = 200
+
+// showContract shows the contract of an account and the progress of its newest
+// amendment. A caller may read its own.
+func (s *Server) showContract(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error {
+	account := primrosespar.Account(p.ByName("account"))
+	if err := id.MayUse(account); err != nil {
+		return err
+	}
+	answer, err := s.contract(r.Context(), account)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// contract reads an account's contract row and its progress.
+func (s *Server) contract(ctx context.Context, account primrosespar.Account) (caller.ContractAnswer, error) {
+	record, err := s.parts.Amender.Show(ctx, account)
+	if err != nil {
+		return caller.ContractAnswer{}, err
+	}
+	answer := caller.ContractAnswer{
+		Account: account, Code: primrosespar.CodeContractAccepted,
+		Version: record.Latest(), Revision: record.Revision, State: amender.StateAccepted,
+		Pending: record.Pending,
+	}
+	if record.Pending != nil {
+		answer.Code = primrosespar.CodeContractPending
+		answer.State = amender.StatePending
+	}
+	if record.Accepted != nil {
+		answer.Document = record.Accepted.Document
+		answer.Deleted = record.Accepted.Deleted
+	}
+	answer.Places, err = s.parts.Amender.Progress(ctx, account)
+	return answer, err
+}
+
+// applyContract amends a contract.
+func (s *Server) applyContract(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error {
+	if err := id.MayOperate(); err != nil {
+		return err
+	}
+	amendment, err := s.amendment(r, p, id)
+	if err != nil {
+		return err
+	}
+	outcome, err := s.parts.Amender.Amend(r.Context(), amendment)
+	s.recordAmendment(amendment, outcome, err)
+	if err != nil {
+		return err
+	}
+	answer, err := s.contract(r.Context(), amendment.Account)
+	if err != nil || answer.Revision != outcome.Revision {
+		// The amendment is stored; what is missing is only the fresh read.
+		answer = caller.ContractAnswer{Account: amendment.Account, Code: primrosespar.CodeContractAccepted}
+		if outcome.State == amender.StatePending {
+			answer.Code = primrosespar.CodeContractPending
+		}
+		answer.Version, answer.Revision, answer.State = outcome.Version, outcome.Revision, outcome.State
+	}
+	writeJSON(w, answer.Code.Info().HTTP, answer)
+	return nil
+}
+
+// amendment reads the headers and the document.
+func (s *Server) amendment(r *http.Request, p httprouter.Params, id authorizer.Identity) (amender.Amendment, error) {
+	base, err := strconv.ParseUint(r.Header.Get(caller.HeaderIfMatch), 10, 64)
+	if err != nil {
+		return amender.Amendment{}, primrosespar.Fail(primrosespar.CodeBadRequest,
+			"header %s must be the version that is amended, 0 for a new contract", caller.HeaderIfMatch)
+	}
+	name := r.Header.Get(caller.HeaderAmendmentID)
+	if name == "" || len(name) > maxKeyBytes || !printable(name) {
+		return amender.Amendment{}, primrosespar.Fail(primrosespar.CodeBadRequest,
+			"header %s must be a unique id of at most %d printable characters", caller.HeaderAmendmentID, maxKeyBytes)
+	}
+	document, err := io.ReadAll(r.Body)
+	if err != nil {
+		return amender.Amendment{}, err
+	}
+	return amender.Amendment{
+		ID: name, Account: primrosespar.Account(p.ByName("account")), Base: primrosespar.Version(base),
+		Document: document, Delete: r.Method == http.MethodDelete, Author: id.Name,
+		At: s.parts.Clock.Now().UTC(), Resent: r.Header.Get(caller.HeaderResent) != "",
+	}, nil
+}
+
+func (s *Server) recordAmendment(m amender.Amendment, outcome amender.Outcome, err error) {
+	code := primrosespar.CodeContractAccepted
+	detail := "amended by " + m.Author
+	if outcome.State == amender.StatePending {
+		code = primrosespar.CodeContractPending
+	}
+	if err != nil {
+		code = primrosespar.CodeOf(err)
+		detail = "refused"
+	}
+	s.parts.Recorder.Record(primrosespar.Decision{
+		Kind: primrosespar.DecisionContract, Code: code, Subject: string(m.Account), Account: m.Account,
+		ContractVersion: outcome.Version, Detail: detail,
+		Figures: []primrosespar.Figure{{Name: "revision", Value: float64(outcome.Revision)}},
+	})
+}
+
+// contractHistory lists the amendments of an account, newest first.
+func (s *Server) contractHistory(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error {
+	account := primrosespar.Account(p.ByName("account"))
+	if err := id.MayUse(account); err != nil {
+		return err
+	}
+	entries, err := s.parts.Amender.History(r.Context(), account, historyLimit)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, caller.HistoryAnswer{Entries: entries})
+	return nil
+}
+
+// checkContract says whether a document would be accepted; nothing is written.
+func (s *Server) checkContract(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id authorizer.Identity) error {
+	if err := id.MayOperate(); err != nil {
+		return err
+	}
+	document, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	contract, err := parser.Parse(document)
+	if err != nil {
+		writeJSON(w, http.StatusOK, caller.CheckAnswer{Code: primrosespar.CodeOf(err), Faults: faultsOf(err)})
+		return nil
+	}
+	workers, err := s.parts.AllWorkers(r.Context())
+	if err != nil {
+		return err
+	}
+	before, others := s.split(contract.Account)
+	answer := caller.CheckAnswer{
+		Code:          primrosespar.CodeOK,
+		Shortfalls:    checker.New(workers).Amend(before, contract, others),
+		LowersOffline: checker.LowersOffline(before, contract),
+	}
+	if len(answer.Shortfalls) > 0 {
+		answer.Code = primrosespar.CodeGuaranteesDontPack
+	}
+	writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// split returns the known contract of the account and those of all others.
+func (s *Server) split(account primrosespar.Account) (primrosespar.Contract, []primrosespar.Contract) {
+	var before primrosespar.Contract
+	var others []primrosespar.Contract
+	view, _ := s.parts.Contracts.View()
+	for _, c := range view.Contracts {
+		if c.Contract.Account == account {
+			before = c.Contract
+			continue
+		}
+		others = append(others, c.Contract)
+	}
+	return before, others
+}
+
+// faultsOf returns the errors of a document.
+func faultsOf(err error) []decoder.Fault {
+	var faults decoder.Faults
+	if asFaults(err, &faults) {
+		return faults
+	}
+	return []decoder.Fault{{Message: err.Error()}}
+}
--- a/internal/entry/server/jobs.go
+++ b/internal/entry/server/jobs.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -9,87 +8,51 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/entry/authorizer"
+	"primrosespar.example/primrosespar/internal/operator/caller"
 )
 
-// jobRequest is the body of a submission; durations are strings like "2h".
-type jobRequest struct {
-	Class       primrosespar.Class `json:"class"`
-	Place       primrosespar.Place `json:"place"`
-	Members     int                `json:"members"`
-	Block       int                `json:"block"`
-	OneRack     bool               `json:"one_rack"`
-	Cores       int                `json:"cores"`
-	MemoryBytes int64              `json:"memory_bytes"`
-	Claim       bool               `json:"claim"`
-	Declared    string             `json:"declared"`
-	Deadline    string             `json:"deadline"`
-	Work        json.RawMessage    `json:"work"`
-}
-
 // submitJob stores a job.
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id authorizer.Identity) error {
-	account, err := s.account(r, id)
-	if err != nil {
-		return err
-	}
 	if s.draining.Load() {
 		return primrosespar.Fail(primrosespar.CodeDraining, "the host is shutting down")
 	}
-	var body jobRequest
+	var body caller.JobRequest
 	if err := readJSON(r, &body); err != nil {
 		return err
 	}
-	job, err := s.job(account, body)
-	if err != nil {
+	if body.Account == "" {
+		body.Account = primrosespar.Account(r.Header.Get(caller.HeaderAccount))
+	}
+	if body.Account == "" {
+		body.Account = id.Account
+	}
+	if err := id.MayUse(body.Account); err != nil {
 		return err
 	}
 	key := r.Header.Get("X-Request-Key")
 	if len(key) > maxKeyBytes || !printable(key) {
 		return badKey()
 	}
-	gang, code, err := s.parts.Jobs.Submit(r.Context(), job, key)
+	gang, code, err := s.parts.Jobs.Submit(r.Context(), s.job(body), key)
 	if err != nil {
 		return err
 	}
 	s.parts.Notify(gang.Job.Place, gang.Job.ID)
-	writeJSON(w, code.Info().HTTP, s.jobAnswer(gang, code))
+	writeJSON(w, code.Info().HTTP, jobAnswer(gang, code))
 	return nil
 }
 
-// job turns the body into a job.
-func (s *Server) job(account primrosespar.Account, body jobRequest) (primrosespar.Job, error) {
+// job turns the body into a job; without a place it is for this one.
+func (s *Server) job(body caller.JobRequest) primrosespar.Job {
 	job := primrosespar.Job{
-		Account: account,
-		Class:   body.Class,
-		Place:   body.Place,
-		Shape: primrosespar.Shape{
-			Members: body.Members, Block: body.Block, OneRack: body.OneRack,
-			Cores: body.Cores, MemoryBytes: body.MemoryBytes,
-		},
-		Claim: body.Claim,
-		Work:  body.Work,
+		Account: body.Account, Class: body.Class, Place: body.Place, Shape: body.Shape,
+		Claim: body.Claim, Declared: time.Duration(body.Declared),
+		Deadline: time.Duration(body.Deadline), Work: body.Work,
 	}
 	if job.Place == "" {
 		job.Place = s.parts.Place
 	}
-	var err error
-	if job.Declared, err = duration("declared", body.Declared); err != nil {
-		return job, err
-	}
-	job.Deadline, err = duration("deadline", body.Deadline)
-	return job, err
-}
-
-// duration reads an optional duration.
-func duration(field, value string) (time.Duration, error) {
-	if value == "" {
-		return 0, nil
-	}
-	d, err := time.ParseDuration(value)
-	if err != nil || d < 0 {
-		return 0, primrosespar.Fail(primrosespar.CodeOutOfRange, "%s is %q, it must be a duration like \"90m\" and not negative", field, value)
-	}
-	return d, nil
+	return job
 }
 
 // listJobs lists the account's jobs in a place; an operator sees all.
@@ -106,13 +69,11 @@
 	if err != nil {
 		return err
 	}
-	answers := make([]jobAnswer, 0, len(gangs))
+	answers := make([]caller.JobAnswer, 0, len(gangs))
 	for _, g := range gangs {
-		answers = append(answers, s.jobAnswer(g, g.Reason))
+		answers = append(answers, jobAnswer(g, g.Reason))
 	}
-	writeJSON(w, http.StatusOK, struct {
-		Jobs []jobAnswer `json:"jobs"`
-	}{answers})
+	writeJSON(w, http.StatusOK, caller.JobsAnswer{Jobs: answers})
 	return nil
 }
 
@@ -122,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(w, http.StatusOK, s.jobAnswer(gang, gang.Reason))
+	writeJSON(w, http.StatusOK, jobAnswer(gang, gang.Reason))
 	return nil
 }
 
@@ -136,7 +97,7 @@
 		return err
 	}
 	s.parts.Notify(gang.Job.Place, gang.Job.ID)
-	writeJSON(w, http.StatusAccepted, s.jobAnswer(gang, primrosespar.CodeAccepted))
+	writeJSON(w, http.StatusAccepted, jobAnswer(gang, primrosespar.CodeAccepted))
 	return nil
 }
 
@@ -164,25 +125,11 @@
 }
 
 // jobAnswer is a job as callers see it.
-type jobAnswer struct {
-	ID          primrosespar.JobID     `json:"id"`
-	Account     primrosespar.Account   `json:"account"`
-	Class       primrosespar.Class     `json:"class"`
-	Place       primrosespar.Place     `json:"place"`
-	State       primrosespar.GangState `json:"state"`
-	Reason      string                 `json:"reason"`
-	Shape       primrosespar.Shape     `json:"shape"`
-	Claim       bool                   `json:"claim"`
-	Borrowed    bool                   `json:"borrowed"`
-	Attempt     uint64                 `json:"attempt"`
-	Preemptions int                    `json:"preemptions"`
-	Submitted   time.Time              `json:"submitted"`
-}
-
-func (s *Server) jobAnswer(g primrosespar.Gang, code primrosespar.Code) jobAnswer {
-	return jobAnswer{
+func jobAnswer(g primrosespar.Gang, code primrosespar.Code) caller.JobAnswer {
+	return caller.JobAnswer{
 		ID: g.Job.ID, Account: g.Job.Account, Class: g.Job.Class, Place: g.Job.Place,
-		State: g.State, Reason: code.String(), Shape: g.Job.Shape, Claim: g.Job.Claim,
-		Borrowed: g.Borrowed, Attempt: g.Attempt, Preemptions: g.Preemptions, Submitted: g.Job.Submitted,
+		Shape: g.Job.Shape, State: g.State, Reason: code, Attempt: g.Attempt,
+		Borrowed: g.Borrowed, Claim: g.Job.Claim, Preemptions: g.Preemptions,
+		Submitted: g.Job.Submitted, Slices: g.Slices,
 	}
 }
--- /dev/null
+++ b/internal/entry/server/reports.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
+	"primrosespar.example/primrosespar/internal/operator/caller"
+	"primrosespar.example/primrosespar/internal/record/recorder"
+	"primrosespar.example/primrosespar/internal/record/reporter"
+)
+
+const (
+	// explainPeriod is how far back an explanation looks without ?from=.
+	explainPeriod = 24 * time.Hour
+	// maxPeriod bounds one report.
+	maxPeriod = 31 * 24 * time.Hour
+)
+
+func asFaults(err error, into *decoder.Faults) bool {
+	return errors.As(err, into)
+}
+
+// status shows the place as this host sees it.
+func (s *Server) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params, id authorizer.Identity) error {
+	if err := id.MayOperate(); err != nil {
+		return err
+	}
+	answer := s.parts.Status()
+	answer.Draining = s.Draining()
+	writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// explain tells the story of one request, job, worker, upstream or contract. A
+// caller sees only records of its own account.
+func (s *Server) explain(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error {
+	subject := p.ByName("id")
+	now := s.parts.Clock.Now()
+	from, err := queryTime(r, "from", now.Add(-explainPeriod))
+	if err != nil {
+		return err
+	}
+	if err := s.parts.Flush(r.Context()); err != nil && id.Role == authorizer.RoleOperator {
+		return err
+	}
+	decisions, _, err := recorder.Read(r.Context(), s.parts.Objects, from, now.Add(time.Minute), func(d primrosespar.Decision) bool {
+		loss := d.Kind == primrosespar.DecisionLoss && id.Role == authorizer.RoleOperator
+		return loss || (d.Subject == subject && id.MayUse(d.Account) == nil)
+	})
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, caller.ExplainAnswer{ID: subject, Decisions: decisions, Story: reporter.Explain(subject, decisions)})
+	return nil
+}
+
+// incidents writes the public account of a period.
+func (s *Server) incidents(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id authorizer.Identity) error {
+	if err := id.MayOperate(); err != nil {
+		return err
+	}
+	now := s.parts.Clock.Now()
+	from, err := queryTime(r, "from", now.Add(-time.Hour))
+	if err != nil {
+		return err
+	}
+	to, err := queryTime(r, "to", now)
+	if err != nil {
+		return err
+	}
+	if !from.Before(to) || to.Sub(from) > maxPeriod {
+		return primrosespar.Fail(primrosespar.CodeOutOfRange, "from must be before to, by at most %s", maxPeriod)
+	}
+	if err := s.parts.Flush(r.Context()); err != nil {
+		return err
+	}
+	all := func(primrosespar.Decision) bool { return true }
+	decisions, missing, err := recorder.Read(r.Context(), s.parts.Objects, from, to, all)
+	if err != nil {
+		return err
+	}
+	report := reporter.New(s.publicNames()).Incident(from, to, decisions, missing)
+	writeJSON(w, http.StatusOK, caller.IncidentAnswer{From: from, To: to, Markdown: report})
+	return nil
+}
+
+// publicNames are the names of accounts in published reports.
+func (s *Server) publicNames() map[primrosespar.Account]string {
+	names := map[primrosespar.Account]string{}
+	view, _ := s.parts.Contracts.View()
+	for _, c := range view.Contracts {
+		names[c.Contract.Account] = c.Contract.PublicName
+	}
+	return names
+}
+
+// queryTime reads an optional time of the query.
+func queryTime(r *http.Request, name string, absent time.Time) (time.Time, error) {
+	value := r.URL.Query().Get(name)
+	if value == "" {
+		return absent, nil
+	}
+	t, err := time.Parse(caller.QueryTime, value)
+	if err != nil {
+		return absent, primrosespar.Fail(primrosespar.CodeOutOfRange, "%s is %q, it must be a time like 2026-01-31T06:00:00Z", name, value)
+	}
+	return t, nil
+}
+
+// metrics writes all metrics.
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.parts.Meter.Write(w)
+}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -25,8 +25,10 @@
 	"github.com/julienschmidt/httprouter"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
 	"primrosespar.example/primrosespar/internal/entry/authorizer"
 	"primrosespar.example/primrosespar/internal/entry/meter"
+	"primrosespar.example/primrosespar/internal/operator/caller"
 	"primrosespar.example/primrosespar/internal/place/submitter"
 )
 
@@ -43,7 +45,16 @@
 	// Mint returns a new key for the account.
 	Mint func(account primrosespar.Account) (string, error)
 	// NewID returns a random request id.
-	NewID func() primrosespar.RequestID
+	NewID    func() primrosespar.RequestID
+	Amender  *amender.Amender
+	Objects  primrosespar.Objects
+	Recorder primrosespar.Recorder
+	// AllWorkers lists the workers of every place for the pack check.
+	AllWorkers func(ctx context.Context) ([]primrosespar.WorkerEntry, error)
+	// Status describes the place as this host sees it.
+	Status func() caller.StatusAnswer
+	// Flush writes the decision records that wait here.
+	Flush func(ctx context.Context) error
 	// Notify tells the holder of the place lease about a job.
 	Notify func(place primrosespar.Place, id primrosespar.JobID)
 }
@@ -64,12 +75,37 @@
 // Callers returns the handler for callers and the balancer.
 func (s *Server) Callers() http.Handler {
 	mux := httprouter.New()
+	s.calls(mux)
+	mux.GET("/v1/contracts/:account", s.serve(s.showContract))
+	mux.GET("/v1/explain/:id", s.serve(s.explain))
+	s.health(mux)
+	return s.limited(mux)
+}
+
+// calls adds what callers do.
+func (s *Server) calls(mux *httprouter.Router) {
 	mux.POST("/v1/requests/:class", s.serve(s.call))
 	mux.POST("/v1/keys", s.serve(s.mint))
 	mux.POST("/v1/jobs", s.serve(s.submitJob))
 	mux.GET("/v1/jobs", s.serve(s.listJobs))
 	mux.GET("/v1/jobs/:id", s.serve(s.showJob))
 	mux.DELETE("/v1/jobs/:id", s.serve(s.cancelJob))
+}
+
+// Operators returns the handler for operators, which also serves what callers
+// may do, and the metrics.
+func (s *Server) Operators() http.Handler {
+	mux := httprouter.New()
+	s.calls(mux)
+	mux.GET("/v1/contracts/:account", s.serve(s.showContract))
+	mux.PUT("/v1/contracts/:account", s.serve(s.applyContract))
+	mux.DELETE("/v1/contracts/:account", s.serve(s.applyContract))
+	mux.GET("/v1/contracts/:account/history", s.serve(s.contractHistory))
+	mux.POST("/v1/contracts/check", s.serve(s.checkContract))
+	mux.GET("/v1/status", s.serve(s.status))
+	mux.GET("/v1/explain/:id", s.serve(s.explain))
+	mux.GET("/v1/incidents", s.serve(s.incidents))
+	mux.GET("/metrics", s.metrics)
 	s.health(mux)
 	return s.limited(mux)
 }
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -157,7 +157,7 @@
 			free = r.opts.Claims.Await(ctx, j.call)
 		}
 		if free.Verdict != claimer.Free {
-			return settled(free)
+			return settled(free, j.call)
 		}
 		if !r.opts.Contracts.Current() {
 			return answerOf(primrosespar.Fail(primrosespar.CodeRestricted, "the view of the contracts is not current; a minted key is needed"))
@@ -177,7 +177,7 @@
 			grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeInProgress})
 		default:
 			grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeStoreUnavailable})
-			return settled(claim)
+			return settled(claim, j.call)
 		}
 	}
 }
@@ -186,13 +186,16 @@
 func (r *Router) finish(ctx context.Context, j job, claim claimer.Claim, answer primrosespar.Answer, sent bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.opts.RecordTimeout)
 	defer cancel()
-	if !r.opts.Claims.Finish(ctx, claim, answer, sent) {
+	// An upstream that says it did not run the call is believed, so the key
+	// may be claimed again.
+	ran := sent && answer.Ran != primrosespar.RanNot
+	if !r.opts.Claims.Finish(ctx, claim, answer, ran) {
 		r.record(j, primrosespar.DecisionOutcome, primrosespar.CodeStoreUnavailable, "the outcome is recorded later")
 	}
 }
 
 // settled is the answer for a key that this call does not run.
-func settled(claim claimer.Claim) primrosespar.Answer {
+func settled(claim claimer.Claim, call primrosespar.Call) primrosespar.Answer {
 	switch claim.Verdict {
 	case claimer.Replay:
 		return replayed(claim.Answer)
@@ -201,11 +204,11 @@
 	case claimer.KeyReused:
 		return answerOf(primrosespar.Fail(primrosespar.CodeKeyReused, "the key was used with another body"))
 	case claimer.StoreUnavailable:
-		message := "the claim could not be written"
-		if !claim.Checked {
-			message = "this call was not run; an earlier use of the key could not be checked"
+		if claim.Checked || call.First {
+			return answerOf(primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the claim could not be written"))
 		}
-		return answerOf(primrosespar.Fail(primrosespar.CodeStoreUnavailable, "%s", message))
+		return answerOf(primrosespar.FailUnknown(primrosespar.CodeStoreUnavailable,
+			"this call was not run; an earlier use of the key could not be checked"))
 	default:
 		if claim.Answer.Status != 0 {
 			return claim.Answer
--- a/request.go
+++ b/request.go
@@ -12,7 +12,11 @@
 	Class   Class     `json:"class"`
 	// Key is the caller's idempotency key or a minted key; it may be empty
 	// for a call of an idempotent class.
-	Key         string `json:"key,omitempty"`
+	Key string `json:"key,omitempty"`
+	// First is the caller's word that it never sent the key before. Only with
+	// it can a host that cannot read the key's row say that the work did not
+	// run: an earlier call may have run elsewhere.
+	First       bool   `json:"first,omitempty"`
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
 	// Left is the time left until the deadline when the call was handed over;
