Add the stand-in workers

Cause: placement and gangs need workers with leases, fencing and faults, and a judge of partial gangs that does not depend on the product. Change: hall simulates workers on an injected clock without timers: held start, release, throttle, checkpoint, stop, forget, lagging usage, leases, tokens per place, attempts per gang, kill, restore, loss of contact and workers that fail everything. A start on an accelerator in use is refused and counted. The verdict is computed from the event history alone.

--- /dev/null
+++ b/internal/standin/hall/hall.go
@@ -0,0 +1,210 @@
+// Package hall is the workers of the stand-in platform, simulated in memory.
+// It has no timers: each call first carries out what became due on the
+// injected clock, in the order of the due times.
+//
+// # Usage
+//
+//	h := hall.New(hall.WithClock(clock))
+//	h.Add(primrosespar.WorkerEntry{Worker: "w1", Place: "burnie-a", Accelerators: 8})
+//	results, err := h.Do(ctx, "burnie-a", token, commands)
+//	verdict := h.Verdict(15 * time.Second)
+//
+// The payload of a start is JSON: run_time_ms, fail, and optionally members
+// (the size of the gang), used_cores and used_memory_bytes.
+package hall
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+
+	"primrosespar.example/primrosespar"
+)
+
+// treeDegree is the branching factor of the tree of due times.
+const treeDegree = 16
+
+// Hall is a simulated Workers service that is safe for concurrent use.
+type Hall struct {
+	mu      sync.Mutex
+	options Options
+	clock   primrosespar.Clock
+	workers map[primrosespar.Worker]*worker
+	// places holds the workers of each place in the order of their names.
+	places map[primrosespar.Place][]*worker
+	due    *btree.BTreeG[dueTime]
+	// cursor counts changes of all workers; it starts above 0 because cursor
+	// 0 asks for everything.
+	cursor  uint64
+	cut     map[primrosespar.Place]bool
+	saved   map[taskKey]time.Duration
+	history []Event
+	counts  Counts
+}
+
+// dueTime is when a worker next changes by itself.
+type dueTime struct {
+	at     time.Time
+	worker primrosespar.Worker
+}
+
+// Counts are totals since the hall was made.
+type Counts struct {
+	Commands uint64 `json:"commands"`
+	// Refused counts commands with a result other than CodeOK.
+	Refused uint64 `json:"refused"`
+	// DoubleStarts counts starts refused because another task has one of the
+	// accelerators.
+	DoubleStarts  uint64 `json:"double_starts"`
+	StaleTokens   uint64 `json:"stale_tokens"`
+	StaleAttempts uint64 `json:"stale_attempts"`
+	LeasesExpired uint64 `json:"leases_expired"`
+}
+
+var _ primrosespar.Workers = (*Hall)(nil)
+
+// New returns a hall without workers; WithClock is required.
+func New(opts ...Option) *Hall {
+	options := newOptions(opts)
+	return &Hall{
+		options: options,
+		clock:   options.Clock,
+		workers: map[primrosespar.Worker]*worker{},
+		places:  map[primrosespar.Place][]*worker{},
+		due: btree.NewG(treeDegree, func(a, b dueTime) bool {
+			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker, b.worker)) < 0
+		}),
+		cursor: 1,
+		cut:    map[primrosespar.Place]bool{},
+		saved:  map[taskKey]time.Duration{},
+	}
+}
+
+// Add installs a worker; Alive and Tasks of the entry are ignored. A worker
+// that exists keeps its tasks and gets the new description.
+func (h *Hall) Add(entry primrosespar.WorkerEntry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.advance()
+	entry.Tasks = nil
+	entry.Alive = true
+	w, ok := h.workers[entry.Worker]
+	if ok {
+		entry.Place = w.entry.Place
+		entry.Alive = w.entry.Alive
+		w.entry = entry
+		h.touch(w)
+		return
+	}
+	w = newWorker(h, entry)
+	h.workers[entry.Worker] = w
+	list := append(h.places[entry.Place], w)
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.entry.Worker, b.entry.Worker) })
+	h.places[entry.Place] = list
+	h.touch(w)
+}
+
+// Changes returns the workers of the place that changed after the cursor.
+func (h *Hall) Changes(_ context.Context, place primrosespar.Place, cursor uint64) ([]primrosespar.WorkerEntry, uint64, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.advance()
+	if h.cut[place] {
+		return nil, cursor, cutOff(place)
+	}
+	var changed []primrosespar.WorkerEntry
+	for _, w := range h.places[place] {
+		if w.changed > cursor {
+			changed = append(changed, w.report())
+		}
+	}
+	return changed, h.cursor, nil
+}
+
+// Do carries out commands under a fencing token.
+func (h *Hall) Do(_ context.Context, place primrosespar.Place, token primrosespar.Token, commands []primrosespar.Command) ([]primrosespar.CommandResult, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.advance()
+	if h.cut[place] {
+		return nil, cutOff(place)
+	}
+	results := make([]primrosespar.CommandResult, 0, len(commands))
+	for _, command := range commands {
+		h.counts.Commands++
+		var result primrosespar.CommandResult
+		if err := h.carryOut(place, token, command); err != nil {
+			h.counts.Refused++
+			result = primrosespar.CommandResult{Code: err.Code, Message: err.Message}
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+// Counts returns the totals.
+func (h *Hall) Counts() Counts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.advance()
+	return h.counts
+}
+
+// cutOff is the error of a call from a place that is cut off.
+func cutOff(place primrosespar.Place) error {
+	return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "place %s is cut off", place)
+}
+
+// carryOut checks the token of one command and passes it to its worker.
+func (h *Hall) carryOut(place primrosespar.Place, token primrosespar.Token, command primrosespar.Command) *primrosespar.Failure {
+	w, ok := h.workers[command.Worker]
+	if !ok || w.entry.Place != place {
+		return primrosespar.Fail(primrosespar.CodeNotFound, "place %s has no worker %q", place, command.Worker)
+	}
+	if w.killed || w.unreachable {
+		return primrosespar.Fail(primrosespar.CodeWorkerLost, "worker %s does not answer", command.Worker)
+	}
+	if token < w.token {
+		h.counts.StaleTokens++
+		return primrosespar.Fail(primrosespar.CodeStaleToken, "token %d is below %d", token, w.token)
+	}
+	w.token = token
+	err := w.do(command)
+	h.schedule(w)
+	return err
+}
+
+// advance carries out everything that is due by now.
+func (h *Hall) advance() {
+	now := h.clock.Now()
+	for {
+		next, ok := h.due.Min()
+		if !ok || next.at.After(now) {
+			return
+		}
+		w := h.workers[next.worker]
+		w.advance(next.at)
+		h.schedule(w)
+	}
+}
+
+// schedule files the worker under its next due time.
+func (h *Hall) schedule(w *worker) {
+	if w.filed {
+		h.due.Delete(dueTime{at: w.filedAt, worker: w.entry.Worker})
+	}
+	w.filedAt, w.filed = w.next()
+	if w.filed {
+		h.due.ReplaceOrInsert(dueTime{at: w.filedAt, worker: w.entry.Worker})
+	}
+}
+
+// touch marks the worker as changed.
+func (h *Hall) touch(w *worker) {
+	h.cursor++
+	w.changed = h.cursor
+}
--- /dev/null
+++ b/internal/standin/hall/options.go
@@ -0,0 +1,72 @@
+package hall
+
+import (
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Defaults of the stand-in workers.
+const (
+	DefaultCheckpointTime = 2 * time.Second
+	DefaultUsageLag       = 5 * time.Second
+	DefaultSilentTime     = 5 * time.Second
+	DefaultRunTime        = time.Minute
+)
+
+// Options configure a Hall.
+type Options struct {
+	// Clock is required: the package reads no clock of its own.
+	Clock primrosespar.Clock
+	// CheckpointTime is how long a checkpoint takes.
+	CheckpointTime time.Duration
+	// UsageLag is how long after its release a task's usage is reported.
+	UsageLag time.Duration
+	// SilentTime is how long a worker is out of reach before it is reported
+	// as not alive.
+	SilentTime time.Duration
+	// RunTime is the run time of a task whose payload names none.
+	RunTime time.Duration
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// WithClock sets the clock.
+func WithClock(clock primrosespar.Clock) Option {
+	return func(o *Options) { o.Clock = clock }
+}
+
+// WithCheckpointTime sets how long a checkpoint takes.
+func WithCheckpointTime(d time.Duration) Option {
+	return func(o *Options) { o.CheckpointTime = d }
+}
+
+// WithUsageLag sets how long after its release a task's usage is reported.
+func WithUsageLag(d time.Duration) Option {
+	return func(o *Options) { o.UsageLag = d }
+}
+
+// WithSilentTime sets how long it takes to report a silent worker.
+func WithSilentTime(d time.Duration) Option {
+	return func(o *Options) { o.SilentTime = d }
+}
+
+// WithRunTime sets the run time of a task whose payload names none.
+func WithRunTime(d time.Duration) Option {
+	return func(o *Options) { o.RunTime = d }
+}
+
+// newOptions applies the options to the defaults.
+func newOptions(opts []Option) Options {
+	options := Options{
+		CheckpointTime: DefaultCheckpointTime,
+		UsageLag:       DefaultUsageLag,
+		SilentTime:     DefaultSilentTime,
+		RunTime:        DefaultRunTime,
+	}
+	for _, opt := range opts {
+		opt(&options)
+	}
+	return options
+}
