--- /dev/null
+++ b/internal/platform/batcher/batcher_test.go
@@ -0,0 +1,97 @@
+package batcher_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/platform/batcher"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// TestEachResultIsTrue guards against a caller that is told of another
+// caller's conflict, of a write that did not happen, or of none that did.
+// Each caller writes a row of its own beside the shared row it may claim.
+func TestEachResultIsTrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		share := rapid.SampledFrom([]float64{0, 0.5}).Draw(rt, "lost share")
+		claims := rapid.SliceOfN(rapid.IntRange(0, 4), 2, 20).Draw(rt, "claimed rows")
+		synctest.Test(t, func(t *testing.T) {
+			k := keeper.New(keeper.WithClock(clockwork.NewRealClock()), keeper.WithFaults(keeper.Faults{LoseShare: share, LoseSeed: seed}))
+			_, _ = k.Commit(t.Context(), primrosespar.Txn{Writes: []primrosespar.Write{{Key: "claim/0"}}})
+			b := batcher.New(k)
+			errs := make([]error, len(claims))
+			var group conc.WaitGroup
+			for i, claim := range claims {
+				group.Go(func() { errs[i] = commit(b, i, claim) })
+			}
+			group.Wait()
+			b.Close()
+			won := map[int]int{}
+			for i, claim := range claims {
+				rows, err := k.Get(t.Context(), fmt.Sprintf("own/%d", i))
+				require.NoError(rt, err)
+				won[claim] += int(rows[0].Version)
+				switch primrosespar.CodeOf(errs[i]) {
+				case primrosespar.CodeOK:
+					require.Equal(rt, primrosespar.Version(1), rows[0].Version)
+				case primrosespar.CodeConflict:
+					require.Zero(rt, rows[0].Version)
+				default:
+					require.Equal(rt, primrosespar.CodeStoreUnknown, primrosespar.CodeOf(errs[i]))
+					require.Positive(rt, share)
+				}
+			}
+			for _, claim := range claims {
+				want := 1
+				if claim == 0 {
+					want = 0
+				}
+				require.Equal(rt, want, won[claim], "claim %d", claim)
+			}
+		})
+	})
+}
+
+// commit claims a row that must not exist and writes a row of the caller.
+func commit(b *batcher.Batcher, caller, claim int) error {
+	key := fmt.Sprintf("claim/%d", claim)
+	_, err := b.Commit(context.Background(), primrosespar.Txn{
+		Conditions: []primrosespar.Condition{{Key: key}},
+		Writes:     []primrosespar.Write{{Key: key}, {Key: fmt.Sprintf("own/%d", caller)}},
+	})
+	return err
+}
+
+// TestCommitsShareTransactions guards against a batcher that saves nothing and
+// against a queue without a bound.
+func TestCommitsShareTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		b := batcher.New(k, batcher.WithQueue(10), batcher.WithWindow(time.Second))
+		errs := make([]error, 12)
+		var group conc.WaitGroup
+		for i := range errs {
+			group.Go(func() { errs[i] = commit(b, i, i) })
+		}
+		group.Wait()
+		b.Close()
+		refused := 0
+		for _, err := range errs {
+			if primrosespar.CodeOf(err) == primrosespar.CodeStoreUnavailable {
+				refused++
+			}
+		}
+		require.Equal(t, 2, refused)
+		require.Equal(t, uint64(1), k.Counts().Transactions)
+	})
+}
