--- /dev/null
+++ b/internal/place/bencher/bencher_test.go
@@ -0,0 +1,42 @@
+package bencher_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar/internal/place/bencher"
+)
+
+// TestClaimsInTime guards against a guarantee that is late in any workload and
+// against runs that lose jobs or are not repeatable.
+func TestClaimsInTime(t *testing.T) {
+	for _, name := range bencher.Names() {
+		load := bencher.NewWorkload(name, 1)
+		result := bencher.New(load, bencher.Ours()).Run()
+		require.Zero(t, result.LateClaims, name)
+		require.Equal(t, len(load.Tasks), result.Completed+result.Cancelled+result.Refused, name)
+		require.Equal(t, result, bencher.New(bencher.NewWorkload(name, 1), bencher.Ours()).Run(), name)
+	}
+}
+
+// BenchmarkPolicy prints the figures of each workload, policy and seed.
+func BenchmarkPolicy(b *testing.B) {
+	for _, name := range bencher.Names() {
+		for seed := uint64(1); seed <= 3; seed++ {
+			for _, policy := range []bencher.Policy{bencher.Ours(), bencher.FirstInFirstOut(), bencher.BestFit()} {
+				b.Run(fmt.Sprintf("%s/%s/%d", name, policy.Name, seed), func(b *testing.B) {
+					var result bencher.Result
+					for b.Loop() {
+						result = bencher.New(bencher.NewWorkload(name, seed), policy).Run()
+					}
+					line, err := json.Marshal(result)
+					require.NoError(b, err)
+					fmt.Println(string(line))
+				})
+			}
+		}
+	}
+}
--- a/internal/place/packer/locate.go
+++ b/internal/place/packer/locate.go
@@ -57,6 +57,34 @@
 	return out
 }
 
+func (t *tree) count(leaf int, on bool) {
+	change := int32(-1)
+	if on {
+		change = 1
+	}
+	for n := leaf; n > 0; n /= 2 {
+		t.open[n] += change
+	}
+}
+
+// Tighter reports whether the surroundings of block a have fewer cells of the
+// view than those of block b of the same level, from the smallest surrounding
+// block up.
+func (p *Packer) Tighter(v View, a, b Block) bool {
+	ra, rb := p.racks[a.Rack], p.racks[b.Rack]
+	if ra == nil || rb == nil {
+		return false
+	}
+	ta, tb := &ra.trees[v], &rb.trees[v]
+	x, y := (ta.size+a.Start)>>a.Level, (tb.size+b.Start)>>b.Level
+	for x, y = x/2, y/2; x > 0 && y > 0; x, y = x/2, y/2 {
+		if ta.open[x] != tb.open[y] {
+			return ta.open[x] < tb.open[y]
+		}
+	}
+	return false
+}
+
 // Nodes visits every aligned block of the level that has no dead place in the
 // line, in order, until visit returns false.
 func (p *Packer) Nodes(level int, visit func(Block) bool) {
--- a/internal/place/packer/packer.go
+++ b/internal/place/packer/packer.go
@@ -205,6 +205,7 @@
 	if t.full[leaf] == on {
 		return
 	}
+	t.count(leaf, on)
 	if on {
 		p.merge(r, v, leaf)
 		return
--- a/internal/place/packer/rack.go
+++ b/internal/place/packer/rack.go
@@ -14,6 +14,8 @@
 type tree struct {
 	size int
 	full []bool
+	// open counts the cells of the view below each node.
+	open []int32
 }
 
 type rack struct {
@@ -150,7 +152,7 @@
 	}
 	size := 1 << LevelOf(len(r.line))
 	for v := range r.trees {
-		r.trees[v] = tree{size: size, full: make([]bool, 2*size)}
+		r.trees[v] = tree{size: size, full: make([]bool, 2*size), open: make([]int32, 2*size)}
 	}
 	for _, w := range r.members {
 		for i := range w.cells {
--- a/internal/place/planner/place.go
+++ b/internal/place/planner/place.go
@@ -7,8 +7,12 @@
 	"primrosespar.example/primrosespar/internal/place/packer"
 )
 
-// maxTries bounds the blocks that the placement of one unit compares.
-const maxTries = 128
+// Bounds on the blocks that the placement of one unit looks at and on those of
+// them that it compares.
+const (
+	maxTries   = 1024
+	maxChoices = 32
+)
 
 // take gives cells to a gang that does not claim. It returns the reason if
 // there are none.
@@ -55,29 +59,39 @@
 	return true
 }
 
-// findUnit returns cells for unit i from the tightest free block. Borrowed
+// findUnit returns cells for unit i from the free block in the tightest
+// surroundings. Borrowed
 // work first looks where the free cells still pack all unclaimed guarantees,
 // so that a claim has nothing to evict.
 func (p *Planner) findUnit(g *gang, i, level int, now time.Time) []primrosespar.Slice {
-	var found, second []primrosespar.Slice
-	tries := maxTries
+	var found, second pick
+	tries, choices := maxTries, maxChoices
 	p.pack.Candidates(packer.ViewFree, level, func(b packer.Block) bool {
 		tries--
 		taken := unitSlices(g.job.Shape, i, p.pack.Slices(b, 0, b.Size(), 0))
 		if !p.allowed(g, b) || !p.passes(g, b, now) || !p.roomFor(g, taken) {
 			return tries > 0
 		}
+		choices--
+		best := &second
 		if !g.borrowed || p.spares(b) {
-			found = taken
-		} else if second == nil {
-			second = taken
+			best = &found
+		}
+		if best.slices == nil || p.pack.Tighter(packer.ViewFree, b, best.block) {
+			*best = pick{b, taken}
 		}
-		return found == nil && tries > 0
+		return tries > 0 && choices > 0
 	})
-	if found == nil {
-		return second
+	if found.slices == nil {
+		return second.slices
 	}
-	return found
+	return found.slices
+}
+
+// pick is a block that the unit may take.
+type pick struct {
+	block  packer.Block
+	slices []primrosespar.Slice
 }
 
 // spares reports whether the free cells without the block pack all unclaimed
