--- a/internal/place/bencher/result.go
+++ b/internal/place/bencher/result.go
@@ -24,7 +24,10 @@
 	P99Claim       float64 `json:"p99_claim_s"`
 	MaxClaim       float64 `json:"max_claim_s"`
 	LateClaims     int     `json:"late_claims"`
-	Fragmentation  float64 `json:"fragmentation"`
+	// BeyondGuarantee are claims made while the guarantee was fully claimed;
+	// they may wait and are not in the claim figures.
+	BeyondGuarantee int     `json:"claims_beyond_guarantee"`
+	Fragmentation   float64 `json:"fragmentation"`
 	// FragmentationFloor is what the fragmentation would be if the free
 	// accelerators held the largest block that their number and the racks
 	// allow; a block is a power of two.
@@ -37,7 +40,7 @@
 // tally collects the figures of a run.
 type tally struct {
 	completions, claims    []float64
-	missed, late           int
+	missed, late, beyond   int
 	cancelled, refused     int
 	large, shapeRefused    int
 	lost                   float64
@@ -86,7 +89,7 @@
 func (t *tally) result(load Workload, policy Policy, jobs int) Result {
 	r := Result{
 		Workload: load.Name, Policy: policy.Name, Seed: load.Seed, Jobs: jobs, Completed: len(t.completions),
-		Cancelled: t.cancelled, Refused: t.refused, Missed: t.missed, Claims: len(t.claims), LateClaims: t.late,
+		Cancelled: t.cancelled, Refused: t.refused, Missed: t.missed, Claims: len(t.claims), LateClaims: t.late, BeyondGuarantee: t.beyond,
 		P99Completion: quantile(t.completions, 0.99), P99Claim: quantile(t.claims, 0.99), MaxClaim: quantile(t.claims, 1),
 		LostHours: t.lost,
 	}
