--- a/internal/place/runner/runner.go
+++ b/internal/place/runner/runner.go
@@ -238,9 +238,9 @@
 
 // takeReports reads what changed at the workers.
 func (r *Runner) takeReports(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.options.WorkerTimeout)
+	call, cancel := context.WithTimeout(ctx, r.options.WorkerTimeout)
 	defer cancel()
-	entries, cursor, err := r.parts.Workers.Changes(ctx, r.parts.Place, r.cursor)
+	entries, cursor, err := r.parts.Workers.Changes(call, r.parts.Place, r.cursor)
 	if err != nil {
 		r.fail(err)
 		return
