Keep the listed address of a peer whose heartbeat has none

Cause: a heartbeat without an address replaced the address from the list, and the peer could not be reached any more. Change: the watcher takes only valid addresses; Dispatcher and Messenger state the interface that they implement. Result: lint, build and race pass; three runs of all packages under -race pass. The address rule has no test of its own.

--- a/internal/member/messenger/messenger.go
+++ b/internal/member/messenger/messenger.go
@@ -88,6 +88,9 @@
 	closed bool
 }
 
+// The compiler checks the interface.
+var _ primrosespar.Peers = (*Messenger)(nil)
+
 // lineKey tells the connections for calls from those for the rest.
 type lineKey struct {
 	address netip.AddrPort
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -131,7 +131,10 @@
 		// A new process under the name is not leaving because the old one was.
 		p.leaving = false
 	}
-	p.answered, p.heard, p.beat, p.address = true, now, beat, beat.Address
+	p.answered, p.heard, p.beat = true, now, beat
+	if beat.Address.IsValid() {
+		p.address = beat.Address
+	}
 	return true
 }
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -51,6 +51,9 @@
 	nextSync  time.Time
 }
 
+// The compiler checks the interface.
+var _ primrosespar.Dispatcher = (*Dispatcher)(nil)
+
 // waiter is one call that waits for a slot.
 type waiter struct {
 	call primrosespar.Call
