Add the HTTP client of the worker service

Cause: the product commands workers over HTTP. Change: commander makes one attempt per call under a timeout; a call without a valid answer is worker_lost with an unknown effect.

--- /dev/null
+++ b/internal/platform/commander/commander.go
@@ -0,0 +1,123 @@
+// Package commander is the HTTP client of the platform's worker service. It
+// makes one attempt per call, under a timeout per call.
+//
+// # Usage
+//
+//	c := commander.New("http://127.0.0.1:7000", "burnie-a")
+//	entries, cursor, err := c.Changes(ctx, "burnie-a", 0)
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// DefaultTimeout bounds one call.
+const DefaultTimeout = 2 * time.Second
+
+// Option sets one option.
+type Option func(*Options)
+
+// Options configure a Commander.
+type Options struct {
+	Timeout time.Duration
+}
+
+// WithTimeout sets the time that one call may take.
+func WithTimeout(timeout time.Duration) Option {
+	return func(o *Options) { o.Timeout = timeout }
+}
+
+// Commander is a Workers that is safe for concurrent use.
+type Commander struct {
+	base    string
+	place   primrosespar.Place
+	options Options
+	client  *http.Client
+}
+
+var _ primrosespar.Workers = (*Commander)(nil)
+
+// New returns a client of the service at the base URL for a caller in place.
+func New(base string, place primrosespar.Place, opts ...Option) *Commander {
+	options := Options{Timeout: DefaultTimeout}
+	for _, opt := range opts {
+		opt(&options)
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &Commander{base: base, place: place, options: options, client: &http.Client{Transport: transport}}
+}
+
+// Changes returns the workers that changed after the cursor.
+func (c *Commander) Changes(ctx context.Context, place primrosespar.Place, cursor uint64) ([]primrosespar.WorkerEntry, uint64, error) {
+	var out struct {
+		Workers []primrosespar.WorkerEntry `json:"workers"`
+		Cursor  uint64                     `json:"cursor"`
+	}
+	err := c.call(ctx, "/v1/workers/changes", struct {
+		Place  primrosespar.Place `json:"place"`
+		Cursor uint64             `json:"cursor"`
+	}{place, cursor}, &out)
+	if err != nil {
+		return nil, cursor, err
+	}
+	return out.Workers, out.Cursor, nil
+}
+
+// Do sends commands; after an error any of them may have been carried out.
+func (c *Commander) Do(ctx context.Context, place primrosespar.Place, token primrosespar.Token, commands []primrosespar.Command) ([]primrosespar.CommandResult, error) {
+	var out struct {
+		Results []primrosespar.CommandResult `json:"results"`
+	}
+	err := c.call(ctx, "/v1/workers/do", struct {
+		Place    primrosespar.Place     `json:"place"`
+		Token    primrosespar.Token     `json:"token"`
+		Commands []primrosespar.Command `json:"commands"`
+	}{place, token, commands}, &out)
+	if err != nil {
+		return nil, err
+	}
+	if len(out.Results) != len(commands) {
+		return nil, lost("%d results for %d commands", len(out.Results), len(commands))
+	}
+	return out.Results, nil
+}
+
+// lost is the error of a call whose effect is not known.
+func lost(format string, args ...any) *primrosespar.Failure {
+	return primrosespar.FailUnknown(primrosespar.CodeWorkerLost, format, args...)
+}
+
+// call makes one attempt; the body cannot be sent a second time.
+func (c *Commander) call(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "request").Because(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "request").Because(err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("X-Place", string(c.place))
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return lost("no answer").Because(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return lost("status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return lost("answer").Because(err)
+	}
+	return nil
+}
