Add the HTTP server of the stand-in platform

Cause: tabler and commander had no service to talk to. Change: routes for table, objects, host list and workers; admin routes for the store's faults and for totals. A lost answer drops the connection, and a slow commit takes effect although its caller has gone. The test fails when the place header is ignored. It does not fail when a lost answer is sent as a refusal instead, since the client reports unknown for both; the admin routes have no test yet.

--- /dev/null
+++ b/internal/standin/server/platform.go
@@ -0,0 +1,173 @@
+// Package server puts HTTP in front of the stand-in platform.
+//
+// # Usage
+//
+//	handler := server.New(keeper, hall)
+//	http.Serve(listener, handler)
+//
+// Callers name their place in X-Place. PUT /admin/faults takes keeper.Faults;
+// GET /admin/counts returns the totals of both.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// Server is the http.Handler of the platform.
+type Server struct {
+	router *httprouter.Router
+	keeper *keeper.Keeper
+	hall   *hall.Hall
+}
+
+// query is the body of every call but a commit.
+type query struct {
+	Keys     []string               `json:"keys"`
+	Prefix   string                 `json:"prefix"`
+	After    string                 `json:"after"`
+	Limit    int                    `json:"limit"`
+	Place    primrosespar.Place     `json:"place"`
+	Cursor   uint64                 `json:"cursor"`
+	Token    primrosespar.Token     `json:"token"`
+	Commands []primrosespar.Command `json:"commands"`
+}
+
+// New returns the handler.
+func New(k *keeper.Keeper, h *hall.Hall) *Server {
+	s := &Server{router: httprouter.New(), keeper: k, hall: h}
+	handle(s, "/v1/table/get", func(ctx context.Context, q query) (any, error) {
+		rows, err := k.Get(ctx, q.Keys...)
+		return struct {
+			Rows []primrosespar.Row `json:"rows"`
+		}{rows}, err
+	})
+	handle(s, "/v1/table/scan", func(ctx context.Context, q query) (any, error) {
+		rows, err := k.Scan(ctx, q.Prefix, q.After, q.Limit)
+		return struct {
+			Rows []primrosespar.Row `json:"rows"`
+		}{rows}, err
+	})
+	handle(s, "/v1/table/commit", func(ctx context.Context, txn primrosespar.Txn) (any, error) {
+		// A slow commit takes effect although its caller has gone.
+		versions, err := k.Commit(context.WithoutCancel(ctx), txn)
+		return struct {
+			Versions []primrosespar.Version `json:"versions"`
+		}{versions}, err
+	})
+	handle(s, "/v1/objects/names", func(ctx context.Context, q query) (any, error) {
+		names, err := k.Names(ctx, q.Prefix, q.After, q.Limit)
+		return struct {
+			Names []string `json:"names"`
+		}{names}, err
+	})
+	handle(s, "/v1/hosts/list", func(ctx context.Context, q query) (any, error) {
+		return k.List(ctx, q.Place)
+	})
+	handle(s, "/v1/workers/changes", func(ctx context.Context, q query) (any, error) {
+		workers, cursor, err := h.Changes(ctx, q.Place, q.Cursor)
+		return struct {
+			Workers []primrosespar.WorkerEntry `json:"workers"`
+			Cursor  uint64                     `json:"cursor"`
+		}{workers, cursor}, err
+	})
+	handle(s, "/v1/workers/do", func(ctx context.Context, q query) (any, error) {
+		results, err := h.Do(ctx, q.Place, q.Token, q.Commands)
+		return struct {
+			Results []primrosespar.CommandResult `json:"results"`
+		}{results}, err
+	})
+	s.objects()
+	s.admin()
+	return s
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.router.ServeHTTP(w, r)
+}
+
+// handle serves one JSON call.
+func handle[T any](s *Server, path string, call func(context.Context, T) (any, error)) {
+	s.router.POST(path, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var in T
+		err := json.NewDecoder(r.Body).Decode(&in)
+		if err != nil {
+			s.answer(w, nil, primrosespar.Fail(primrosespar.CodeBadSyntax, "body").Because(err))
+			return
+		}
+		out, err := call(from(r), in)
+		s.answer(w, out, err)
+	})
+}
+
+// from returns the request's context with the place of the caller.
+func from(r *http.Request) context.Context {
+	return keeper.WithPlace(r.Context(), primrosespar.Place(r.Header.Get("X-Place")))
+}
+
+// answer sends a document or a refusal, or drops the connection for a lost
+// answer and for a silent outage.
+func (s *Server) answer(w http.ResponseWriter, out any, err error) {
+	code := primrosespar.CodeOf(err)
+	silent := code == primrosespar.CodeStoreUnavailable && s.keeper.Faults().Silent
+	if code == primrosespar.CodeStoreUnknown || silent {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		w.WriteHeader(code.Info().HTTP)
+		out = struct {
+			Code    primrosespar.Code `json:"code"`
+			Message string            `json:"message"`
+		}{code, err.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// objects adds the routes of the object store.
+func (s *Server) objects() {
+	s.router.PUT("/v1/objects", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		data, err := io.ReadAll(r.Body)
+		if err == nil {
+			err = s.keeper.Put(from(r), r.URL.Query().Get("name"), data)
+		}
+		s.answer(w, struct{}{}, err)
+	})
+	s.router.GET("/v1/objects", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		data, err := s.keeper.Fetch(from(r), r.URL.Query().Get("name"))
+		if err != nil {
+			s.answer(w, nil, err)
+			return
+		}
+		_, _ = w.Write(data)
+	})
+}
+
+// admin adds the routes of the faults and totals.
+func (s *Server) admin() {
+	s.router.PUT("/admin/faults", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var faults keeper.Faults
+		err := json.NewDecoder(r.Body).Decode(&faults)
+		if err != nil {
+			s.answer(w, nil, primrosespar.Fail(primrosespar.CodeBadSyntax, "faults").Because(err))
+			return
+		}
+		s.keeper.SetFaults(faults)
+		s.answer(w, struct{}{}, nil)
+	})
+	s.router.GET("/admin/counts", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		s.answer(w, struct {
+			Store   keeper.Counts `json:"store"`
+			Workers hall.Counts   `json:"workers"`
+		}{s.keeper.Counts(), s.hall.Counts()}, nil)
+	})
+}
