Add the entry command

Cause: the daemon needs a command that reads settings and logs. Change: primrosespar entry SETTINGS with JSON lines on standard error.

--- /dev/null
+++ b/cmd/primrosespar/entry.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/configurer"
+	"primrosespar.example/primrosespar/internal/entry/daemon"
+	"primrosespar.example/primrosespar/internal/operator/handler"
+	"primrosespar.example/primrosespar/internal/platform/commander"
+	"primrosespar.example/primrosespar/internal/platform/tabler"
+)
+
+// entryCommand runs the daemon of an entry host until it is told to stop.
+type entryCommand struct {
+	Settings string `arg:"" help:"Settings file of this host." type:"path"`
+	LogLevel string `help:"Least level that is logged." enum:"debug,info,warning,error" default:"info"`
+}
+
+// Run serves until SIGTERM or SIGINT and then stops gracefully.
+func (c *entryCommand) Run(*handler.Env) error {
+	data, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return eris.Wrap(err, "read settings")
+	}
+	settings, err := configurer.Parse(data)
+	if err != nil {
+		return err
+	}
+	log := newLog(os.Stderr, c.LogLevel, settings)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err = daemon.New(settings, platformOf(settings),
+		daemon.Version(handler.Version),
+		daemon.Failed(func(part string, err error) { logFailure(log, part, err) }),
+		daemon.Started(func(a daemon.Addresses) {
+			log.WithFields(logrus.Fields{
+				"callers": a.Callers.String(), "operators": a.Operators.String(), "peers": a.Peers.String(),
+			}).Info("host is listening")
+		}),
+	).Run(ctx)
+	if err != nil {
+		return err
+	}
+	log.Info("host has stopped")
+	return nil
+}
+
+// platformOf returns the clients of the platform's services.
+func platformOf(s configurer.Settings) daemon.Platform {
+	timeout := s.Timeouts.PlatformCall
+	return daemon.Platform{
+		Table:   tabler.New(s.Platform.Table, s.Place, tabler.WithTimeout(timeout)),
+		Objects: tabler.New(s.Platform.Objects, s.Place, tabler.WithTimeout(timeout)),
+		Hosts:   tabler.New(s.Platform.Hosts, s.Place, tabler.WithTimeout(timeout)),
+		Workers: commander.New(s.Platform.Workers, s.Place, commander.WithTimeout(timeout)),
+	}
+}
+
+// newLog returns a logger that writes JSON lines with snake case fields.
+func newLog(out io.Writer, level string, s configurer.Settings) *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "message"}})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+	return log.WithFields(logrus.Fields{"host": s.Host, "place": s.Place})
+}
+
+// logFailure logs an error that the daemon goes on after.
+func logFailure(log *logrus.Entry, part string, err error) {
+	code := primrosespar.CodeOf(err)
+	entry := log.WithFields(logrus.Fields{"part": part, "code": int(code), "name": code.String()})
+	var failure *primrosespar.Failure
+	if errors.As(err, &failure) {
+		entry.Warn(err.Error())
+		return
+	}
+	entry.Error(err.Error())
+}
--- a/cmd/primrosespar/main.go
+++ b/cmd/primrosespar/main.go
@@ -19,10 +19,10 @@
 // usageExit is the exit code for a command line that does not parse.
 const usageExit = 2
 
-// cli is the command line. The entry command is added beside the operator
-// commands, with a Run method of its own.
+// cli is the command line.
 type cli struct {
 	handler.Commands
+	Entry entryCommand `cmd:"" help:"Run the daemon of an entry host."`
 }
 
 func main() {
