Bind restored claims together after a takeover

A committed gang does not say on which guaranteed block its claim draws. Restore bound each claim alone as it came, so that work restored later stood in the bound block and a guarantee could no longer be claimed.

Restored claims are now bound at the next call, all together, by a bounded search for a binding with which the unclaimed blocks pack.

--- a/internal/place/planner/account.go
+++ b/internal/place/planner/account.go
@@ -55,6 +55,7 @@
 
 // SetContracts takes the contracts in force.
 func (p *Planner) SetContracts(view primrosespar.ContractView) {
+	p.settleRestored()
 	for _, a := range p.accounts {
 		a.known = false
 	}
--- a/internal/place/planner/gang.go
+++ b/internal/place/planner/gang.go
@@ -185,6 +185,7 @@
 // Restore takes over a gang that was committed before a change of holder.
 func (p *Planner) Restore(committed primrosespar.Gang, now time.Time) {
 	if old, known := p.gangs[committed.Job.ID]; known {
+		p.settleRestored()
 		p.drop(old)
 	}
 	if committed.State.Ended() {
@@ -203,15 +204,17 @@
 	if committed.State == primrosespar.GangStopping {
 		g.phase = phaseStopping
 	}
+	p.account(g, 1)
 	if g.job.Claim {
-		p.rebind(g)
+		p.restored = append(p.restored, g)
+		return
 	}
 	p.hold(g)
-	p.account(g, 1)
 }
 
 // Requeue frees the accelerators of a placed job and queues it again.
 func (p *Planner) Requeue(id primrosespar.JobID, now time.Time) {
+	p.settleRestored()
 	g := p.gangs[id]
 	if g == nil || g.phase == phaseQueued {
 		return
@@ -226,6 +229,7 @@
 
 // Remove forgets a job that ended or was cancelled.
 func (p *Planner) Remove(id primrosespar.JobID, outcome primrosespar.GangState, now time.Time) {
+	p.settleRestored()
 	if g := p.gangs[id]; g != nil {
 		p.observe(g, outcome, now)
 		p.drop(g)
--- a/internal/place/planner/machine_test.go
+++ b/internal/place/planner/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -198,6 +199,25 @@
 	m.do(func(p *planner.Planner) { p.SetWorkers([]primrosespar.WorkerEntry{entry}) })
 }
 
+// takeover continues with a new planner that knows only the committed gangs.
+func (m *machine) takeover(*rapid.T) {
+	m.subject = planner.New(m.options...)
+	m.history = nil
+	workers, now := slices.Clone(m.workers), m.now
+	m.do(func(p *planner.Planner) { p.SetWorkers(workers) })
+	m.do(func(p *planner.Planner) { p.SetContracts(m.view) })
+	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+		gang := primrosespar.Gang{Job: m.jobs[id], State: primrosespar.GangQueued}
+		if placement, ok := m.placed[id]; ok {
+			gang.State, gang.Slices, gang.Borrowed = primrosespar.GangRunning, placement.Slices, placement.Borrowed
+		}
+		if m.evicted[id] {
+			gang.State = primrosespar.GangStopping
+		}
+		m.do(func(p *planner.Planner) { p.Restore(gang, now) })
+	}
+}
+
 // check compares the placements with the shapes, the workers and the quotas.
 func (m *machine) check(t *rapid.T) {
 	cells := map[string]primrosespar.JobID{}
@@ -293,7 +313,7 @@
 		m := newMachine(t, options...)
 		actions := map[string]func(*rapid.T){
 			"add": m.add, "add another": m.add, "plan": m.plan, "remove": m.remove,
-			"requeue": m.requeue, "toggle": m.toggle,
+			"requeue": m.requeue, "toggle": m.toggle, "takeover": m.takeover,
 			"": func(t *rapid.T) {
 				m.check(t)
 				m.checkClaims(t)
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -81,10 +81,12 @@
 	// stalled jobs have waited too long to be passed by younger ones.
 	stalled   map[waitKind]*gang
 	estimator *estimator.Estimator
-	changed   bool
-	sequence  uint64
-	running   int
-	borrowed  int
+	// restored are claims of an earlier holder whose blocks are not bound yet.
+	restored []*gang
+	changed  bool
+	sequence uint64
+	running  int
+	borrowed int
 }
 
 // New returns a planner without workers and contracts.
@@ -112,6 +114,7 @@
 
 // SetWorkers takes new or changed workers.
 func (p *Planner) SetWorkers(entries []primrosespar.WorkerEntry) {
+	p.settleRestored()
 	for _, e := range entries {
 		p.setHost(e)
 		p.noteTasks(e)
@@ -165,6 +168,7 @@
 
 // State summarises the place.
 func (p *Planner) State() primrosespar.PlaceState {
+	p.settleRestored()
 	state := primrosespar.PlaceState{
 		Accelerators: p.pack.Total(),
 		Free:         p.pack.Count(packer.Free),
@@ -180,6 +184,7 @@
 
 // Plan decides on everything that changed since the last call.
 func (p *Planner) Plan(now time.Time) primrosespar.Plan {
+	p.settleRestored()
 	for id, g := range p.checkpointed {
 		g.saved = now
 		delete(p.checkpointed, id)
