Skip full passes on worker reports that change nothing

SetWorkers counted the place's whole blocks over all accelerators and made the next plan try the whole queue, also when the report only carried usage or tasks.

Both now happen only if a worker is new, moved, resized or changed its availability.

--- a/internal/place/packer/rack.go
+++ b/internal/place/packer/rack.go
@@ -39,8 +39,9 @@
 }
 
 // SetWorkers takes new or changed workers. Workers for which blocked returns
-// true take no new work, as those that are leaving or not alive.
-func (p *Packer) SetWorkers(entries []primrosespar.WorkerEntry, blocked func(primrosespar.Worker) bool) {
+// true take no new work, as those that are leaving or not alive. It reports
+// whether any rack was laid out anew.
+func (p *Packer) SetWorkers(entries []primrosespar.WorkerEntry, blocked func(primrosespar.Worker) bool) bool {
 	moved := map[primrosespar.Rack]bool{}
 	for _, e := range entries {
 		usable := e.Alive && !e.Leaving && (blocked == nil || !blocked(e.Worker))
@@ -67,6 +68,7 @@
 	for name := range moved {
 		p.layout(p.racks[name])
 	}
+	return len(moved) > 0
 }
 
 func sameSpot(a, b primrosespar.WorkerEntry) bool {
--- a/internal/place/planner/host.go
+++ b/internal/place/planner/host.go
@@ -70,12 +70,17 @@
 	) < 0
 }
 
-func (p *Planner) setHost(e primrosespar.WorkerEntry) {
+// setHost takes the worker and reports whether it offers more or less than
+// before.
+func (p *Planner) setHost(e primrosespar.WorkerEntry) bool {
 	h := p.hosts[e.Worker]
+	var old kind
+	usable := false
 	if h == nil {
 		h = &host{gangs: map[primrosespar.JobID]*gang{}}
 		p.hosts[e.Worker] = h
 	} else {
+		old, usable = h.kind(), h.usable
 		p.spare.Delete(h)
 		if p.kinds[h.kind()]--; p.kinds[h.kind()] == 0 {
 			delete(p.kinds, h.kind())
@@ -86,6 +91,7 @@
 	h.usable = e.Alive && !e.Leaving
 	p.kinds[h.kind()]++
 	p.spare.ReplaceOrInsert(h)
+	return h.usable != usable || h.kind() != old
 }
 
 // noteTasks takes the use that running members report, and notes the gangs of
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -115,14 +115,19 @@
 // SetWorkers takes new or changed workers.
 func (p *Planner) SetWorkers(entries []primrosespar.WorkerEntry) {
 	p.settleRestored()
+	changed := false
 	for _, e := range entries {
-		p.setHost(e)
+		changed = p.setHost(e) || changed
 		p.noteTasks(e)
 	}
-	p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] })
-	p.whole = p.pack.Whole()
-	p.changed = true
-	p.dropBrokenClaims()
+	if p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] }) {
+		p.whole = p.pack.Whole()
+		changed = true
+	}
+	if changed {
+		p.changed = true
+		p.dropBrokenClaims()
+	}
 }
 
 // SetQuarantined stops or resumes new work on the worker.
@@ -137,6 +142,8 @@
 	}
 	if h := p.hosts[worker]; h != nil {
 		p.SetWorkers([]primrosespar.WorkerEntry{h.entry})
+		p.changed = true
+		p.dropBrokenClaims()
 	}
 }
 
