--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -81,10 +81,12 @@
 	// stalled jobs have waited too long to be passed by younger ones.
 	stalled   map[waitKind]*gang
 	estimator *estimator.Estimator
-	changed   bool
-	sequence  uint64
-	running   int
-	borrowed  int
+	// restored are claims of an earlier holder whose blocks are not bound yet.
+	restored []*gang
+	changed  bool
+	sequence uint64
+	running  int
+	borrowed int
 }
 
 // New returns a planner without workers and contracts.
@@ -112,14 +114,20 @@
 
 // SetWorkers takes new or changed workers.
 func (p *Planner) SetWorkers(entries []primrosespar.WorkerEntry) {
+	p.settleRestored()
+	changed := false
 	for _, e := range entries {
-		p.setHost(e)
+		changed = p.setHost(e) || changed
 		p.noteTasks(e)
 	}
-	p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] })
-	p.whole = p.pack.Whole()
-	p.changed = true
-	p.dropBrokenClaims()
+	if p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] }) {
+		p.whole = p.pack.Whole()
+		changed = true
+	}
+	if changed {
+		p.changed = true
+		p.dropBrokenClaims()
+	}
 }
 
 // SetQuarantined stops or resumes new work on the worker.
@@ -134,6 +142,8 @@
 	}
 	if h := p.hosts[worker]; h != nil {
 		p.SetWorkers([]primrosespar.WorkerEntry{h.entry})
+		p.changed = true
+		p.dropBrokenClaims()
 	}
 }
 
@@ -165,6 +175,7 @@
 
 // State summarises the place.
 func (p *Planner) State() primrosespar.PlaceState {
+	p.settleRestored()
 	state := primrosespar.PlaceState{
 		Accelerators: p.pack.Total(),
 		Free:         p.pack.Count(packer.Free),
@@ -180,6 +191,7 @@
 
 // Plan decides on everything that changed since the last call.
 func (p *Planner) Plan(now time.Time) primrosespar.Plan {
+	p.settleRestored()
 	for id, g := range p.checkpointed {
 		g.saved = now
 		delete(p.checkpointed, id)
