Run both example deployments as processes with a demonstration

Cause: the whole path has to work through real processes over TCP. Change: standin platform, upstream and demo; administration routes of the stand-ins; the demo kills and freezes a host and lets an upstream leave, and counts what reached the stand-ins. A checkpoint counts as saved only once the worker reports it: the first run showed a claim after 0.26 s, since the answer to the checkpoint command was taken for its end (checkpoint time 1 s). A host takes the contracts with the first call after they are loaded, not at the next tick.

--- /dev/null
+++ b/cmd/standin/deployment.go
@@ -0,0 +1,309 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/configurer"
+	"primrosespar.example/primrosespar/internal/operator/caller"
+	"primrosespar.example/primrosespar/internal/standin/server"
+	"primrosespar.example/primrosespar/internal/standin/servicer"
+)
+
+// Sizes of a place: a third of the brief's 50 runners and 50 workers.
+const (
+	runnersPerPlace = 17
+	workersPerPlace = 17
+	workersPerRack  = 8
+	accelerators    = 8
+	runnerSlots     = 8
+	runnerConns     = 64
+)
+
+// deployment is one installation: a platform, the upstreams and the hosts of
+// each place.
+type deployment struct {
+	name     string
+	examples string
+	program  string
+	standin  string
+	children *processes
+
+	platform  netip.AddrPort
+	settings  configurer.Settings
+	upstreams []netip.AddrPort
+
+	mu    sync.Mutex
+	hosts []*entryHost
+}
+
+// entryHost is one host process of the product.
+type entryHost struct {
+	name      primrosespar.Host
+	place     primrosespar.Place
+	process   *process
+	addresses addresses
+	gone      bool
+}
+
+// addresses is the log line of a host that listens.
+type addresses struct {
+	Callers   netip.AddrPort `json:"callers"`
+	Operators netip.AddrPort `json:"operators"`
+	Peers     netip.AddrPort `json:"peers"`
+}
+
+// start brings up the platform, the upstreams and the hosts.
+func (d *deployment) start(ctx context.Context, hostsPerPlace int) error {
+	var line ready
+	listening := jsonLine(&line, func(r ready) bool { return len(r.Addresses) > 0 })
+	if _, err := d.children.start(ctx, d.name+"-platform", d.standin, []string{"platform"}, listening); err != nil {
+		return err
+	}
+	d.platform = line.Addresses[0]
+	if err := d.readExample(); err != nil {
+		return err
+	}
+	for _, p := range d.settings.Places {
+		args := []string{"upstream", "--count", fmt.Sprint(runnersPerPlace)}
+		if _, err := d.children.start(ctx, string(p.Place)+"-upstream", d.standin, args, listening); err != nil {
+			return err
+		}
+		d.upstreams = append(d.upstreams, line.Addresses...)
+		if err := d.register(ctx, topologyOf(p.Place, line.Addresses)); err != nil {
+			return err
+		}
+		for i := range hostsPerPlace {
+			if err := d.startHost(ctx, p.Place, p.Region, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// readExample reads the settings of one place; the others are made from them.
+func (d *deployment) readExample() error {
+	files, err := filepath.Glob(filepath.Join(d.examples, "*.toml"))
+	if err != nil {
+		return eris.Wrap(err, "list examples")
+	}
+	for _, file := range files {
+		if strings.HasSuffix(file, ".contract.toml") {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return eris.Wrap(err, "read example")
+		}
+		d.settings, err = configurer.Parse(data)
+		return eris.Wrapf(err, "parse %s", file)
+	}
+	return eris.Errorf("no settings in %s", d.examples)
+}
+
+// topologyOf describes the workers and runners of a place: racks of eight
+// workers, the last one short.
+func topologyOf(place primrosespar.Place, runners []netip.AddrPort) server.Topology {
+	var t server.Topology
+	for i := range workersPerPlace {
+		t.Workers = append(t.Workers, primrosespar.WorkerEntry{
+			Worker: primrosespar.Worker(fmt.Sprintf("%s-w%02d", place, i)), Place: place,
+			Rack: primrosespar.Rack(fmt.Sprintf("rack-%d", i/workersPerRack)), Position: i % workersPerRack,
+			Cores: 130, MemoryBytes: 500 << 30, Accelerators: accelerators, Alive: true,
+		})
+	}
+	for i, address := range runners {
+		t.Upstreams = append(t.Upstreams, primrosespar.UpstreamEntry{
+			Upstream: primrosespar.Upstream(fmt.Sprintf("%s-u%02d", place, i)), Place: place,
+			Address: address, Slots: runnerSlots, Connections: runnerConns,
+		})
+	}
+	return t
+}
+
+// startHost starts one host and puts it on the platform's list.
+func (d *deployment) startHost(ctx context.Context, place primrosespar.Place, region string, number int) error {
+	name := primrosespar.Host(fmt.Sprintf("%s-%d", place, number+1))
+	file := filepath.Join(d.children.dir, string(name)+".toml")
+	if err := os.WriteFile(file, []byte(d.settingsText(name, place, region)), 0o600); err != nil {
+		return eris.Wrap(err, "write settings")
+	}
+	host := &entryHost{name: name, place: place}
+	found := jsonLine(&host.addresses, func(a addresses) bool { return a.Callers.IsValid() })
+	child, err := d.children.start(ctx, string(name), d.program, []string{"entry", file}, found)
+	if err != nil {
+		return err
+	}
+	host.process = child
+	d.mu.Lock()
+	d.hosts = append(d.hosts, host)
+	d.mu.Unlock()
+	return d.register(ctx, server.Topology{Hosts: []primrosespar.HostEntry{{Host: name, Place: place, Peer: host.addresses.Peers}}})
+}
+
+// settingsText writes the settings file of one host.
+func (d *deployment) settingsText(name primrosespar.Host, place primrosespar.Place, region string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "host = %q\nplace = %q\nregion = %q\n", name, place, region)
+	for _, p := range d.settings.Places {
+		fmt.Fprintf(&b, "[[places]]\nplace = %q\nregion = %q\n", p.Place, p.Region)
+	}
+	b.WriteString("[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n")
+	url := "http://" + d.platform.String()
+	fmt.Fprintf(&b, "[platform]\ntable = %q\nobjects = %q\nhosts = %q\nworkers = %q\n", url, url, url, url)
+	for _, c := range d.settings.Callers {
+		fmt.Fprintf(&b, "[[callers]]\naccount = %q\ntoken = %q\n", c.Account, string(c.Token))
+	}
+	for _, o := range d.settings.Operators {
+		fmt.Fprintf(&b, "[[operators]]\noperator = %q\ntoken = %q\n", o.Operator, string(o.Token))
+	}
+	return b.String()
+}
+
+// register changes the platform's topology.
+func (d *deployment) register(ctx context.Context, t server.Topology) error {
+	return d.admin(ctx, http.MethodPost, "/admin/topology", t, nil)
+}
+
+// admin calls an administration route of the stand-in platform.
+func (d *deployment) admin(ctx context.Context, method, path string, in, out any) error {
+	return callJSON(ctx, method, "http://"+d.platform.String()+path, in, out)
+}
+
+// callJSON makes one call with JSON bodies.
+func callJSON(ctx context.Context, method, url string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "call stand-in")
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("%s %s: status %d, %s", method, url, response.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(data, out), "decode")
+}
+
+// operator returns a client with an operator's token for a host of the place.
+func (d *deployment) operator(place primrosespar.Place) *caller.Caller {
+	host := d.pick(place, 0)
+	return caller.New(
+		caller.WithServer("http://"+host.addresses.Operators.String()),
+		caller.WithToken(string(d.settings.Operators[0].Token)),
+	)
+}
+
+// pick returns a host of the place that the balancer would use.
+func (d *deployment) pick(place primrosespar.Place, turn int) *entryHost {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var live []*entryHost
+	for _, h := range d.hosts {
+		if h.place == place && !h.gone {
+			live = append(live, h)
+		}
+	}
+	return live[turn%len(live)]
+}
+
+// drop takes a host out of the balancer; the platform's list follows later.
+func (d *deployment) drop(h *entryHost) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.gone = true
+}
+
+// token returns a caller's token of the account.
+func (d *deployment) token(account primrosespar.Account) string {
+	for _, c := range d.settings.Callers {
+		if c.Account == account {
+			return string(c.Token)
+		}
+	}
+	return ""
+}
+
+// applyContracts applies every contract of the examples.
+func (d *deployment) applyContracts(ctx context.Context) ([]primrosespar.Account, error) {
+	files, err := filepath.Glob(filepath.Join(d.examples, "*.contract.toml"))
+	if err != nil {
+		return nil, eris.Wrap(err, "list contracts")
+	}
+	var accounts []primrosespar.Account
+	for _, file := range files {
+		document, err := os.ReadFile(file)
+		if err != nil {
+			return nil, eris.Wrap(err, "read contract")
+		}
+		account := primrosespar.Account(strings.TrimSuffix(filepath.Base(file), ".contract.toml"))
+		_, err = d.operator(d.settings.Places[0].Place).Apply(ctx, account, 0, "demo-"+string(account), document)
+		if err != nil {
+			return nil, eris.Wrapf(err, "apply %s", file)
+		}
+		accounts = append(accounts, account)
+	}
+	return accounts, nil
+}
+
+// awaitContracts waits until every host has the contracts.
+func (d *deployment) awaitContracts(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for _, h := range d.hosts {
+		client := caller.New(caller.WithServer("http://"+h.addresses.Operators.String()),
+			caller.WithToken(string(d.settings.Operators[0].Token)))
+		for {
+			status, err := client.Status(limit)
+			if err == nil && !status.Restricted && int(status.Revision) >= len(d.settings.Callers) && status.Holder != "" {
+				break
+			}
+			if limit.Err() != nil {
+				return eris.Errorf("host %s has revision %d and holder %q after %s", h.name, status.Revision, status.Holder, startLimit)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// runs returns how often each key ran, summed over all service runners.
+func (d *deployment) runs(ctx context.Context) (map[servicer.Run]int, error) {
+	total := map[servicer.Run]int{}
+	for _, address := range d.upstreams {
+		var stats struct {
+			Runs []servicer.Run `json:"runs"`
+		}
+		if err := callJSON(ctx, http.MethodGet, "http://"+address.String()+"/stats", nil, &stats); err != nil {
+			return nil, err
+		}
+		for _, run := range stats.Runs {
+			total[servicer.Run{Account: run.Account, Key: run.Key, Attempt: run.Attempt}] += run.Runs
+		}
+	}
+	return total, nil
+}
--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/operator/caller"
+	"primrosespar.example/primrosespar/internal/standin/servicer"
+)
+
+// outcome is what a caller made of a request in the end.
+type outcome string
+
+const (
+	outcomeAnswered outcome = "answered"
+	outcomeNotRun   outcome = "refused_not_run"
+	outcomeUnknown  outcome = "outcome_unknown"
+	// outcomeWrong is an answer that is not the whole answer to the request.
+	outcomeWrong outcome = "wrong_answer"
+)
+
+// request is one request of a caller and what it got.
+type request struct {
+	Account primrosespar.Account `json:"account"`
+	Class   primrosespar.Class   `json:"class"`
+	Place   primrosespar.Place   `json:"place"`
+	Key     string               `json:"key"`
+	Outcome outcome              `json:"outcome"`
+	// Code is the last result code's name, Calls how often it was sent.
+	Code  string        `json:"code"`
+	Calls int           `json:"calls"`
+	Took  time.Duration `json:"took"`
+	once  bool
+}
+
+// Bounds of one caller.
+const (
+	callTimeout = 6 * time.Second
+	maxCalls    = 4
+	callPause   = 300 * time.Millisecond
+)
+
+// load plays the callers of one deployment.
+type load struct {
+	deployment *deployment
+	client     *http.Client
+
+	mu       sync.Mutex
+	requests []*request
+}
+
+func newLoad(d *deployment) *load {
+	return &load{deployment: d, client: &http.Client{Timeout: callTimeout}}
+}
+
+// send makes one request the way an agent, dispatcher or driver does: without
+// a clear answer it asks again, with the same key, at another host.
+func (l *load) send(ctx context.Context, r *request, turn int) {
+	start := time.Now()
+	body := []byte("body of " + r.Key)
+	for r.Calls < maxCalls {
+		host := l.deployment.pick(r.Place, turn+r.Calls)
+		r.Calls++
+		done := l.call(ctx, r, host, body)
+		if done || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(callPause)
+	}
+	r.Took = time.Since(start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests = append(l.requests, r)
+}
+
+// call sends the request once and reports whether the caller is content.
+func (l *load) call(ctx context.Context, r *request, host *entryHost, body []byte) bool {
+	url := "http://" + host.addresses.Callers.String() + "/v1/requests/" + string(r.Class)
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return true
+	}
+	out.Header.Set("Authorization", "Bearer "+l.deployment.token(r.Account))
+	out.Header.Set(caller.HeaderRequestKey, r.Key)
+	if r.Calls == 1 {
+		out.Header.Set("X-First-Attempt", "1")
+	}
+	response, err := l.client.Do(out)
+	if err != nil {
+		r.Code = "no_answer"
+		r.Outcome = outcomeUnknown
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		r.Code = "cut_answer"
+		r.Outcome = outcomeUnknown
+		return false
+	}
+	return l.judge(r, response.StatusCode, data, body)
+}
+
+// judge checks the answer against the digest that only the upstream's run of
+// this very request gives.
+func (l *load) judge(r *request, status int, data, body []byte) bool {
+	if status == http.StatusOK {
+		var answer struct {
+			Digest string `json:"digest"`
+		}
+		r.Code = "ok"
+		r.Outcome = outcomeAnswered
+		if json.Unmarshal(data, &answer) != nil || answer.Digest != servicer.Digest(r.Account, r.Class, r.Key, body) {
+			r.Outcome = outcomeWrong
+		}
+		return true
+	}
+	var refusal caller.Refusal
+	if json.Unmarshal(data, &refusal) != nil {
+		r.Code = "unreadable"
+		r.Outcome = outcomeUnknown
+		return false
+	}
+	r.Code = refusal.Name
+	r.Outcome = outcomeUnknown
+	if refusal.Ran == primrosespar.RanNot && !l.earlierUnknown(r) {
+		r.Outcome = outcomeNotRun
+	}
+	return false
+}
+
+// earlierUnknown reports whether an earlier call of the same request may have
+// run: then "not run" of a later one is no answer for the whole request, unless
+// the host checked the key, which its code says.
+func (l *load) earlierUnknown(r *request) bool {
+	return r.Calls > 1 && r.Code == "store_unavailable"
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,35 +1,134 @@
-// Command standin plays the platform and the upstreams in demonstrations and tests.
+// Command standin plays the platform and the upstreams in demonstrations and
+// tests.
 //
 // # Usage
 //
-//	standin version
+//	standin platform --listen 127.0.0.1:7001
+//	standin upstream --count 17
+//	standin demo
+//
+// The first two print one JSON line with their addresses and stop on SIGTERM.
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
-)
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 
-// version is the release that the binary was built from.
-const version = "0.1.0"
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+	"primrosespar.example/primrosespar/internal/standin/server"
+	"primrosespar.example/primrosespar/internal/standin/servicer"
+)
 
 // cli is the command line.
 type cli struct {
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Platform platformCommand `cmd:"" help:"Play the table, the object store, the host list and the workers."`
+	Upstream upstreamCommand `cmd:"" help:"Play service runners, one listener each."`
+	Demo     demoCommand     `cmd:"" help:"Run both example deployments with faults and count what happened."`
+}
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("standin"), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
 }
 
-// versionCommand prints the version.
-type versionCommand struct{}
+// headerTimeout bounds the headers of every connection.
+const headerTimeout = 5 * time.Second
 
-// Run prints the version.
-func (versionCommand) Run() error {
-	_, err := fmt.Fprintln(os.Stdout, version)
-	return err
+// ready is the line that a stand-in prints once it listens.
+type ready struct {
+	Addresses []netip.AddrPort `json:"addresses"`
 }
 
-func main() {
-	ctx := kong.Parse(&cli{}, kong.Name("standin"))
-	ctx.FatalIfErrorf(ctx.Run())
+// platformCommand plays the platform.
+type platformCommand struct {
+	Listen     netip.AddrPort `help:"Address to listen on." default:"127.0.0.1:0"`
+	Checkpoint time.Duration  `help:"Time that a checkpoint takes." default:"1s"`
+	ListLag    time.Duration  `help:"Age of the host list." default:"1s"`
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *platformCommand) Run() error {
+	clock := clockwork.NewRealClock()
+	k := keeper.New(keeper.WithClock(clock), keeper.WithFaults(keeper.Faults{ListLag: c.ListLag}))
+	h := hall.New(hall.WithClock(clock), hall.WithCheckpointTime(c.Checkpoint))
+	return serve([]*http.Server{{Handler: server.New(k, h)}}, c.Listen)
+}
+
+// upstreamCommand plays service runners.
+type upstreamCommand struct {
+	Count int            `help:"Number of service runners." default:"1"`
+	Bind  netip.AddrPort `help:"Address to listen on; all take ports from the kernel." default:"127.0.0.1:0"`
+}
+
+// Service times of the stand-in runners.
+const (
+	quickService = 5 * time.Millisecond
+	slowService  = 20 * time.Millisecond
+)
+
+// Run serves until SIGTERM or SIGINT.
+func (c *upstreamCommand) Run() error {
+	times := []servicer.Option{}
+	for _, class := range []primrosespar.Class{"eligibility", "confirmation"} {
+		times = append(times, servicer.WithServiceTime(class, quickService))
+	}
+	for _, class := range []primrosespar.Class{"recomputation", "booking"} {
+		times = append(times, servicer.WithServiceTime(class, slowService))
+	}
+	var servers []*http.Server
+	for range c.Count {
+		runner := servicer.New(times...)
+		servers = append(servers, &http.Server{Handler: runner, ConnState: runner.ConnState})
+	}
+	return serve(servers, c.Bind)
+}
+
+// serve opens one listener per server, prints the addresses and waits for the
+// signal to stop.
+func serve(servers []*http.Server, at netip.AddrPort) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var line ready
+	var config net.ListenConfig
+	for _, s := range servers {
+		l, err := config.Listen(ctx, "tcp", at.String())
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", at)
+		}
+		line.Addresses = append(line.Addresses, netip.MustParseAddrPort(l.Addr().String()))
+		s.ReadHeaderTimeout = headerTimeout
+		go func() { _ = s.Serve(l) }()
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
+		return eris.Wrap(err, "print addresses")
+	}
+	<-ctx.Done()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	return nil
+}
+
+// printLine writes one JSON line to standard output.
+func printLine(value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "encode line")
+	}
+	_, err = fmt.Fprintln(os.Stdout, string(data))
+	return err
 }
--- a/internal/place/assembler/report.go
+++ b/internal/place/assembler/report.go
@@ -17,9 +17,6 @@
 	case primrosespar.CodeOK:
 		t.confirmed = c.Kind
 		t.pending = ""
-		if c.Kind == primrosespar.CommandCheckpoint {
-			t.saved = true
-		}
 	case primrosespar.CodeNotFound:
 		a.missing(t, c.Kind)
 	case primrosespar.CodeWorkerLost:
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -140,7 +140,10 @@
 		return nil, nil, primrosespar.Fail(primrosespar.CodeDraining, "host %s", d.opts.Host)
 	}
 	if !d.loaded {
-		return nil, nil, primrosespar.Fail(primrosespar.CodeStarting, "host %s", d.opts.Host)
+		d.contracts(now)
+	}
+	if !d.loaded {
+		return nil, nil, primrosespar.Fail(primrosespar.CodeStarting, "host %s has not read the contracts yet", d.opts.Host)
 	}
 	if len(d.upstreams) == 0 {
 		return nil, nil, primrosespar.Fail(primrosespar.CodeNoUpstream, "place %s", d.opts.Place)
--- a/internal/standin/server/platform.go
+++ b/internal/standin/server/platform.go
@@ -6,7 +6,8 @@
 //	http.Serve(listener, handler)
 //
 // Callers name their place in X-Place. PUT /admin/faults takes keeper.Faults;
-// GET /admin/counts returns the totals of both.
+// GET /admin/counts returns the totals of both; the other /admin routes change
+// the topology and the workers' faults and return their history.
 package server
 
 import (
@@ -87,6 +88,7 @@
 	})
 	s.objects()
 	s.admin()
+	s.adminWorkers()
 	return s
 }
 
--- a/internal/standin/servicer/servicer.go
+++ b/internal/standin/servicer/servicer.go
@@ -114,6 +114,11 @@
 	s := &Servicer{router: httprouter.New(), options: options, runs: map[Run]int{}}
 	s.router.POST("/run", s.run)
 	s.router.GET("/stats", s.stats)
+	s.router.PUT("/admin/leaving", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		s.SetLeaving(true)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	s.router.PUT("/admin/misbehaviour", s.misbehave)
 	return s
 }
 
@@ -270,6 +275,17 @@
 	_, _ = io.Copy(w, bytes.NewReader(answer))
 }
 
+// misbehave serves PUT /admin/misbehaviour.
+func (s *Servicer) misbehave(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m Misbehaviour
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetMisbehaviour(m)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // stats serves GET /stats.
 func (s *Servicer) stats(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	s.mu.Lock()
