--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -24,6 +24,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
+	"primrosespar.example/primrosespar/internal/entry/limiter"
 	"primrosespar.example/primrosespar/internal/member/messenger"
 )
 
@@ -151,6 +152,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         d.options.PublicTLS,
 	}
+	l = limiter.New(l, d.settings.Limits.Connections)
 	if d.options.PublicTLS != nil {
 		l = tls.NewListener(l, d.options.PublicTLS)
 	}
--- /dev/null
+++ b/internal/entry/limiter/limiter.go
@@ -0,0 +1,63 @@
+// Package limiter bounds the open connections of a listener. Connections
+// beyond the bound wait in the kernel's accept queue until one closes; none is
+// dropped by this package.
+//
+// # Usage
+//
+//	l := limiter.New(listener, 4096)
+//	err := server.Serve(l)
+package limiter
+
+import (
+	"net"
+	"sync"
+)
+
+// Limiter is a net.Listener with a bound. It is safe for concurrent use.
+type Limiter struct {
+	net.Listener
+
+	open   chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+// New returns a listener that has at most limit accepted connections open.
+func New(next net.Listener, limit int) *Limiter {
+	return &Limiter{Listener: next, open: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept waits for room and then for a connection. After Close it returns
+// net.ErrClosed.
+func (l *Limiter) Accept() (net.Conn, error) {
+	select {
+	case l.open <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.open
+		return nil, err
+	}
+	return &conn{Conn: c, release: sync.OnceFunc(func() { <-l.open })}, nil
+}
+
+// Close closes the listener and ends an Accept that waits for room. Open
+// connections stay open.
+func (l *Limiter) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// conn gives its room back once, however often it is closed.
+type conn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
