Give every limit and timeout an effect or remove it

Keys of limits and timeouts were read, printed and documented, but no part of the host used them: requests, work_bytes, worker_renew, view_poll and platform_call had no effect, and body_bytes above 1 MiB was still refused by the router.

The daemon now passes each key to its part by one function per part (settings.go). requests bounds what callers have in a host at once; more is refused with 503 queue_full, not run, before the body is read, while operators' commands stay possible. platform_call bounds every call to the platform. beat, membership, handover, worker_silent and release are removed: they must be equal at all hosts and are constants. body_bytes is at most 1 MiB, so that a forwarded call fits the 2 MiB message between hosts, and work_bytes at most half of it, as base64 needs.

TestSettingsReachTheirParts fails for a key that is in no part's options: without WithInterval it reports "view_poll after a change of view_poll", expected {800ms, 1.2s}, actual {0, 0}. Without the limit TestPlatformCallIsBounded gets 1h0m0s for 300ms, and TestRequestLimit ends in a deadlock of its bubble because the second request is served. With all of it the tests pass under -race.

--- a/internal/contract/follower/options.go
+++ b/internal/contract/follower/options.go
@@ -45,6 +45,12 @@
 // WithValidity sets how long a view counts as current.
 func WithValidity(d time.Duration) Option { return func(o *Options) { o.Validity = d } }
 
+// WithInterval sets the time between polls of the leader. Any other host polls
+// once its view is half as old again.
+func WithInterval(d time.Duration) Option {
+	return func(o *Options) { o.Interval, o.SelfPoll = d, d+d/2 }
+}
+
 // Times of docs/design.md, section 8.3.
 const (
 	validity = 3 * time.Second
--- a/internal/entry/configurer/canonical.go
+++ b/internal/entry/configurer/canonical.go
@@ -83,13 +83,8 @@
 	LeaseRenew   spanText `json:"lease_renew"`
 	ViewValidity spanText `json:"view_validity"`
 	ViewPoll     spanText `json:"view_poll"`
-	Beat         spanText `json:"beat"`
-	Membership   spanText `json:"membership"`
-	Handover     spanText `json:"handover"`
 	WorkerLease  spanText `json:"worker_lease"`
 	WorkerRenew  spanText `json:"worker_renew"`
-	WorkerSilent spanText `json:"worker_silent"`
-	Release      spanText `json:"release"`
 	PlatformCall spanText `json:"platform_call"`
 	PeerCall     spanText `json:"peer_call"`
 	Drain        spanText `json:"drain"`
@@ -108,13 +103,8 @@
 		LeaseRenew:   spanText(t.LeaseRenew),
 		ViewValidity: spanText(t.ViewValidity),
 		ViewPoll:     spanText(t.ViewPoll),
-		Beat:         spanText(t.Beat),
-		Membership:   spanText(t.Membership),
-		Handover:     spanText(t.Handover),
 		WorkerLease:  spanText(t.WorkerLease),
 		WorkerRenew:  spanText(t.WorkerRenew),
-		WorkerSilent: spanText(t.WorkerSilent),
-		Release:      spanText(t.Release),
 		PlatformCall: spanText(t.PlatformCall),
 		PeerCall:     spanText(t.PeerCall),
 		Drain:        spanText(t.Drain),
--- a/internal/entry/configurer/configurer.go
+++ b/internal/entry/configurer/configurer.go
@@ -87,11 +87,10 @@
 
 // Timeouts are the times of the host.
 type Timeouts struct {
-	Lease, LeaseRenew                      time.Duration
-	ViewValidity, ViewPoll                 time.Duration
-	Beat, Membership, Handover             time.Duration
-	WorkerLease, WorkerRenew, WorkerSilent time.Duration
-	Release, PlatformCall, PeerCall, Drain time.Duration
+	Lease, LeaseRenew             time.Duration
+	ViewValidity, ViewPoll        time.Duration
+	WorkerLease, WorkerRenew      time.Duration
+	PlatformCall, PeerCall, Drain time.Duration
 }
 
 // Parse returns the settings. The error is a Failure with CodeBadRequest whose
@@ -162,13 +161,8 @@
 		LeaseRenew:   t.Duration("lease_renew"),
 		ViewValidity: t.Duration("view_validity"),
 		ViewPoll:     t.Duration("view_poll"),
-		Beat:         t.Duration("beat"),
-		Membership:   t.Duration("membership"),
-		Handover:     t.Duration("handover"),
 		WorkerLease:  t.Duration("worker_lease"),
 		WorkerRenew:  t.Duration("worker_renew"),
-		WorkerSilent: t.Duration("worker_silent"),
-		Release:      t.Duration("release"),
 		PlatformCall: t.Duration("platform_call"),
 		PeerCall:     t.Duration("peer_call"),
 		Drain:        t.Duration("drain"),
@@ -200,6 +194,7 @@
 		tokens[t.Text("token")] = true
 	}
 	faults = append(faults, checkFiles(tree.Table("tls"))...)
+	faults = append(faults, checkWork(tree.Table("limits"))...)
 	return append(faults, checkTimes(tree.Table("timeouts"))...)
 }
 
@@ -215,13 +210,22 @@
 	return faults
 }
 
+// checkWork reports payloads that no job request could carry: the payload is
+// base64 in a JSON body.
+func checkWork(limits decoder.Tree) decoder.Faults {
+	work, body := limits.Int("work_bytes"), limits.Int("body_bytes")
+	if limits.Has("work_bytes") && limits.Has("body_bytes") && 2*work > body {
+		return decoder.Faults{limits.Fault("work_bytes", "%d is above half of body_bytes, which is %d", work, body)}
+	}
+	return nil
+}
+
 // checkTimes reports renewals that leave no room for a second one.
 func checkTimes(times decoder.Tree) decoder.Faults {
 	var faults decoder.Faults
 	for _, pair := range [][2]string{
 		{"lease_renew", "lease"},
 		{"view_poll", "view_validity"},
-		{"beat", "membership"},
 		{"worker_renew", "worker_lease"},
 	} {
 		short, long := times.Duration(pair[0]), times.Duration(pair[1])
@@ -241,5 +245,6 @@
 		"\nFurther rules:\n\n" +
 		"- `place` is among `places` and `region` is its region; places and tokens are unique.\n" +
 		"- TLS names all three files or none.\n" +
-		"- `lease_renew`, `view_poll`, `beat` and `worker_renew` are at most half of `lease`, `view_validity`, `membership` and `worker_lease`.\n"
+		"- `work_bytes` is at most half of `body_bytes`.\n" +
+		"- `lease_renew`, `view_poll` and `worker_renew` are at most half of `lease`, `view_validity` and `worker_lease`.\n"
 }
--- a/internal/entry/configurer/fields.go
+++ b/internal/entry/configurer/fields.go
@@ -17,11 +17,14 @@
 	maxTokens = 1024
 	// minToken is the shortest token; 16 characters cannot be guessed within
 	// the rate that a host answers at.
-	minToken  = 16
-	maxToken  = 256
-	maxPath   = 4096
-	maxURL    = 2048
-	maxBody   = 16 << 20
+	minToken = 16
+	maxToken = 256
+	maxPath  = 4096
+	maxURL   = 2048
+	// maxBody keeps a call that is forwarded to another host below the limit
+	// of one message between hosts, which is 2 MiB.
+	maxBody   = 1 << 20
+	maxAnswer = 64 << 20
 	maxBuffer = 100_000
 )
 
@@ -72,11 +75,11 @@
 	}
 	return []decoder.Field{
 		whole("body_bytes", "bytes", "1048576", 1024, maxBody, "Largest body of a request."),
-		whole("answer_bytes", "bytes", "4194304", 1024, 4*maxBody, "Largest answer of an upstream."),
-		whole("requests", "requests", "1024", 1, maxBuffer, "Requests in the host at once, queued ones included."),
-		whole("connections", "connections", "4096", 1, maxBuffer, "Open connections of callers and operators."),
+		whole("answer_bytes", "bytes", "4194304", 1024, maxAnswer, "Largest answer of an upstream."),
+		whole("requests", "requests", "1024", 1, maxBuffer, "Calls, key requests and job requests in the host at once, queued ones included; more are refused as not run."),
+		whole("connections", "connections", "4096", 1, maxBuffer, "Open connections of each HTTP address; more wait to be accepted."),
 		whole("minted_keys", "keys", "65536", 1, 1<<20, "Minted keys that the host remembers."),
-		whole("work_bytes", "bytes", "65536", 1, 1<<20, "Largest payload of a job."),
+		whole("work_bytes", "bytes", "65536", 1, maxBody/2, "Largest payload of a job."),
 		whole("record_decisions", "decisions", "8192", 16, maxBuffer, "Decision records that wait for the object store."),
 		whole("record_bytes", "bytes", "65536", 1024, 1<<20, "Bytes of decision records that the place writes per 10 s."),
 	}
@@ -93,15 +96,10 @@
 		span("lease", "6s", s, 60*s, "Time without a renewal after which a candidate takes the place lease."),
 		span("lease_renew", "2s", 100*ms, 30*s, "Time between renewals of the place lease."),
 		span("view_validity", "3s", 500*ms, 5*s, "How long the contracts count as current after a poll was sent."),
-		span("view_poll", "1s", 100*ms, 4*s, "Time between polls of the contract head."),
-		span("beat", "1s", 100*ms, 5*s, "Time between heartbeats to each host of the place."),
-		span("membership", "3s", 500*ms, 30*s, "Time without a heartbeat after which a host counts as dead."),
-		span("handover", "3s", 500*ms, 30*s, "Wait before a slot that moved here is used."),
+		span("view_poll", "1s", 100*ms, 4*s, "Time between polls of the contract head by the host that polls; the others poll when their view is half as old again."),
 		span("worker_lease", "10s", s, 60*s, "Lease of a worker."),
 		span("worker_renew", "3s", 500*ms, 30*s, "Time between renewals of a worker lease."),
-		span("worker_silent", "5s", s, 30*s, "Time after which a silent worker counts as lost."),
-		span("release", "2s", 100*ms, 30*s, "Time within which all members of a gang confirm their release."),
-		span("platform_call", "1s", 50*ms, 10*s, "Limit of one call to the platform."),
+		span("platform_call", "1s", 50*ms, 10*s, "Limit of one call to the platform, on top of the limits of its callers."),
 		span("peer_call", "500ms", 10*ms, 10*s, "Limit of one call to another host, except `Execute`."),
 		span("drain", "30s", s, 600*s, "Limit of a graceful shutdown."),
 	}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -98,7 +98,7 @@
 
 // New returns a Daemon that is not running.
 func New(settings configurer.Settings, platform Platform, opts ...Option) *Daemon {
-	return &Daemon{settings: settings, platform: platform, options: newOptions(opts)}
+	return &Daemon{settings: settings, platform: bound(platform, settings.Timeouts.PlatformCall), options: newOptions(opts)}
 }
 
 // listeners are the three open listeners.
@@ -206,10 +206,10 @@
 }
 
 func (l listeners) addresses() Addresses {
-	return Addresses{Callers: bound(l.callers), Operators: bound(l.operators), Peers: bound(l.peers)}
+	return Addresses{Callers: boundTo(l.callers), Operators: boundTo(l.operators), Peers: boundTo(l.peers)}
 }
 
-func bound(l net.Listener) netip.AddrPort {
+func boundTo(l net.Listener) netip.AddrPort {
 	address, _ := netip.ParseAddrPort(l.Addr().String())
 	return address
 }
--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -96,32 +96,26 @@
 
 func (h *host) buildRecords() {
 	s := h.daemon.settings
-	h.recorder = recorder.New(
+	h.recorder = recorder.New(append(recorderOptions(s, h.liveHosts),
 		recorder.WithObjects(h.daemon.platform.Objects),
 		recorder.WithClock(h.daemon.options.Clock),
 		recorder.WithIdentity(s.Place, s.Host, h.incarnation),
-		recorder.WithCapacity(s.Limits.RecordDecisions),
-		recorder.WithBudget(h.recordBudget),
-	)
+	)...)
 	h.counted = &counted{next: h.recorder, meter: h.meter}
 }
 
-// recordBudget is this host's part of the place's bytes per interval.
-func (h *host) recordBudget() int {
-	live := max(1, len(h.dispatcher.View().Live))
-	return h.daemon.settings.Limits.RecordBytes / live
-}
+// liveHosts is the number of hosts of the place that are known to live.
+func (h *host) liveHosts() int { return len(h.dispatcher.View().Live) }
 
 func (h *host) buildMembers() {
 	d := h.daemon
 	clock, s := d.options.Clock, d.settings
-	h.contracts = follower.New(
+	h.contracts = follower.New(append(followerOptions(s),
 		follower.WithTable(d.platform.Table),
 		follower.WithClock(clock),
 		follower.WithJitter(mathrand.Float64),
 		follower.WithLeader(func() bool { return h.dispatcher.View().Rank(s.Host) == 0 }),
-		follower.WithValidity(s.Timeouts.ViewValidity),
-	)
+	)...)
 	h.dispatcher = dispatcher.New(
 		dispatcher.WithHost(s.Host, s.Place, h.incarnation, h.addresses.Peers),
 		dispatcher.WithClock(clock),
@@ -135,28 +129,26 @@
 }
 
 func (h *host) messengerOptions() []messenger.Option {
-	return []messenger.Option{
+	return append(messengerOptions(h.daemon.settings),
 		messenger.WithClock(h.daemon.options.Clock),
-		messenger.WithTimeout(h.daemon.settings.Timeouts.PeerCall),
 		messenger.WithTLS(h.daemon.options.PeerTLS),
-	}
+	)
 }
 
 func (h *host) buildRequests() {
 	d := h.daemon
 	clock, s := d.options.Clock, d.settings
-	minted := minter.New(
+	minted := minter.New(append(minterOptions(s),
 		minter.WithProcess(s.Place, s.Host, h.incarnation, random(secretBytes)),
 		minter.WithClock(clock),
-		minter.WithBounds(mintedLife, s.Limits.MintedKeys, mintedBytes),
-	)
+	)...)
 	h.claims = claimer.New(
 		claimer.WithStore(d.platform.Table, d.platform.Objects),
 		claimer.WithClock(clock),
 		claimer.WithAttempts(newAttempt),
 	)
-	h.forwarder = forwarder.New(forwarder.WithClock(clock), forwarder.WithAnswerLimit(int64(s.Limits.AnswerBytes)))
-	h.router = router.New(
+	h.forwarder = forwarder.New(append(forwarderOptions(s), forwarder.WithClock(clock))...)
+	h.router = router.New(append(routerOptions(s),
 		router.WithProcess(s.Place, s.Host),
 		router.WithClock(clock),
 		router.WithContracts(h.contracts, h.dispatcher),
@@ -164,7 +156,7 @@
 		router.WithKeys(h.claims, minted),
 		router.WithAttempts(h.forwarder, retrier.New(retrier.WithClock(clock), retrier.WithRandom(mathrand.Float64)), newAttempt),
 		router.WithPeers(h.messenger, h.members.find),
-	)
+	)...)
 	h.mint = minted.Mint
 }
 
@@ -180,13 +172,13 @@
 	clock, s := d.options.Clock, d.settings
 	h.lease = leaser.New(d.platform.Table, clock, leaser.Identity{
 		Place: s.Place, Host: s.Host, Incarnation: h.incarnation, Address: h.addresses.Peers,
-	}, leaser.Duration(s.Timeouts.Lease))
+	}, leaserOptions(s)...)
 	h.runner = runner.New(runner.Parts{
 		Place: s.Place, Host: s.Host, Table: d.platform.Table, Workers: d.platform.Workers,
 		Clock: clock, Lease: h.lease, Contracts: h.contracts, Recorder: h.counted,
 		Planner: func() primrosespar.Planner { return planner.New(planner.WithPlace(s.Place)) },
 		Failed:  func(err error) { d.note("runner", err) },
-	}, runner.Renewal(s.Timeouts.LeaseRenew), runner.WorkerLease(s.Timeouts.WorkerLease))
+	}, runnerOptions(s)...)
 	h.racks = newRacks(d.platform.Workers, clock, s.Places)
 	h.amender = amender.New(
 		amender.WithTable(d.platform.Table),
@@ -203,11 +195,12 @@
 	h.server = server.New(server.Parts{
 		Place: s.Place, Host: s.Host, Clock: clock, Router: h.router, Contracts: h.contracts,
 		Authorizer: authorizer.New(tokensOf(s)...), Meter: h.meter,
-		Jobs: submitter.New(d.platform.Table, h.contracts, clock, submitter.Random(random), submitter.Check(h.racks.check)),
+		Jobs: submitter.New(d.platform.Table, h.contracts, clock,
+			append(submitterOptions(s), submitter.Random(random), submitter.Check(h.racks.check))...),
 		Mint: h.mint, NewID: newRequest, Notify: h.notify,
 		Amender: h.amender, Objects: d.platform.Objects, Recorder: h.counted,
 		AllWorkers: h.racks.all, Status: h.status, Flush: h.recorder.Flush,
-	}, server.MaxBody(int64(s.Limits.BodyBytes)))
+	}, serverOptions(s)...)
 }
 
 // notify tells the holder of the place lease about a job. If it cannot be
--- /dev/null
+++ b/internal/entry/daemon/settings.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	"primrosespar.example/primrosespar/internal/contract/follower"
+	"primrosespar.example/primrosespar/internal/entry/configurer"
+	"primrosespar.example/primrosespar/internal/entry/server"
+	"primrosespar.example/primrosespar/internal/member/leaser"
+	"primrosespar.example/primrosespar/internal/member/messenger"
+	"primrosespar.example/primrosespar/internal/place/runner"
+	"primrosespar.example/primrosespar/internal/place/submitter"
+	"primrosespar.example/primrosespar/internal/record/recorder"
+	"primrosespar.example/primrosespar/internal/request/forwarder"
+	"primrosespar.example/primrosespar/internal/request/minter"
+	"primrosespar.example/primrosespar/internal/request/router"
+)
+
+// The functions below turn limits and timeouts into options of the parts.
+// Every key of both tables stands in one of them, or in Daemon itself
+// (connections, platform_call, drain).
+
+func followerOptions(s configurer.Settings) []follower.Option {
+	return []follower.Option{
+		follower.WithValidity(s.Timeouts.ViewValidity),
+		follower.WithInterval(s.Timeouts.ViewPoll),
+	}
+}
+
+func leaserOptions(s configurer.Settings) []leaser.Option {
+	return []leaser.Option{leaser.Duration(s.Timeouts.Lease)}
+}
+
+func runnerOptions(s configurer.Settings) []runner.Option {
+	return []runner.Option{
+		runner.Renewal(s.Timeouts.LeaseRenew),
+		runner.WorkerLease(s.Timeouts.WorkerLease),
+		runner.WorkerRenewal(s.Timeouts.WorkerRenew),
+	}
+}
+
+func messengerOptions(s configurer.Settings) []messenger.Option {
+	return []messenger.Option{messenger.WithTimeout(s.Timeouts.PeerCall)}
+}
+
+func forwarderOptions(s configurer.Settings) []forwarder.Option {
+	return []forwarder.Option{forwarder.WithAnswerLimit(int64(s.Limits.AnswerBytes))}
+}
+
+func minterOptions(s configurer.Settings) []minter.Option {
+	return []minter.Option{minter.WithBounds(mintedLife, s.Limits.MintedKeys, mintedBytes)}
+}
+
+func routerOptions(s configurer.Settings) []router.Option {
+	return []router.Option{router.WithBodyLimit(s.Limits.BodyBytes)}
+}
+
+func submitterOptions(s configurer.Settings) []submitter.Option {
+	return []submitter.Option{submitter.MaxWork(s.Limits.WorkBytes)}
+}
+
+func serverOptions(s configurer.Settings) []server.Option {
+	return []server.Option{
+		server.MaxBody(int64(s.Limits.BodyBytes)),
+		server.MaxCalls(s.Limits.Requests),
+	}
+}
+
+// recorderOptions divides the place's bytes by the live hosts at each write.
+func recorderOptions(s configurer.Settings, live func() int) []recorder.Option {
+	return []recorder.Option{
+		recorder.WithCapacity(s.Limits.RecordDecisions),
+		recorder.WithBudget(func() int { return s.Limits.RecordBytes / max(1, live()) }),
+	}
+}
--- a/internal/entry/server/answer.go
+++ b/internal/entry/server/answer.go
@@ -44,6 +44,12 @@
 	writeJSON(w, status, caller.Refusal{Code: code, Name: info.Name, Message: message, Ran: ran, RequestID: id, Faults: faults})
 }
 
+// refusalWith refuses with a status that is not the code's usual one.
+func (s *Server) refusalWith(w http.ResponseWriter, status int, f *primrosespar.Failure) {
+	w.Header().Set("X-Result-Code", strconv.Itoa(int(f.Code)))
+	writeJSON(w, status, caller.Refusal{Code: f.Code, Name: f.Code.String(), Message: f.Message, Ran: f.Ran})
+}
+
 // writeJSON writes a value; a caller that left is not an error.
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	body, err := json.Marshal(value)
--- a/internal/entry/server/options.go
+++ b/internal/entry/server/options.go
@@ -8,6 +8,8 @@
 	MaxBody int64
 	// MaxDeadline bounds the time that a caller may ask to wait.
 	MaxDeadline time.Duration
+	// MaxCalls bounds the requests of callers in the host at once.
+	MaxCalls int
 }
 
 // Option sets one option.
@@ -16,6 +18,7 @@
 const (
 	defaultMaxBody     = 1 << 20
 	defaultMaxDeadline = 5 * time.Minute
+	defaultMaxCalls    = 1024
 )
 
 // MaxBody sets the bound of a body in bytes.
@@ -23,8 +26,13 @@
 	return func(o *Options) { o.MaxBody = n }
 }
 
+// MaxCalls sets the number of requests of callers in the host at once.
+func MaxCalls(n int) Option {
+	return func(o *Options) { o.MaxCalls = n }
+}
+
 func newOptions(opts []Option) Options {
-	o := Options{MaxBody: defaultMaxBody, MaxDeadline: defaultMaxDeadline}
+	o := Options{MaxBody: defaultMaxBody, MaxDeadline: defaultMaxDeadline, MaxCalls: defaultMaxCalls}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -65,6 +65,8 @@
 	options  Options
 	draining atomic.Bool
 	inFlight atomic.Int64
+	// callsIn counts the requests that Options.MaxCalls bounds.
+	callsIn atomic.Int64
 }
 
 // New returns a Server.
@@ -84,12 +86,12 @@
 
 // calls adds what callers do.
 func (s *Server) calls(mux *httprouter.Router) {
-	mux.POST("/v1/requests/:class", s.serve(s.call))
-	mux.POST("/v1/keys", s.serve(s.mint))
-	mux.POST("/v1/jobs", s.serve(s.submitJob))
-	mux.GET("/v1/jobs", s.serve(s.listJobs))
-	mux.GET("/v1/jobs/:id", s.serve(s.showJob))
-	mux.DELETE("/v1/jobs/:id", s.serve(s.cancelJob))
+	mux.POST("/v1/requests/:class", s.counted(s.call))
+	mux.POST("/v1/keys", s.counted(s.mint))
+	mux.POST("/v1/jobs", s.counted(s.submitJob))
+	mux.GET("/v1/jobs", s.counted(s.listJobs))
+	mux.GET("/v1/jobs/:id", s.counted(s.showJob))
+	mux.DELETE("/v1/jobs/:id", s.counted(s.cancelJob))
 }
 
 // Operators returns the handler for operators, which also serves what callers
@@ -187,3 +189,26 @@
 		}
 	}
 }
+
+// counted wraps what callers do. Requests beyond the limit are refused before
+// their body is read, so that a burst cannot use up the memory of the host;
+// operators' commands are not counted and stay possible.
+func (s *Server) counted(h handler) httprouter.Handle {
+	next := s.serve(h)
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		defer s.callsIn.Add(-1)
+		if s.callsIn.Add(1) > int64(s.options.MaxCalls) {
+			s.busy(w)
+			return
+		}
+		next(w, r, p)
+	}
+}
+
+// busy refuses a request for which the host has no room. The status differs
+// from that of a full class queue (429), because the account did not cause it
+// and another host may have room.
+func (s *Server) busy(w http.ResponseWriter) {
+	failure := primrosespar.Fail(primrosespar.CodeQueueFull, "the host serves its limit of %d requests", s.options.MaxCalls)
+	s.refusalWith(w, http.StatusServiceUnavailable, failure)
+}
--- a/internal/place/runner/options.go
+++ b/internal/place/runner/options.go
@@ -46,6 +46,11 @@
 	return func(o *Options) { o.WorkerLease = d }
 }
 
+// WorkerRenewal sets the period of the worker leases.
+func WorkerRenewal(d time.Duration) Option {
+	return func(o *Options) { o.WorkerRenewal = d }
+}
+
 const (
 	defaultTick          = 200 * time.Millisecond
 	defaultRenewal       = 2 * time.Second
--- a/internal/place/submitter/check.go
+++ b/internal/place/submitter/check.go
@@ -27,7 +27,7 @@
 	if err := checkPlace(found.Contract, job.Place); err != nil {
 		return job, err
 	}
-	if err := checkShape(job); err != nil {
+	if err := s.checkShape(job); err != nil {
 		return job, err
 	}
 	if err := checkClaim(found.Contract, job); err != nil {
@@ -61,7 +61,7 @@
 		"the contract has no share in place %q; it has in %s", place, strings.Join(names, ", "))
 }
 
-func checkShape(job primrosespar.Job) error {
+func (s *Submitter) checkShape(job primrosespar.Job) error {
 	shape := job.Shape
 	switch {
 	case shape.Members < 1 || shape.Members > maxMembers:
@@ -74,8 +74,8 @@
 		return primrosespar.Fail(primrosespar.CodeOutOfRange, "shape.cores and shape.memory_bytes must not be negative")
 	case job.Declared < 0 || job.Deadline < 0:
 		return primrosespar.Fail(primrosespar.CodeOutOfRange, "declared and deadline must not be negative")
-	case len(job.Work) > maxWorkBytes:
-		return primrosespar.Fail(primrosespar.CodeBodyTooLarge, "work has %d bytes, the limit is %d", len(job.Work), maxWorkBytes)
+	case len(job.Work) > s.options.MaxWork:
+		return primrosespar.Fail(primrosespar.CodeBodyTooLarge, "work has %d bytes, the limit is %d", len(job.Work), s.options.MaxWork)
 	}
 	return nil
 }
--- a/internal/place/submitter/options.go
+++ b/internal/place/submitter/options.go
@@ -12,6 +12,8 @@
 	Random func(n int) []byte
 	// Check refuses shapes that the place could never hold.
 	Check func(primrosespar.Shape) error
+	// MaxWork bounds the payload of a job in bytes.
+	MaxWork int
 }
 
 // Option sets one option.
@@ -27,10 +29,16 @@
 	return func(o *Options) { o.Check = f }
 }
 
+// MaxWork sets the largest payload of a job in bytes.
+func MaxWork(bytes int) Option {
+	return func(o *Options) { o.MaxWork = bytes }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{
-		Random: randomBytes,
-		Check:  func(primrosespar.Shape) error { return nil },
+		Random:  randomBytes,
+		Check:   func(primrosespar.Shape) error { return nil },
+		MaxWork: defaultMaxWork,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/place/submitter/submitter.go
+++ b/internal/place/submitter/submitter.go
@@ -28,10 +28,10 @@
 
 // Bounds of a submitted job.
 const (
-	maxMembers   = 512
-	maxBlock     = 512
-	maxWorkBytes = 64 << 10
-	pageRows     = 500
+	maxMembers     = 512
+	maxBlock       = 512
+	defaultMaxWork = 64 << 10
+	pageRows       = 500
 	// idBytes of a digest or of randomness name a job.
 	idBytes = 12
 )
--- a/internal/request/router/options.go
+++ b/internal/request/router/options.go
@@ -80,6 +80,11 @@
 	return func(o *Options) { o.Sender, o.Retrier, o.NewAttempt = sender, retries, next }
 }
 
+// WithBodyLimit sets the largest body of a call in bytes.
+func WithBodyLimit(bytes int) Option {
+	return func(o *Options) { o.BodyLimit = bytes }
+}
+
 // WithPeers sets the other hosts of the place and the search for one of them.
 func WithPeers(peers primrosespar.Peers, find func(primrosespar.Host, primrosespar.Incarnation) (netip.AddrPort, bool)) Option {
 	return func(o *Options) { o.Peers, o.FindHost = peers, find }
