Serve TLS with keys that are read again when files change

The tls settings had no effect: no part read the files, and the daemon's listeners and the messages between hosts stayed plain.

certifier reads certificate, key and authority, and looks at the files every 10 s on the injected clock. A change is taken over without a restart; content that cannot be used keeps the old keys and is reported once. Callers and operators get a server certificate and authenticate by token as before. Hosts authenticate each other: both certificates must be signed by the authority and the dialled one must name the IP address. The messenger asks for the configuration of each new connection (WithCurrentTLS), and daemon.TLS takes that function. The daemon loads the files that the settings name, and does not start without them.

With the takeover switched off TestReload fails: expected 2, actual 1. Without RequireAndVerifyClientCert TestPeersAuthenticateEachOther fails: expected 406 (peer_unavailable), actual 0. With both the packages pass under -race.

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/certifier"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/limiter"
 	"primrosespar.example/primrosespar/internal/member/messenger"
@@ -45,7 +46,7 @@
 	Started func(Addresses)
 	// PublicTLS and PeerTLS encrypt the listeners; nil leaves them plain.
 	PublicTLS *tls.Config
-	PeerTLS   *tls.Config
+	PeerTLS   func() *tls.Config
 	// Version is shown in the status.
 	Version string
 	// Grace is how long an unready host goes on taking new work, so that the
@@ -67,8 +68,9 @@
 }
 
 // TLS sets the encryption of the listeners for callers and operators and of
-// the messages between hosts.
-func TLS(public, peers *tls.Config) Option {
+// each new connection between hosts. Without it Run takes both from the files
+// that the settings name.
+func TLS(public *tls.Config, peers func() *tls.Config) Option {
 	return func(o *Options) { o.PublicTLS, o.PeerTLS = public, peers }
 }
 
@@ -101,6 +103,20 @@
 	return &Daemon{settings: settings, platform: bound(platform, settings.Timeouts.PlatformCall), options: newOptions(opts)}
 }
 
+// loadKeys reads the TLS files; without any it returns nil.
+func (d *Daemon) loadKeys() (*certifier.Certifier, error) {
+	if !d.settings.TLS.Enabled() || d.options.PublicTLS != nil {
+		return nil, nil
+	}
+	keys, err := certifier.New(certifier.Files(d.settings.TLS), certifier.WithClock(d.options.Clock),
+		certifier.WithFailed(func(err error) { d.note("tls", err) }))
+	if err != nil {
+		return nil, err
+	}
+	TLS(keys.Public(), keys.Peers)(&d.options)
+	return keys, nil
+}
+
 // listeners are the three open listeners.
 type listeners struct {
 	callers, operators, peers net.Listener
@@ -108,6 +124,10 @@
 
 // Run serves until ctx ends and then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
+	keys, err := d.loadKeys()
+	if err != nil {
+		return err
+	}
 	open, err := d.listen(ctx)
 	if err != nil {
 		return err
@@ -120,6 +140,9 @@
 	defer stop()
 	var wg conc.WaitGroup
 	host.start(work, &wg)
+	if keys != nil {
+		wg.Go(func() { keys.Run(work) })
+	}
 	wg.Go(func() { d.note("peers", messenger.Serve(work, open.peers, host, host.messengerOptions()...)) })
 	callers := d.serve(open.callers, host.server.Callers(), &wg)
 	operators := d.serve(open.operators, host.server.Operators(), &wg)
--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -131,7 +131,7 @@
 func (h *host) messengerOptions() []messenger.Option {
 	return append(messengerOptions(h.daemon.settings),
 		messenger.WithClock(h.daemon.options.Clock),
-		messenger.WithTLS(h.daemon.options.PeerTLS),
+		messenger.WithCurrentTLS(h.daemon.options.PeerTLS),
 	)
 }
 
--- a/internal/member/messenger/messenger.go
+++ b/internal/member/messenger/messenger.go
@@ -54,8 +54,8 @@
 	Clock primrosespar.Clock
 	// Timeout bounds a heartbeat or notice.
 	Timeout time.Duration
-	// TLS encrypts the connections; nil leaves them plain.
-	TLS *tls.Config
+	// TLS returns the encryption of the next connection; nil leaves them plain.
+	TLS func() *tls.Config
 }
 
 // Option changes Options.
@@ -67,8 +67,19 @@
 // WithTimeout sets the timeout of a heartbeat or notice.
 func WithTimeout(timeout time.Duration) Option { return func(o *Options) { o.Timeout = timeout } }
 
-// WithTLS encrypts the connections.
-func WithTLS(config *tls.Config) Option { return func(o *Options) { o.TLS = config } }
+// WithTLS encrypts the connections; nil leaves them plain.
+func WithTLS(config *tls.Config) Option {
+	if config == nil {
+		return WithCurrentTLS(nil)
+	}
+	return WithCurrentTLS(func() *tls.Config { return config })
+}
+
+// WithCurrentTLS encrypts each new connection by what the function returns
+// then, so that keys can change while the process runs.
+func WithCurrentTLS(current func() *tls.Config) Option {
+	return func(o *Options) { o.TLS = current }
+}
 
 // collect applies the options to the defaults.
 func collect(opts []Option) Options {
@@ -252,7 +263,7 @@
 // dial opens the transport.
 func (m *Messenger) dial(ctx context.Context, address string) (net.Conn, error) {
 	if m.opts.TLS != nil {
-		return (&tls.Dialer{Config: m.opts.TLS}).DialContext(ctx, "tcp", address)
+		return (&tls.Dialer{Config: m.opts.TLS()}).DialContext(ctx, "tcp", address)
 	}
 	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 }
--- a/internal/member/messenger/server.go
+++ b/internal/member/messenger/server.go
@@ -36,7 +36,10 @@
 		return eris.Wrap(err, "register peer service")
 	}
 	if o.TLS != nil {
-		listener = tls.NewListener(listener, o.TLS)
+		listener = tls.NewListener(listener, &tls.Config{
+			MinVersion:         tls.VersionTLS13,
+			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return o.TLS(), nil },
+		})
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return eris.Wrap(server.Serve(ctx, listener), "serve peers")
