Refuse every bad input with a code, its field and its bound

No test covered input that does not fit.

The number is now compared before it becomes a duration, types are named in JSON terms, and durations and payload are read per field. A refusal of a document lists its errors in the message, X-First-Attempt is 1 or absent, and unknown paths and methods get a numbered code as well. Each case is checked for its code, message, ran = not_run, an unchanged table and no call that reached an upstream.

Before the fixes TestBadInput fails in wrong_type, wrong_type_of_a_table, duration, payload and deadline_overflow (nil pointer: the call ran on). With the account check of ownJob switched off TestJobOfAnotherAccount fails. With all of it the package passes under -race.

--- a/internal/entry/server/answer.go
+++ b/internal/entry/server/answer.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"reflect"
 	"strconv"
+	"strings"
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/document/decoder"
@@ -17,7 +19,11 @@
 	failure := asFailure(err)
 	var faults decoder.Faults
 	errors.As(err, &faults)
-	s.refusal(w, failure.Code, failure.Ran, failure.Message, id, faults)
+	message := failure.Message
+	if len(faults) > 0 {
+		message += ": " + strings.ReplaceAll(faults.Error(), "\n", "; ")
+	}
+	s.refusal(w, failure.Code, failure.Ran, message, id, faults)
 }
 
 // asFailure gives every error a code.
@@ -77,6 +83,22 @@
 	return nil
 }
 
+// jsonType names the JSON type of a Go type.
+func jsonType(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a string"
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice, reflect.Array:
+		return "a list"
+	default:
+		return "a number"
+	}
+}
+
 // badJSON names the field that a decoding error is about.
 func badJSON(err error) error {
 	var tooLarge *http.MaxBytesError
@@ -85,7 +107,7 @@
 	}
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
-		return primrosespar.Fail(primrosespar.CodeBadRequest, "field %q is a %s, it must be a %s", wrongType.Field, wrongType.Value, wrongType.Type)
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "field %q is a %s, it must be %s", wrongType.Field, wrongType.Value, jsonType(wrongType.Type))
 	}
 	const unknown = "json: unknown field "
 	if text := err.Error(); len(text) > len(unknown) && text[:len(unknown)] == unknown {
--- a/internal/entry/server/calls.go
+++ b/internal/entry/server/calls.go
@@ -51,6 +51,9 @@
 	if len(call.ContentType) > maxTypeBytes {
 		return call, primrosespar.Fail(primrosespar.CodeBadRequest, "header Content-Type has more than %d bytes", maxTypeBytes)
 	}
+	if first := r.Header.Get("X-First-Attempt"); first != "" && first != "1" {
+		return call, primrosespar.Fail(primrosespar.CodeBadRequest, "header X-First-Attempt is %q, it must be 1 or absent", first)
+	}
 	if err := s.readDeadline(r, &call, now); err != nil {
 		return call, err
 	}
@@ -74,13 +77,14 @@
 		return nil
 	}
 	ms, err := strconv.ParseInt(value, 10, 64)
-	left := time.Duration(ms) * time.Millisecond
-	if err != nil || ms < 1 || left > s.options.MaxDeadline {
+	// The number is compared before it is a duration, because a large one
+	// would wrap round into the allowed range.
+	if err != nil || ms < 1 || ms > s.options.MaxDeadline.Milliseconds() {
 		return primrosespar.Fail(primrosespar.CodeOutOfRange,
 			"header X-Deadline-Ms is %q, it must be from 1 to %d", value, s.options.MaxDeadline.Milliseconds())
 	}
-	call.Left = left
-	call.Deadline = now.Add(left)
+	call.Left = time.Duration(ms) * time.Millisecond
+	call.Deadline = now.Add(call.Left)
 	return nil
 }
 
--- /dev/null
+++ b/internal/entry/server/input_test.go
@@ -0,0 +1,200 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
+	"primrosespar.example/primrosespar/internal/contract/parser"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
+	"primrosespar.example/primrosespar/internal/entry/meter"
+	"primrosespar.example/primrosespar/internal/entry/server"
+	"primrosespar.example/primrosespar/internal/operator/caller"
+	"primrosespar.example/primrosespar/internal/place/submitter"
+	"primrosespar.example/primrosespar/internal/request/router"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// ran is a dispatcher that counts the calls that got past all checks.
+type ran struct{ calls int }
+
+func (r *ran) Acquire(context.Context, primrosespar.Call) (primrosespar.Grant, error) {
+	r.calls++
+	return nil, primrosespar.Fail(primrosespar.CodeNoUpstream, "no upstream")
+}
+
+// nothing is a recorder that drops records.
+type nothing struct{}
+
+func (nothing) Record(primrosespar.Decision) {}
+
+// fixture is a server over an in-memory table with one contract.
+type fixture struct {
+	handler  http.Handler
+	table    *keeper.Keeper
+	ran      *ran
+	document string
+}
+
+func newFixture(t *testing.T) fixture {
+	clock := clockwork.NewFakeClock()
+	document, err := os.ReadFile("../../../examples/coop/derwent-haulage.contract.toml")
+	require.NoError(t, err)
+	contract, err := parser.Parse(document)
+	require.NoError(t, err)
+	var workers []primrosespar.WorkerEntry
+	for i := range 48 {
+		place := []primrosespar.Place{"burnie-a", "brighton-a", "campbell-a"}[i/16]
+		rack := primrosespar.Rack([]string{"a", "b"}[i/8%2])
+		workers = append(workers, primrosespar.WorkerEntry{Place: place, Rack: rack, Position: i % 8, Accelerators: 8})
+	}
+	all := func(context.Context) ([]primrosespar.WorkerEntry, error) { return workers, nil }
+	f := fixture{table: keeper.New(keeper.WithClock(clock)), ran: &ran{}, document: string(document)}
+	view := contracts{primrosespar.ContractView{Revision: 1, Contracts: []primrosespar.VersionedContract{{Contract: contract, Version: 1}}}}
+	amendments := amender.New(amender.WithTable(f.table), amender.WithClock(clock), amender.WithPlaces("burnie-a", "brighton-a", "campbell-a"), amender.WithWorkers(all))
+	_, err = amendments.Amend(t.Context(), amender.Amendment{ID: "first", Account: contract.Account, Document: document})
+	require.NoError(t, err)
+	check := func(shape primrosespar.Shape) error {
+		if shape.Block > 64 {
+			return primrosespar.Fail(primrosespar.CodeImpossibleShape, "the shape needs %d adjacent accelerators, the largest rack has 64", shape.Block)
+		}
+		return nil
+	}
+	f.handler = server.New(server.Parts{
+		Place: "burnie-a", Clock: clock, Contracts: view, Meter: meter.New(), Amender: amendments, Recorder: nothing{}, AllWorkers: all,
+		Router: router.New(router.WithProcess("burnie-a", "h"), router.WithClock(clock), router.WithContracts(view, f.ran), router.WithRecorder(nothing{})),
+		Authorizer: authorizer.New(
+			authorizer.Token{Secret: "caller", Role: authorizer.RoleCaller, Account: "derwent-haulage"},
+			authorizer.Token{Secret: "other", Role: authorizer.RoleCaller, Account: "other"},
+			authorizer.Token{Secret: "operator", Role: authorizer.RoleOperator}),
+		Jobs:   submitter.New(f.table, view, clock, submitter.Check(check)),
+		NewID:  func() primrosespar.RequestID { return "r-1" },
+		Notify: func(primrosespar.Place, primrosespar.JobID) {},
+	}, server.MaxBody(4096)).Operators()
+	return f
+}
+
+// send sends a request; headers are "Name: value" lines.
+func (f fixture) send(t *testing.T, route, token, headers, body string) (int, caller.Refusal) {
+	method, path, _ := strings.Cut(route, " ")
+	r := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	for line := range strings.SplitSeq(headers, "|") {
+		if name, value, ok := strings.Cut(line, ": "); ok {
+			r.Header.Set(name, value)
+		}
+	}
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	var refusal caller.Refusal
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &refusal), "%s: %s", route, w.Body)
+	return w.Code, refusal
+}
+
+// rows returns all rows of the table.
+func (f fixture) rows(t *testing.T) []primrosespar.Row {
+	rows, err := f.table.Scan(t.Context(), "", "", 1000)
+	require.NoError(t, err)
+	return rows
+}
+
+// badInput is one request that must be refused.
+type badInput struct {
+	name, route, token, headers, body string
+	code                              primrosespar.Code
+	// message is what the refusal must name: the field and the bound.
+	message string
+}
+
+func badInputs(document string) []badInput {
+	const (
+		call, job, put = "POST /v1/requests/booking", "POST /v1/jobs", "PUT /v1/contracts/derwent-haulage"
+		amend          = "If-Match: 1|X-Amendment-Id: second"
+		class          = `"class":"allotment"`
+	)
+	return []badInput{
+		{"malformed JSON", job, "caller", "", `{"class":`, primrosespar.CodeBadSyntax, "not a JSON document"},
+		{"binary body", job, "caller", "", "\x00\xff\xfe", primrosespar.CodeBadSyntax, "not a JSON document"},
+		{"wrong type", job, "caller", "", `{"shape":{"members":"two"}}`, primrosespar.CodeBadRequest, `"shape.members" is a string, it must be a number`},
+		{"wrong type of a table", job, "caller", "", `{"shape":7}`, primrosespar.CodeBadRequest, `"shape" is a number, it must be an object`},
+		{"unknown field", job, "caller", "", `{"klass":"x"}`, primrosespar.CodeUnknownField, `"klass"`},
+		{"trailing data", job, "caller", "", `{} {}`, primrosespar.CodeBadSyntax, "after its JSON document"},
+		{"oversized job", job, "caller", "", `{"work":"` + strings.Repeat("A", 5000) + `"}`, primrosespar.CodeBodyTooLarge, "4096 bytes"},
+		{"oversized call", call, "caller", "X-Request-Key: k", strings.Repeat("A", 5000), primrosespar.CodeBodyTooLarge, "4096 bytes"},
+		{"duration", job, "caller", "", `{` + class + `,"declared":"soon"}`, primrosespar.CodeBadRequest, "declared"},
+		{"payload", job, "caller", "", `{` + class + `,"work":"%%%"}`, primrosespar.CodeBadRequest, "work"},
+		{"deadline zero", call, "caller", "X-Request-Key: k|X-Deadline-Ms: 0", "", primrosespar.CodeOutOfRange, "X-Deadline-Ms is \"0\", it must be from 1 to 300000"},
+		{"deadline overflow", call, "caller", "X-Request-Key: k|X-Deadline-Ms: 18446744073710", "", primrosespar.CodeOutOfRange, "from 1 to 300000"},
+		{"first attempt", call, "caller", "X-Request-Key: k|X-First-Attempt: yes", "", primrosespar.CodeBadRequest, "X-First-Attempt"},
+		{"unknown account", call, "operator", "X-Account: nobody|X-Request-Key: k", "", primrosespar.CodeUnknownAccount, `"nobody"`},
+		{"unknown class", "POST /v1/requests/nothing", "caller", "", "", primrosespar.CodeUnknownClass, `"nothing"`},
+		{"gang class as request", "POST /v1/requests/allotment", "caller", "", "", primrosespar.CodeUnknownClass, `"allotment"`},
+		{"request class as gang", job, "caller", "", `{"class":"booking","shape":{"members":1,"block":1}}`, primrosespar.CodeUnknownClass, `"booking"`},
+		{"missing key", call, "caller", "", "", primrosespar.CodeKeyMissing, `"booking"`},
+		{"bad key", call, "caller", "X-Request-Key: a/b", "", primrosespar.CodeBadRequest, "X-Request-Key must have at most 256"},
+		{"long key", call, "caller", "X-Request-Key: " + strings.Repeat("k", 257), "", primrosespar.CodeBadRequest, "X-Request-Key must have at most 256"},
+		{"impossible shape", job, "caller", "", `{` + class + `,"shape":{"members":1,"block":128}}`, primrosespar.CodeImpossibleShape, "largest rack has 64"},
+		{"negative members", job, "caller", "", `{` + class + `,"shape":{"members":-1,"block":1}}`, primrosespar.CodeOutOfRange, "shape.members is -1, it must be from 1 to 512"},
+		{"negative cores", job, "caller", "", `{` + class + `,"shape":{"members":1,"block":1,"cores":-1}}`, primrosespar.CodeOutOfRange, "shape.cores"},
+		{"block", job, "caller", "", `{` + class + `,"shape":{"members":1,"block":3}}`, primrosespar.CodeOutOfRange, "shape.block is 3, it must be a power of two"},
+		{"unknown place", job, "caller", "", `{` + class + `,"place":"hobart","shape":{"members":1,"block":1}}`, primrosespar.CodeWrongPlace, "burnie-a, brighton-a, campbell-a"},
+		{"other account's token", call, "other", "X-Account: derwent-haulage", "", primrosespar.CodeForbidden, `"derwent-haulage"`},
+		{"no token", call, "", "", "", primrosespar.CodeUnauthorized, "Authorization"},
+		{"unknown token", call, "wrong", "", "", primrosespar.CodeUnauthorized, "token"},
+		{"operator's call", put, "caller", amend, document, primrosespar.CodeForbidden, "operator"},
+		{"no TOML", put, "operator", amend, "{", primrosespar.CodeContractInvalid, "line 1"},
+		{"contract field", put, "operator", amend, strings.Replace(document, "weight = 6", "weight = -6", 1), primrosespar.CodeContractInvalid, "weight: -6 is out of range; the bounds are 1 to 1000"},
+		{"guarantee above a rack", put, "operator", amend, strings.Replace(document, "block = 64", "block = 128", 1), primrosespar.CodeGuaranteesDontPack, "128"},
+		{"base version", put, "operator", "If-Match: x|X-Amendment-Id: second", document, primrosespar.CodeBadRequest, "If-Match"},
+		{"amended since", put, "operator", "If-Match: 0|X-Amendment-Id: second", document, primrosespar.CodeVersionConflict, "1"},
+		{"unknown path", "GET /v1/nothing", "caller", "", "", primrosespar.CodeNotFound, "/v1/nothing"},
+		{"unknown method", "PATCH /v1/jobs", "caller", "", "", primrosespar.CodeBadRequest, "PATCH"},
+	}
+}
+
+// TestBadInput guards against input that is accepted in part, that runs, or
+// whose refusal has no code or does not say what is wrong.
+func TestBadInput(t *testing.T) {
+	f := newFixture(t)
+	before := f.rows(t)
+	for _, in := range badInputs(f.document) {
+		t.Run(in.name, func(t *testing.T) {
+			_, refusal := f.send(t, in.route, in.token, in.headers, in.body)
+			require.Equal(t, in.code, refusal.Code, refusal.Message)
+			require.Contains(t, refusal.Message, in.message)
+			require.Equal(t, primrosespar.RanNot, refusal.Ran)
+			require.Equal(t, before, f.rows(t), "the refused request was applied in part")
+			require.Zero(t, f.ran.calls, "the refused request got to an upstream")
+		})
+	}
+}
+
+// TestJobOfAnotherAccount guards against an answer that tells whether a job of
+// another account exists.
+func TestJobOfAnotherAccount(t *testing.T) {
+	f := newFixture(t)
+	status, _ := f.send(t, "POST /v1/jobs", "caller", "X-Request-Key: k", `{"class":"allotment","shape":{"members":1,"block":1}}`)
+	require.Equal(t, http.StatusAccepted, status)
+	rows, err := f.table.Scan(t.Context(), primrosespar.GangPrefix("burnie-a"), "", 1)
+	require.NoError(t, err)
+	id := strings.TrimPrefix(rows[0].Key, primrosespar.GangPrefix("burnie-a"))
+	absent := "burnie-a." + strings.Repeat("0", 24)
+	for _, method := range []string{"GET", "DELETE"} {
+		status, theirs := f.send(t, method+" /v1/jobs/"+id, "other", "", "")
+		absentStatus, none := f.send(t, method+" /v1/jobs/"+absent, "other", "", "")
+		none.Message = strings.ReplaceAll(none.Message, absent, id)
+		require.Equal(t, none, theirs)
+		require.Equal(t, absentStatus, status)
+	}
+}
--- a/internal/entry/server/jobs.go
+++ b/internal/entry/server/jobs.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"encoding/base64"
 	"net/http"
 	"time"
 
@@ -16,8 +17,8 @@
 	if s.draining.Load() {
 		return primrosespar.Fail(primrosespar.CodeDraining, "the host is shutting down")
 	}
-	var body caller.JobRequest
-	if err := readJSON(r, &body); err != nil {
+	body, err := readJob(r)
+	if err != nil {
 		return err
 	}
 	if body.Account == "" {
@@ -42,6 +43,50 @@
 	return nil
 }
 
+// readJob reads the body of a submission. Durations and the payload are read
+// from text here, so that a refusal names their field.
+func readJob(r *http.Request) (caller.JobRequest, error) {
+	var text struct {
+		Account     primrosespar.Account `json:"account"`
+		Class       primrosespar.Class   `json:"class"`
+		Place       primrosespar.Place   `json:"place"`
+		Shape       primrosespar.Shape   `json:"shape"`
+		Claim       bool                 `json:"claim"`
+		Preemptible bool                 `json:"preemptible"`
+		Declared    *string              `json:"declared"`
+		Deadline    *string              `json:"deadline"`
+		Work        *string              `json:"work"`
+	}
+	if err := readJSON(r, &text); err != nil {
+		return caller.JobRequest{}, err
+	}
+	body := caller.JobRequest{
+		Account: text.Account, Class: text.Class, Place: text.Place, Shape: text.Shape,
+		Claim: text.Claim, Preemptible: text.Preemptible,
+	}
+	for _, span := range []struct {
+		field string
+		text  *string
+		into  *caller.Span
+	}{{"declared", text.Declared, &body.Declared}, {"deadline", text.Deadline, &body.Deadline}} {
+		if span.text == nil {
+			continue
+		}
+		if err := span.into.UnmarshalText([]byte(*span.text)); err != nil {
+			return body, primrosespar.Fail(primrosespar.CodeBadRequest,
+				"field %q is %q, it must be a duration such as \"1h30m\"", span.field, *span.text)
+		}
+	}
+	if text.Work != nil {
+		work, err := base64.StdEncoding.DecodeString(*text.Work)
+		if err != nil {
+			return body, primrosespar.Fail(primrosespar.CodeBadRequest, "field \"work\" is not base64: %s", err.Error())
+		}
+		body.Work = work
+	}
+	return body, nil
+}
+
 // job turns the body into a job; without a place it is for this one.
 func (s *Server) job(body caller.JobRequest) primrosespar.Job {
 	job := primrosespar.Job{
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -165,7 +165,14 @@
 const drainPoll = 20 * time.Millisecond
 
 // limited bounds what any request may cost before it is looked at.
-func (s *Server) limited(next http.Handler) http.Handler {
+func (s *Server) limited(next *httprouter.Router) http.Handler {
+	next.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, primrosespar.Fail(primrosespar.CodeNotFound, "the path %q does not exist", r.URL.Path), "")
+	})
+	next.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		failure := primrosespar.Fail(primrosespar.CodeBadRequest, "the path has no method %s; it has %s", r.Method, w.Header().Get("Allow"))
+		s.refusalWith(w, http.StatusMethodNotAllowed, failure)
+	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, s.options.MaxBody)
 		next.ServeHTTP(w, r)
