Prove from the imports that the decision core has no I/O

docs/design.md says that a test proves from the import graph that the decision core has no sockets, files, timers, random source or wall clock. That test did not exist.

imports_test.go parses the sources of the 17 core packages and of every package of the module that they import. It refuses the imports net, net/http, os, os/exec, syscall, math/rand, math/rand/v2 and crypto/rand, and uses of time.Now, Since, Until, After, Sleep, Tick, NewTimer, NewTicker and AfterFunc. A second test refuses imports of internal/standin by cmd/primrosespar and by internal outside of it.

Both pass on the present sources; nothing had to be fixed. With net and time.Now added to packer, math/rand/v2 to document/decoder and the keeper to meter, they report each: "packer/probe.go uses time.Now", "packer/probe.go imports net", "decoder/probe.go imports math/rand/v2 (in the core by itself -> internal/contract/parser)", "meter/probe.go imports .../internal/standin/keeper". make lint build race passes.

--- /dev/null
+++ b/imports_test.go
@@ -0,0 +1,140 @@
+package primrosespar_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const module = "primrosespar.example/primrosespar"
+
+// core are the packages of the decision core, by directory.
+func core() []string {
+	return []string{
+		".",
+		"internal/request/claimer", "internal/request/minter", "internal/request/admitter",
+		"internal/request/balancer", "internal/request/retrier",
+		"internal/place/packer", "internal/place/planner", "internal/place/estimator",
+		"internal/place/assembler", "internal/place/quarantiner",
+		"internal/member/leaser", "internal/member/watcher", "internal/member/divider",
+		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
+	}
+}
+
+// forbiddenImports give sockets, files, processes or random numbers.
+func forbiddenImports() []string {
+	return []string{"net", "net/http", "os", "os/exec", "syscall", "math/rand", "math/rand/v2", "crypto/rand"}
+}
+
+// forbiddenCalls read the wall clock or start timers.
+func forbiddenCalls() []string {
+	return []string{"Now", "Since", "Until", "After", "Sleep", "NewTimer", "NewTicker", "Tick", "AfterFunc"}
+}
+
+// source is what one package imports and calls, without its tests.
+type source struct {
+	imports map[string]string // import path to the file that has it
+	faults  []string
+}
+
+// read parses the sources of one directory.
+func read(t *testing.T, dir string) source {
+	s := source{imports: map[string]string{}}
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	require.NoError(t, err)
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		require.NoError(t, err)
+		clock := ""
+		for _, i := range file.Imports {
+			imported, err := strconv.Unquote(i.Path.Value)
+			require.NoError(t, err)
+			s.imports[imported] = name
+			if imported == "time" {
+				clock = "time"
+				if i.Name != nil {
+					clock = i.Name.Name
+				}
+			}
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			selector, ok := n.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			if x, ok := selector.X.(*ast.Ident); ok && x.Name == clock && x.Obj == nil && slices.Contains(forbiddenCalls(), selector.Sel.Name) {
+				s.faults = append(s.faults, name+" uses time."+selector.Sel.Name)
+			}
+			return true
+		})
+	}
+	for _, imported := range forbiddenImports() {
+		if name, ok := s.imports[imported]; ok {
+			s.faults = append(s.faults, name+" imports "+imported)
+		}
+	}
+	return s
+}
+
+// TestCoreHasNoInputOrOutput guards against a decision that depends on a
+// socket, file, timer, random source or wall clock, directly or through
+// another package of the module, which no test could then repeat.
+func TestCoreHasNoInputOrOutput(t *testing.T) {
+	seen := map[string]bool{}
+	var visit func(dir, from string)
+	visit = func(dir, from string) {
+		if seen[dir] {
+			return
+		}
+		seen[dir] = true
+		s := read(t, dir)
+		require.NotEmpty(t, s.imports, "no sources in %s", dir)
+		for _, fault := range s.faults {
+			t.Errorf("%s (in the core by %s)", fault, from)
+		}
+		for imported := range s.imports {
+			if inner, ok := strings.CutPrefix(imported, module+"/"); ok {
+				visit(inner, from+" -> "+dir)
+			}
+		}
+	}
+	for _, dir := range core() {
+		visit(dir, "itself")
+	}
+}
+
+// TestProductDoesNotImportStandin guards against a product that contains the
+// stand-ins of the platform.
+func TestProductDoesNotImportStandin(t *testing.T) {
+	checked := 0
+	for _, root := range []string{"cmd/primrosespar", "internal"} {
+		require.NoError(t, filepath.WalkDir(root, func(dir string, d fs.DirEntry, err error) error {
+			if err != nil || !d.IsDir() {
+				return err
+			}
+			if dir = path.Clean(filepath.ToSlash(dir)); dir == "internal/standin" {
+				return fs.SkipDir
+			}
+			for imported, file := range read(t, dir).imports {
+				checked++
+				if strings.HasPrefix(imported, module+"/internal/standin") {
+					t.Errorf("%s imports %s", file, imported)
+				}
+			}
+			return nil
+		}))
+	}
+	require.Positive(t, checked)
+}
