--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -23,7 +23,9 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/certifier"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
+	"primrosespar.example/primrosespar/internal/entry/limiter"
 	"primrosespar.example/primrosespar/internal/member/messenger"
 )
 
@@ -44,7 +46,7 @@
 	Started func(Addresses)
 	// PublicTLS and PeerTLS encrypt the listeners; nil leaves them plain.
 	PublicTLS *tls.Config
-	PeerTLS   *tls.Config
+	PeerTLS   func() *tls.Config
 	// Version is shown in the status.
 	Version string
 	// Grace is how long an unready host goes on taking new work, so that the
@@ -66,8 +68,9 @@
 }
 
 // TLS sets the encryption of the listeners for callers and operators and of
-// the messages between hosts.
-func TLS(public, peers *tls.Config) Option {
+// each new connection between hosts. Without it Run takes both from the files
+// that the settings name.
+func TLS(public *tls.Config, peers func() *tls.Config) Option {
 	return func(o *Options) { o.PublicTLS, o.PeerTLS = public, peers }
 }
 
@@ -97,7 +100,21 @@
 
 // New returns a Daemon that is not running.
 func New(settings configurer.Settings, platform Platform, opts ...Option) *Daemon {
-	return &Daemon{settings: settings, platform: platform, options: newOptions(opts)}
+	return &Daemon{settings: settings, platform: bound(platform, settings.Timeouts.PlatformCall), options: newOptions(opts)}
+}
+
+// loadKeys reads the TLS files; without any it returns nil.
+func (d *Daemon) loadKeys() (*certifier.Certifier, error) {
+	if !d.settings.TLS.Enabled() || d.options.PublicTLS != nil {
+		return nil, nil
+	}
+	keys, err := certifier.New(certifier.Files(d.settings.TLS), certifier.WithClock(d.options.Clock),
+		certifier.WithFailed(func(err error) { d.note("tls", err) }))
+	if err != nil {
+		return nil, err
+	}
+	TLS(keys.Public(), keys.Peers)(&d.options)
+	return keys, nil
 }
 
 // listeners are the three open listeners.
@@ -107,6 +124,10 @@
 
 // Run serves until ctx ends and then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
+	keys, err := d.loadKeys()
+	if err != nil {
+		return err
+	}
 	open, err := d.listen(ctx)
 	if err != nil {
 		return err
@@ -119,6 +140,9 @@
 	defer stop()
 	var wg conc.WaitGroup
 	host.start(work, &wg)
+	if keys != nil {
+		wg.Go(func() { keys.Run(work) })
+	}
 	wg.Go(func() { d.note("peers", messenger.Serve(work, open.peers, host, host.messengerOptions()...)) })
 	callers := d.serve(open.callers, host.server.Callers(), &wg)
 	operators := d.serve(open.operators, host.server.Operators(), &wg)
@@ -151,6 +175,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         d.options.PublicTLS,
 	}
+	l = limiter.New(l, d.settings.Limits.Connections)
 	if d.options.PublicTLS != nil {
 		l = tls.NewListener(l, d.options.PublicTLS)
 	}
@@ -204,10 +229,10 @@
 }
 
 func (l listeners) addresses() Addresses {
-	return Addresses{Callers: bound(l.callers), Operators: bound(l.operators), Peers: bound(l.peers)}
+	return Addresses{Callers: boundTo(l.callers), Operators: boundTo(l.operators), Peers: boundTo(l.peers)}
 }
 
-func bound(l net.Listener) netip.AddrPort {
+func boundTo(l net.Listener) netip.AddrPort {
 	address, _ := netip.ParseAddrPort(l.Addr().String())
 	return address
 }
