Bound the rate at which a host accepts jobs of a class

Cause: rate_per_second and burst of gang classes had no effect. Change: each host accepts its part of the place's share; tests of repeated submissions, lost answers, rates and restricted places. Result: without the check TestRateOfTheHost accepts 10 of 10 jobs instead of 2.

--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -196,7 +196,7 @@
 		Place: s.Place, Host: s.Host, Clock: clock, Router: h.router, Contracts: h.contracts,
 		Authorizer: authorizer.New(tokensOf(s)...), Meter: h.meter,
 		Jobs: submitter.New(d.platform.Table, h.contracts, clock,
-			append(submitterOptions(s), submitter.Random(random), submitter.Check(h.racks.check))...),
+			append(submitterOptions(s), submitter.Random(random), submitter.Check(h.racks.check), submitter.Hosts(func() int { return len(h.dispatcher.View().Live) }))...),
 		Mint: h.mint, NewID: newRequest, Notify: h.notify,
 		Amender: h.amender, Objects: d.platform.Objects, Recorder: h.counted,
 		AllWorkers: h.racks.all, Status: h.status, Flush: h.recorder.Flush,
--- a/internal/place/submitter/check.go
+++ b/internal/place/submitter/check.go
@@ -44,7 +44,14 @@
 	}
 	job.Submitted = s.clock.Now().UTC()
 	job.ContractVersion = found.Version
-	return job, s.options.Check(job.Shape)
+	if err := s.options.Check(job.Shape); err != nil {
+		return job, err
+	}
+	if !s.rates.allow(found.Contract, terms, job.Place) {
+		return job, primrosespar.Fail(primrosespar.CodeRateLimited,
+			"class %q accepts %g jobs a second in all places and a burst of %d", job.Class, terms.RatePerSecond, terms.Burst)
+	}
+	return job, nil
 }
 
 func checkPlace(c primrosespar.Contract, place primrosespar.Place) error {
--- a/internal/place/submitter/options.go
+++ b/internal/place/submitter/options.go
@@ -14,6 +14,8 @@
 	Check func(primrosespar.Shape) error
 	// MaxWork bounds the payload of a job in bytes.
 	MaxWork int
+	// Hosts is the number of live hosts of the place, which share its rates.
+	Hosts func() int
 }
 
 // Option sets one option.
@@ -34,8 +36,14 @@
 	return func(o *Options) { o.MaxWork = bytes }
 }
 
+// Hosts sets the number of live hosts of the place.
+func Hosts(f func() int) Option {
+	return func(o *Options) { o.Hosts = f }
+}
+
 func newOptions(opts []Option) Options {
 	o := Options{
+		Hosts:   func() int { return 1 },
 		Random:  randomBytes,
 		Check:   func(primrosespar.Shape) error { return nil },
 		MaxWork: defaultMaxWork,
--- a/internal/place/submitter/submitter.go
+++ b/internal/place/submitter/submitter.go
@@ -42,11 +42,13 @@
 	contracts primrosespar.ContractSource
 	clock     primrosespar.Clock
 	options   Options
+	rates     *rates
 }
 
 // New returns a Submitter.
 func New(table primrosespar.Table, contracts primrosespar.ContractSource, clock primrosespar.Clock, opts ...Option) *Submitter {
-	return &Submitter{table: table, contracts: contracts, clock: clock, options: newOptions(opts)}
+	o := newOptions(opts)
+	return &Submitter{table: table, contracts: contracts, clock: clock, options: o, rates: newRates(clock, o.Hosts)}
 }
 
 // Submit checks the job against its contract and stores it. The answer to a
--- /dev/null
+++ b/internal/place/submitter/submitter_test.go
@@ -0,0 +1,96 @@
+package submitter_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/place/submitter"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+const place = primrosespar.Place("burnie-a")
+
+// contracts is one account with a gang class of two jobs a second.
+type contracts struct{ current bool }
+
+func (c contracts) Current() bool { return c.current }
+
+func (contracts) View() (primrosespar.ContractView, time.Duration) {
+	return primrosespar.ContractView{Revision: 1, Contracts: []primrosespar.VersionedContract{{
+		Version: 3, Contract: primrosespar.Contract{
+			Account: "alpha", MaxAccelerators: 128,
+			Places:  []primrosespar.PlaceShare{{Place: place, Share: 1}},
+			Classes: []primrosespar.ClassTerms{{Class: "allotment", Kind: primrosespar.KindGang, Idempotent: true, RatePerSecond: 2, Burst: 4, Deadline: time.Hour}},
+		},
+	}}}, 0
+}
+
+func newSubmitter(faults keeper.Faults, current bool) (*submitter.Submitter, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	table := keeper.New(keeper.WithClock(clock), keeper.WithFaults(faults))
+	return submitter.New(table, contracts{current}, clock, submitter.Hosts(func() int { return 2 })), clock
+}
+
+func job() primrosespar.Job {
+	return primrosespar.Job{Account: "alpha", Class: "allotment", Place: place, Shape: primrosespar.Shape{Members: 2, Block: 8}}
+}
+
+// TestRepeatedSubmissionIsOneJob guards against a job that runs twice because
+// the caller asked again.
+func TestRepeatedSubmissionIsOneJob(t *testing.T) {
+	s, clock := newSubmitter(keeper.Faults{}, true)
+	first, code, err := s.Submit(context.Background(), job(), "key-1")
+	require.NoError(t, err)
+	require.Equal(t, primrosespar.CodeAccepted, code)
+	clock.Advance(time.Second)
+	again, code, err := s.Submit(context.Background(), job(), "key-1")
+	require.NoError(t, err)
+	require.Equal(t, primrosespar.CodeReplayed, code)
+	require.Equal(t, first.Job.ID, again.Job.ID)
+	other := job()
+	other.Shape.Members = 3
+	clock.Advance(time.Second)
+	_, _, err = s.Submit(context.Background(), other, "key-1")
+	require.Equal(t, primrosespar.CodeKeyReused, primrosespar.CodeOf(err))
+}
+
+// TestLostAnswerIsFound guards against a stored job that is reported as lost.
+func TestLostAnswerIsFound(t *testing.T) {
+	s, _ := newSubmitter(keeper.Faults{LoseEvery: 1}, true)
+	_, code, err := s.Submit(context.Background(), job(), "key-1")
+	require.NoError(t, err)
+	require.Equal(t, primrosespar.CodeAccepted, code)
+}
+
+// TestRateOfTheHost guards against an account that floods the place with jobs:
+// two hosts share 2 jobs a second and a burst of 4.
+func TestRateOfTheHost(t *testing.T) {
+	s, clock := newSubmitter(keeper.Faults{}, true)
+	accepted := func() int {
+		n := 0
+		for range 10 {
+			if _, _, err := s.Submit(context.Background(), job(), ""); err == nil {
+				n++
+			} else {
+				require.Equal(t, primrosespar.CodeRateLimited, primrosespar.CodeOf(err))
+			}
+		}
+		return n
+	}
+	require.Equal(t, 2, accepted())
+	clock.Advance(time.Second)
+	require.Equal(t, 1, accepted())
+}
+
+// TestRestrictedPlaceTakesNoJobs guards against a job admitted under a
+// contract that may have been amended.
+func TestRestrictedPlaceTakesNoJobs(t *testing.T) {
+	s, _ := newSubmitter(keeper.Faults{}, false)
+	_, _, err := s.Submit(context.Background(), job(), "")
+	require.Equal(t, primrosespar.CodeRestricted, primrosespar.CodeOf(err))
+}
