Search contracts without copying those passed over

Cause: ContractView.Find copied each contract on its way; a request searches the view several times. Ruled out: a binary search, since the type does not promise an order. Change: index into the slice.

--- a/contract.go
+++ b/contract.go
@@ -90,9 +90,10 @@
 
 // Find returns the contract of the account.
 func (v ContractView) Find(account Account) (VersionedContract, bool) {
-	for _, c := range v.Contracts {
-		if c.Contract.Account == account {
-			return c, true
+	// Indexing avoids a copy of each contract that is passed over.
+	for i := range v.Contracts {
+		if v.Contracts[i].Contract.Account == account {
+			return v.Contracts[i], true
 		}
 	}
 	return VersionedContract{}, false
