Group the claims of a host into shared transactions

Ruled out: a batcher that sends the first commit at once; its tests require that the first commit waits for others, and they stay as they are. Change: the claimer writes through internal/platform/batcher, closed after the loops that write through it have ended.

--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -19,6 +19,7 @@
 	"primrosespar.example/primrosespar/internal/place/planner"
 	"primrosespar.example/primrosespar/internal/place/runner"
 	"primrosespar.example/primrosespar/internal/place/submitter"
+	"primrosespar.example/primrosespar/internal/platform/batcher"
 	"primrosespar.example/primrosespar/internal/record/recorder"
 	"primrosespar.example/primrosespar/internal/request/claimer"
 	"primrosespar.example/primrosespar/internal/request/dispatcher"
@@ -41,6 +42,7 @@
 	messenger  *messenger.Messenger
 	heartbeats *heartbeater.Heartbeater
 	forwarder  *forwarder.Forwarder
+	batches    *batcher.Batcher
 	claims     *claimer.Claimer
 	router     *router.Router
 	recorder   *recorder.Recorder
@@ -150,8 +152,9 @@
 		minter.WithClock(clock),
 		minter.WithBounds(mintedLife, s.Limits.MintedKeys, mintedBytes),
 	)
+	h.batches = batcher.New(d.platform.Table, batcher.WithClock(clock))
 	h.claims = claimer.New(
-		claimer.WithStore(d.platform.Table, d.platform.Objects),
+		claimer.WithStore(h.batches, d.platform.Objects),
 		claimer.WithClock(clock),
 		claimer.WithAttempts(newAttempt),
 	)
--- a/internal/entry/daemon/loops.go
+++ b/internal/entry/daemon/loops.go
@@ -113,6 +113,7 @@
 
 // close ends what the loops left open.
 func (h *host) close() error {
+	h.batches.Close()
 	h.forwarder.Close()
 	return h.messenger.Close()
 }
