Use the word worker for machines that run tasks

Cause: the planner called them host, which means a machine that runs an entry process, and the packer had Nodes, a word that is not used here.

Change: the planner's type, file and fields are named worker, the packer visits Blocks and its trees have an index. No behaviour changes.

--- a/internal/place/assembler/assembler.go
+++ b/internal/place/assembler/assembler.go
@@ -302,7 +302,7 @@
 }
 
 // next is the state after an attempt that did not finish. Only failures of the
-// job itself count against it: at 44 failed hosts a day a long job on many
+// job itself count against it: at 44 failed machines a day a long job on many
 // workers meets several losses that it did not cause.
 func (a *Assembler) next() primrosespar.GangState {
 	worked := a.phase >= phaseRelease
--- a/internal/place/packer/hold.go
+++ b/internal/place/packer/hold.go
@@ -105,10 +105,10 @@
 	return c
 }
 
-// whole counts the maximal blocks below the node and reports whether the
-// whole node is one.
-func (r *rack) whole(node, level, size int, c *Counts) {
-	first := (node - size>>level) << level
+// whole counts the maximal blocks of the subtree at index and reports whether the
+// whole subtree is one.
+func (r *rack) whole(index, level, size int, c *Counts) {
+	first := (index - size>>level) << level
 	complete := level < Levels
 	for i := first; i < first+1<<level && complete; i++ {
 		complete = i < len(r.line) && r.line[i] != nil
@@ -118,7 +118,7 @@
 		return
 	}
 	if level > 0 {
-		r.whole(2*node, level-1, size, c)
-		r.whole(2*node+1, level-1, size, c)
+		r.whole(2*index, level-1, size, c)
+		r.whole(2*index+1, level-1, size, c)
 	}
 }
--- a/internal/place/packer/locate.go
+++ b/internal/place/packer/locate.go
@@ -25,12 +25,12 @@
 		return supply, false
 	}
 	t := &r.trees[v]
-	node := (t.size + b.Start) >> b.Level
-	if !t.full[node] {
+	index := (t.size + b.Start) >> b.Level
+	if !t.full[index] {
 		return supply, false
 	}
 	level := b.Level
-	for ; node > 1 && level+1 < Levels && t.full[node/2]; node /= 2 {
+	for ; index > 1 && level+1 < Levels && t.full[index/2]; index /= 2 {
 		supply[level]++
 		level++
 	}
@@ -85,9 +85,9 @@
 	return false
 }
 
-// Nodes visits every aligned block of the level that has no dead place in the
+// Blocks visits every aligned block of the level that has no dead place in the
 // line, in order, until visit returns false.
-func (p *Packer) Nodes(level int, visit func(Block) bool) {
+func (p *Packer) Blocks(level int, visit func(Block) bool) {
 	for _, name := range p.names {
 		r := p.racks[name]
 		for start := 0; start+1<<level <= len(r.line); start += 1 << level {
--- a/internal/place/packer/packer.go
+++ b/internal/place/packer/packer.go
@@ -236,12 +236,12 @@
 	p.insert(r, v, n, level)
 }
 
-func (p *Packer) insert(r *rack, v View, node, level int) {
+func (p *Packer) insert(r *rack, v View, index, level int) {
 	p.counts[v][level]++
-	p.sets[v][level].ReplaceOrInsert(r.block(node, level))
+	p.sets[v][level].ReplaceOrInsert(r.block(index, level))
 }
 
-func (p *Packer) remove(r *rack, v View, node, level int) {
+func (p *Packer) remove(r *rack, v View, index, level int) {
 	p.counts[v][level]--
-	p.sets[v][level].Delete(r.block(node, level))
+	p.sets[v][level].Delete(r.block(index, level))
 }
--- a/internal/place/packer/rack.go
+++ b/internal/place/packer/rack.go
@@ -14,7 +14,7 @@
 type tree struct {
 	size int
 	full []bool
-	// open counts the cells of the view below each node.
+	// open counts the cells of the view below each tree index.
 	open []int32
 }
 
@@ -33,9 +33,9 @@
 	cells  []Cell
 }
 
-func (r *rack) block(node, level int) Block {
+func (r *rack) block(index, level int) Block {
 	first := r.trees[0].size >> level
-	return Block{Rack: r.name, Start: (node - first) << level, Level: level}
+	return Block{Rack: r.name, Start: (index - first) << level, Level: level}
 }
 
 // SetWorkers takes new or changed workers. Workers for which blocked returns
--- a/internal/place/planner/backfill.go
+++ b/internal/place/planner/backfill.go
@@ -135,7 +135,7 @@
 	}
 	var found []candidate
 	tries := maxTargets
-	p.pack.Nodes(level, func(b packer.Block) bool {
+	p.pack.Blocks(level, func(b packer.Block) bool {
 		if end, ok := p.freeAt(b, now); ok {
 			found = append(found, candidate{b, end})
 		}
--- a/internal/place/planner/claim.go
+++ b/internal/place/planner/claim.go
@@ -129,7 +129,7 @@
 	}
 	p.pack.Reserve(s.slices, g.job.ID)
 	for _, slice := range s.slices {
-		p.useSlice(p.hosts[slice.Worker], g, slice, 1)
+		p.useSlice(p.workers[slice.Worker], g, slice, 1)
 	}
 	g.slices = append(g.slices, s.slices...)
 }
--- a/internal/place/planner/place.go
+++ b/internal/place/planner/place.go
@@ -52,7 +52,7 @@
 		}
 		p.pack.Hold(taken, g.job.ID, state)
 		for _, s := range taken {
-			p.useSlice(p.hosts[s.Worker], g, s, 1)
+			p.useSlice(p.workers[s.Worker], g, s, 1)
 		}
 		g.slices = append(g.slices, taken...)
 	}
@@ -116,34 +116,34 @@
 // memory belong to guaranteed blocks.
 func (p *Planner) takeSpare(g *gang) bool {
 	for m := range g.job.Shape.Members {
-		h := p.findSpare(g)
-		if h == nil {
+		w := p.findSpare(g)
+		if w == nil {
 			return false
 		}
-		s := primrosespar.Slice{Worker: h.entry.Worker, Member: m}
-		p.useSlice(h, g, s, 1)
+		s := primrosespar.Slice{Worker: w.entry.Worker, Member: m}
+		p.useSlice(w, g, s, 1)
 		g.slices = append(g.slices, s)
 	}
 	return true
 }
 
-func (p *Planner) findSpare(g *gang) *host {
-	var found *host
+func (p *Planner) findSpare(g *gang) *worker {
+	var found *worker
 	for accelerated := range 2 {
 		if accelerated == 1 && !g.borrowed {
 			break
 		}
-		from := &host{entry: primrosespar.WorkerEntry{
+		from := &worker{entry: primrosespar.WorkerEntry{
 			Accelerators: accelerated, Cores: g.need.cores, MemoryBytes: g.need.memory,
 		}}
 		tries := maxTries
-		p.spare.AscendGreaterOrEqual(from, func(h *host) bool {
+		p.spare.AscendGreaterOrEqual(from, func(w *worker) bool {
 			tries--
-			if min(h.entry.Accelerators, 1) != accelerated {
+			if min(w.entry.Accelerators, 1) != accelerated {
 				return false
 			}
-			if h.usable && !p.banned[h.entry.Worker] && h.left().holds(g.need) {
-				found = h
+			if w.usable && !p.banned[w.entry.Worker] && w.left().holds(g.need) {
+				found = w
 			}
 			return found == nil && tries > 0
 		})
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -56,7 +56,7 @@
 type Planner struct {
 	options  Options
 	pack     *packer.Packer
-	hosts    map[primrosespar.Worker]*host
+	workers  map[primrosespar.Worker]*worker
 	kinds    map[kind]int
 	banned   map[primrosespar.Worker]bool
 	accounts map[primrosespar.Account]*account
@@ -69,7 +69,7 @@
 	// checkpointed gangs have saved their state since the last plan.
 	checkpointed map[primrosespar.JobID]*gang
 	// spare orders the workers for members without accelerators.
-	spare *btree.BTreeG[*host]
+	spare *btree.BTreeG[*worker]
 	// demand counts the unclaimed guaranteed blocks, promised all of them.
 	demand, promised packer.Counts
 	// whole is the supply with all accelerators alive and free.
@@ -93,7 +93,7 @@
 func New(opts ...Option) *Planner {
 	p := &Planner{
 		pack:         packer.New(),
-		hosts:        map[primrosespar.Worker]*host{},
+		workers:      map[primrosespar.Worker]*worker{},
 		kinds:        map[kind]int{},
 		banned:       map[primrosespar.Worker]bool{},
 		accounts:     map[primrosespar.Account]*account{},
@@ -117,7 +117,7 @@
 	p.settleRestored()
 	changed := false
 	for _, e := range entries {
-		changed = p.setHost(e) || changed
+		changed = p.setWorker(e) || changed
 		p.noteTasks(e)
 	}
 	if p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] }) {
@@ -140,8 +140,8 @@
 	} else {
 		delete(p.banned, worker)
 	}
-	if h := p.hosts[worker]; h != nil {
-		p.SetWorkers([]primrosespar.WorkerEntry{h.entry})
+	if w := p.workers[worker]; w != nil {
+		p.SetWorkers([]primrosespar.WorkerEntry{w.entry})
 		p.changed = true
 		p.dropBrokenClaims()
 	}
@@ -166,7 +166,7 @@
 // usable reports whether all workers of the slices take new work.
 func (p *Planner) usable(slices []primrosespar.Slice) bool {
 	for _, s := range slices {
-		if h := p.hosts[s.Worker]; h == nil || !h.usable || p.banned[s.Worker] {
+		if w := p.workers[s.Worker]; w == nil || !w.usable || p.banned[s.Worker] {
 			return false
 		}
 	}
--- a/internal/place/planner/host.go
+++ b/internal/place/planner/worker.go
@@ -10,8 +10,9 @@
 	"primrosespar.example/primrosespar/internal/place/estimator"
 )
 
-// host is one worker with its use of cores and memory.
-type host struct {
+// worker holds what the planner knows of one worker, and its use of cores
+// and memory.
+type worker struct {
 	entry  primrosespar.WorkerEntry
 	usable bool
 	used   need
@@ -24,12 +25,12 @@
 	size         need
 }
 
-func (h *host) kind() kind {
-	return kind{h.entry.Accelerators, need{h.entry.Cores, h.entry.MemoryBytes}}
+func (w *worker) kind() kind {
+	return kind{w.entry.Accelerators, need{w.entry.Cores, w.entry.MemoryBytes}}
 }
 
-func (h *host) left() need {
-	return need{h.entry.Cores - h.used.cores, h.entry.MemoryBytes - h.used.memory}
+func (w *worker) left() need {
+	return need{w.entry.Cores - w.used.cores, w.entry.MemoryBytes - w.used.memory}
 }
 
 // share is what count accelerators of a worker of this kind bring along.
@@ -60,7 +61,7 @@
 
 // roomier orders workers without accelerators first, then by free cores, so
 // that a member without accelerators finds the tightest fit.
-func roomier(a, b *host) bool {
+func roomier(a, b *worker) bool {
 	x, y := a.left(), b.left()
 	return cmp.Or(
 		cmp.Compare(min(a.entry.Accelerators, 1), min(b.entry.Accelerators, 1)),
@@ -70,28 +71,28 @@
 	) < 0
 }
 
-// setHost takes the worker and reports whether it offers more or less than
+// setWorker takes the worker and reports whether it offers more or less than
 // before.
-func (p *Planner) setHost(e primrosespar.WorkerEntry) bool {
-	h := p.hosts[e.Worker]
+func (p *Planner) setWorker(e primrosespar.WorkerEntry) bool {
+	w := p.workers[e.Worker]
 	var old kind
 	usable := false
-	if h == nil {
-		h = &host{gangs: map[primrosespar.JobID]*gang{}}
-		p.hosts[e.Worker] = h
+	if w == nil {
+		w = &worker{gangs: map[primrosespar.JobID]*gang{}}
+		p.workers[e.Worker] = w
 	} else {
-		old, usable = h.kind(), h.usable
-		p.spare.Delete(h)
-		if p.kinds[h.kind()]--; p.kinds[h.kind()] == 0 {
-			delete(p.kinds, h.kind())
+		old, usable = w.kind(), w.usable
+		p.spare.Delete(w)
+		if p.kinds[w.kind()]--; p.kinds[w.kind()] == 0 {
+			delete(p.kinds, w.kind())
 		}
 	}
 	e.Tasks = nil
-	h.entry = e
-	h.usable = e.Alive && !e.Leaving
-	p.kinds[h.kind()]++
-	p.spare.ReplaceOrInsert(h)
-	return h.usable != usable || h.kind() != old
+	w.entry = e
+	w.usable = e.Alive && !e.Leaving
+	p.kinds[w.kind()]++
+	p.spare.ReplaceOrInsert(w)
+	return w.usable != usable || w.kind() != old
 }
 
 // noteTasks takes the use that running members report, and notes the gangs of
@@ -152,20 +153,20 @@
 // use adds the gang's cores and memory to its workers, or takes them off.
 func (p *Planner) use(g *gang, sign int) {
 	for _, s := range g.slices {
-		if h := p.hosts[s.Worker]; h != nil {
-			p.useSlice(h, g, s, sign)
+		if w := p.workers[s.Worker]; w != nil {
+			p.useSlice(w, g, s, sign)
 		}
 	}
 }
 
-func (p *Planner) useSlice(h *host, g *gang, s primrosespar.Slice, sign int) {
-	p.spare.Delete(h)
-	h.used = h.used.plus(g.need.part(s.Count, g.job.Shape.Block), sign)
-	p.spare.ReplaceOrInsert(h)
+func (p *Planner) useSlice(w *worker, g *gang, s primrosespar.Slice, sign int) {
+	p.spare.Delete(w)
+	w.used = w.used.plus(g.need.part(s.Count, g.job.Shape.Block), sign)
+	p.spare.ReplaceOrInsert(w)
 	if sign > 0 {
-		h.gangs[g.job.ID] = g
+		w.gangs[g.job.ID] = g
 	} else {
-		delete(h.gangs, g.job.ID)
+		delete(w.gangs, g.job.ID)
 	}
 }
 
@@ -177,29 +178,29 @@
 	if !g.preemptible() && !p.withinShare(g, taken) {
 		return false
 	}
-	return p.eachWorker(g, taken, func(h *host, _ int, want need) bool {
-		return h.left().holds(want)
+	return p.eachWorker(g, taken, func(w *worker, _ int, want need) bool {
+		return w.left().holds(want)
 	})
 }
 
 // withinShare reports whether the gang's members need no more than their
 // accelerators bring along.
 func (p *Planner) withinShare(g *gang, taken []primrosespar.Slice) bool {
-	return p.eachWorker(g, taken, func(h *host, count int, want need) bool {
-		return h.kind().share(count).holds(want)
+	return p.eachWorker(g, taken, func(w *worker, count int, want need) bool {
+		return w.kind().share(count).holds(want)
 	})
 }
 
 // eachWorker calls f once per worker with the accelerators and the need of the
 // gang's members there until f returns false.
-func (p *Planner) eachWorker(g *gang, taken []primrosespar.Slice, f func(*host, int, need) bool) bool {
+func (p *Planner) eachWorker(g *gang, taken []primrosespar.Slice, f func(*worker, int, need) bool) bool {
 	for i := 0; i < len(taken); {
 		name, count, want := taken[i].Worker, 0, need{}
 		for ; i < len(taken) && taken[i].Worker == name; i++ {
 			count += taken[i].Count
 			want = want.plus(g.need.part(taken[i].Count, g.job.Shape.Block), 1)
 		}
-		if h := p.hosts[name]; h == nil || !f(h, count, want) {
+		if w := p.workers[name]; w == nil || !f(w, count, want) {
 			return false
 		}
 	}
@@ -210,22 +211,22 @@
 // the slices for their cores and memory, least lost work first. It reports
 // false if that is not enough.
 func (p *Planner) crowd(g *gang, taken []primrosespar.Slice, victims map[primrosespar.JobID]*gang, now time.Time) bool {
-	return p.eachWorker(g, taken, func(h *host, _ int, want need) bool {
-		left := h.left()
-		for id, v := range h.gangs {
+	return p.eachWorker(g, taken, func(w *worker, _ int, want need) bool {
+		left := w.left()
+		for id, v := range w.gangs {
 			if victims[id] != nil {
-				left = left.plus(v.needOn(h), 1)
+				left = left.plus(v.needOn(w), 1)
 			}
 		}
 		if left.holds(want) {
 			return true
 		}
-		for _, v := range h.borrowers(now) {
+		for _, v := range w.borrowers(now) {
 			if victims[v.job.ID] != nil {
 				continue
 			}
 			victims[v.job.ID] = v
-			left = left.plus(v.needOn(h), 1)
+			left = left.plus(v.needOn(w), 1)
 			if left.holds(want) {
 				return true
 			}
@@ -235,10 +236,10 @@
 }
 
 // needOn is what the gang uses on the worker.
-func (g *gang) needOn(h *host) need {
+func (g *gang) needOn(w *worker) need {
 	var sum need
 	for _, s := range g.slices {
-		if s.Worker == h.entry.Worker {
+		if s.Worker == w.entry.Worker {
 			sum = sum.plus(g.need.part(s.Count, g.job.Shape.Block), 1)
 		}
 	}
@@ -246,9 +247,9 @@
 }
 
 // borrowers lists the borrowed gangs on the worker, least lost work first.
-func (h *host) borrowers(now time.Time) []*gang {
+func (w *worker) borrowers(now time.Time) []*gang {
 	var out []*gang
-	for _, g := range h.gangs {
+	for _, g := range w.gangs {
 		if g.borrowed {
 			out = append(out, g)
 		}
