Quarantine workers that fail everything

Cause: the runner reported no task outcomes, so a worker that fails each task at once was always free and took the jobs of the whole place.

Ruled out: a condition on the lease row alone; a late write of the same holder could then replace a newer row, so the row's version is one too.

Change: the runner reports the faults of an attempt that ended, or the success of all members, to the quarantiner, applies its changes to the planner, records them with figures and keeps the quarantines in quarantine/<place>. A new holder restores them after the gangs. Time left counts from the last write, so a takeover can lengthen a quarantine to at most twice its time. A probe under way is not stored.

Conclusion: a job can still use up its three attempts on one bad worker before three jobs have failed there; the planner does not yet avoid a worker on which the job has failed.

--- a/internal/place/bencher/baseline.go
+++ b/internal/place/bencher/baseline.go
@@ -34,6 +34,9 @@
 	b.pack.SetWorkers(entries, nil)
 }
 
+// SetQuarantined is ignored: a baseline knows no quarantine.
+func (b *baseline) SetQuarantined(primrosespar.Worker, bool) {}
+
 // SetContracts takes the quotas.
 func (b *baseline) SetContracts(view primrosespar.ContractView) {
 	for _, c := range view.Contracts {
--- a/internal/place/bencher/bencher.go
+++ b/internal/place/bencher/bencher.go
@@ -282,12 +282,11 @@
 
 // quarantine tells the planner which workers left or returned to service.
 func (b *Bencher) quarantine() {
-	ours, ok := b.planner.(*planner.Planner)
-	if !ok || !b.policy.Quarantine {
+	if !b.policy.Quarantine {
 		return
 	}
 	for _, c := range b.judge.Advance(b.now) {
-		ours.SetQuarantined(c.Worker, c.Quarantined)
+		b.planner.SetQuarantined(c.Worker, c.Quarantined)
 		if !c.Quarantined {
 			continue
 		}
--- a/internal/place/quarantiner/quarantiner.go
+++ b/internal/place/quarantiner/quarantiner.go
@@ -152,6 +152,14 @@
 	return n
 }
 
+// FailedJobs counts the jobs that speak against the worker.
+func (q *Quarantiner) FailedJobs(worker primrosespar.Worker) int {
+	if r := q.workers[worker]; r != nil {
+		return q.blame(r)
+	}
+	return 0
+}
+
 // Advance ends quarantines that are over, starts those that are due and
 // returns the changes in order of the workers' names.
 func (q *Quarantiner) Advance(now time.Time) []Change {
--- a/internal/place/runner/gangs.go
+++ b/internal/place/runner/gangs.go
@@ -88,6 +88,7 @@
 // end takes a gang whose attempt is over and committed.
 func (r *Runner) end(id primrosespar.JobID, entry *gang, now time.Time) {
 	entry.row = entry.assembler.Gang()
+	r.judge(entry)
 	r.release(entry)
 	if entry.row.State == primrosespar.GangQueued {
 		r.planner.Requeue(id, now)
--- a/internal/place/runner/inbox.go
+++ b/internal/place/runner/inbox.go
@@ -27,6 +27,9 @@
 	if err := r.recoverGangs(ctx); err != nil {
 		return err
 	}
+	if err := r.loadQuarantine(ctx); err != nil {
+		return err
+	}
 	now := r.parts.Clock.Now()
 	var orphans []primrosespar.Command
 	for _, e := range entries {
--- a/internal/place/runner/options.go
+++ b/internal/place/runner/options.go
@@ -26,6 +26,8 @@
 	Group int
 	// Flights bounds the calls that run beside the loop.
 	Flights int
+	// Quarantine takes workers out of service that fail everything.
+	Quarantine bool
 }
 
 // Option sets one option.
@@ -46,6 +48,11 @@
 	return func(o *Options) { o.WorkerLease = d }
 }
 
+// Quarantine sets whether workers that fail everything are taken out.
+func Quarantine(on bool) Option {
+	return func(o *Options) { o.Quarantine = on }
+}
+
 const (
 	defaultTick          = 200 * time.Millisecond
 	defaultRenewal       = 2 * time.Second
@@ -73,6 +80,7 @@
 		Page:          defaultPage,
 		Group:         defaultGroup,
 		Flights:       defaultFlights,
+		Quarantine:    true,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/place/runner/runner.go
+++ b/internal/place/runner/runner.go
@@ -25,6 +25,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/member/leaser"
 	"primrosespar.example/primrosespar/internal/place/assembler"
+	"primrosespar.example/primrosespar/internal/place/quarantiner"
 )
 
 // Parts are what a Runner works with.
@@ -79,6 +80,7 @@
 	// holdCommits delays writes after the table was found unavailable.
 	holdCommits time.Time
 	flights     int
+	quarantine  quarantine
 
 	notified chan primrosespar.JobID
 	results  chan func(context.Context)
@@ -187,7 +189,9 @@
 	r.takeContracts()
 	if _, held := r.parts.Lease.Held(); held {
 		r.takeInbox(ctx)
+		r.advanceQuarantine()
 		r.plan()
+		r.saveQuarantine(ctx)
 	}
 	r.stepGangs(ctx)
 	r.publish()
@@ -228,6 +232,7 @@
 	r.tenure = token
 	r.epoch++
 	r.planner = r.parts.Planner()
+	r.quarantine = quarantine{judge: quarantiner.New()}
 	r.gangs = map[primrosespar.JobID]*gang{}
 	r.active = map[primrosespar.JobID]bool{}
 	r.onWorker = map[primrosespar.Worker]map[primrosespar.JobID]bool{}
--- a/internal/place/runner/runner_test.go
+++ b/internal/place/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,10 +52,26 @@
 	return primrosespar.ContractView{Revision: 1, Contracts: []primrosespar.VersionedContract{alpha, beta}}, 0
 }
 
-// records drops decision records.
-type records struct{}
+// records counts the decision records of each kind and code.
+type records struct {
+	mu     sync.Mutex
+	counts map[primrosespar.DecisionKind]map[primrosespar.Code]int
+}
+
+func (r *records) Record(d primrosespar.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts[d.Kind] == nil {
+		r.counts[d.Kind] = map[primrosespar.Code]int{}
+	}
+	r.counts[d.Kind][d.Code]++
+}
 
-func (records) Record(primrosespar.Decision) {}
+func (r *records) count(kind primrosespar.DecisionKind, code primrosespar.Code) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[kind][code]
+}
 
 // world is one place with its workers and table, inside a synctest bubble.
 type world struct {
@@ -63,13 +80,14 @@
 	table   *keeper.Keeper
 	workers *hall.Hall
 	jobs    *submitter.Submitter
+	records *records
 	hosts   int
 }
 
 func newWorld(t *testing.T, racks int) *world {
 	clock := clockwork.NewRealClock()
 	w := &world{
-		t: t, clock: clock,
+		t: t, clock: clock, records: &records{counts: map[primrosespar.DecisionKind]map[primrosespar.Code]int{}},
 		table:   keeper.New(keeper.WithClock(clock)),
 		workers: hall.New(hall.WithClock(clock)),
 	}
@@ -85,7 +103,7 @@
 }
 
 // host starts a host of the place; the returned function kills it.
-func (w *world) host() context.CancelFunc {
+func (w *world) host(opts ...runner.Option) context.CancelFunc {
 	w.hosts++
 	name := fmt.Sprintf("host-%d", w.hosts)
 	ctx, cancel := context.WithCancel(w.t.Context())
@@ -94,18 +112,23 @@
 		Lease: leaser.New(w.table, w.clock, leaser.Identity{
 			Place: place, Host: primrosespar.Host(name), Incarnation: primrosespar.Incarnation(name),
 		}),
-		Contracts: contracts{}, Recorder: records{},
+		Contracts: contracts{}, Recorder: w.records,
 		Planner: func() primrosespar.Planner { return planner.New(planner.WithPlace(place)) },
-	})
+	}, opts...)
 	go func() { _ = r.Run(ctx) }()
 	return cancel
 }
 
 func (w *world) submit(account primrosespar.Account, members, block int, runTime time.Duration, claim bool) primrosespar.JobID {
+	return w.submitWork(account, members, block, runTime, claim, false)
+}
+
+func (w *world) submitWork(account primrosespar.Account, members, block int, runTime time.Duration, claim, fail bool) primrosespar.JobID {
 	work, err := json.Marshal(struct {
 		RunTime int64 `json:"run_time_ms"`
 		Members int   `json:"members"`
-	}{runTime.Milliseconds(), members})
+		Fail    bool  `json:"fail"`
+	}{runTime.Milliseconds(), members, fail})
 	require.NoError(w.t, err)
 	g, _, err := w.jobs.Submit(w.t.Context(), primrosespar.Job{
 		Account: account, Class: "allotment", Place: place, Claim: claim, Declared: runTime, Work: work,
--- a/planner.go
+++ b/planner.go
@@ -61,6 +61,8 @@
 	// SetWorkers takes new or changed workers; a worker that is not alive, is
 	// leaving or is quarantined gets no new work.
 	SetWorkers(entries []WorkerEntry)
+	// SetQuarantined stops or resumes new work on the worker.
+	SetQuarantined(worker Worker, quarantined bool)
 	// SetContracts takes the contracts in force.
 	SetContracts(view ContractView)
 	// Add queues a job. It returns a Failure for a job that can never run.
