Commit the guaranteed blocks that a claim draws on

Cause: a committed gang did not say which guaranteed block its claim is bound to, so a new holder searched a binding, with a bound on the tries, and could bind another block than the one the claim was placed in.

Change: Placement and Gang carry Bindings (block size, units, cells). Restore binds these blocks; one that an amendment took away stays bound until its claims end. Rows without bindings, or with bindings that do not cover all units, are bound by the bounded search as before.

Conclusion: the property is compared only while no claim is queued, since a claim that waits for evictions gives its blocks up.

--- a/internal/place/assembler/assembler.go
+++ b/internal/place/assembler/assembler.go
@@ -272,7 +272,7 @@
 	a.gang.State = a.gang.Then
 	a.gang.Then = ""
 	if a.gang.State == primrosespar.GangQueued {
-		a.gang.Slices = nil
+		a.gang.Slices, a.gang.Bindings = nil, nil
 	}
 	a.enter(phaseSettle, now)
 	return true
@@ -412,7 +412,7 @@
 // Settle writes the last state of a gang that has no members, such as a
 // queued job that was cancelled.
 func Settle(gang primrosespar.Gang, now time.Time, opts ...Option) *Assembler {
-	gang.Slices = nil
+	gang.Slices, gang.Bindings = nil, nil
 	return build(gang, phaseSettle, now, opts)
 }
 
--- a/internal/place/planner/gang.go
+++ b/internal/place/planner/gang.go
@@ -205,11 +205,12 @@
 		g.phase = phaseStopping
 	}
 	p.account(g, 1)
-	if g.job.Claim {
+	if g.job.Claim && !p.rebindCommitted(g, committed.Bindings) {
 		p.restored = append(p.restored, g)
 		return
 	}
 	p.hold(g)
+	p.changed = true
 }
 
 // Requeue frees the accelerators of a placed job and queues it again.
--- a/internal/place/planner/machine_test.go
+++ b/internal/place/planner/machine_test.go
@@ -35,6 +35,9 @@
 	// short is set once a plan was made with too few accelerators for the
 	// guarantees; claims may then stand where they block a repaired block.
 	short bool
+	// unbound jobs have rows of a version that commits no bindings.
+	mixed   bool
+	unbound map[primrosespar.JobID]bool
 }
 
 func (m *machine) do(call func(*planner.Planner)) {
@@ -88,8 +91,9 @@
 	m := &machine{
 		options: append(options, planner.WithPlace(place)),
 		jobs:    map[primrosespar.JobID]primrosespar.Job{}, placed: map[primrosespar.JobID]primrosespar.Placement{},
-		evicted: map[primrosespar.JobID]bool{}, now: time.Unix(1_000_000, 0),
+		evicted: map[primrosespar.JobID]bool{}, unbound: map[primrosespar.JobID]bool{}, now: time.Unix(1_000_000, 0),
 	}
+	m.mixed = rapid.Bool().Draw(t, "rows without bindings")
 	m.workers = drawWorkers(t)
 	m.view = drawView(t, m.workers)
 	m.subject = planner.New(m.options...)
@@ -116,6 +120,9 @@
 	m.do(func(p *planner.Planner) { err = p.Add(job, now) })
 	if err == nil {
 		m.jobs[job.ID] = job
+		if m.mixed && rapid.Bool().Draw(t, "unbound") {
+			m.unbound[job.ID] = true
+		}
 	}
 }
 
@@ -200,7 +207,8 @@
 }
 
 // takeover continues with a new planner that knows only the committed gangs.
-func (m *machine) takeover(*rapid.T) {
+func (m *machine) takeover(t *rapid.T) {
+	before := m.subject.State().Guarantees
 	m.subject = planner.New(m.options...)
 	m.history = nil
 	workers, now := slices.Clone(m.workers), m.now
@@ -210,12 +218,29 @@
 		gang := primrosespar.Gang{Job: m.jobs[id], State: primrosespar.GangQueued}
 		if placement, ok := m.placed[id]; ok {
 			gang.State, gang.Slices, gang.Borrowed = primrosespar.GangRunning, placement.Slices, placement.Borrowed
+			if !m.unbound[id] {
+				gang.Bindings = placement.Bindings
+			}
 		}
 		if m.evicted[id] {
 			gang.State = primrosespar.GangStopping
 		}
 		m.do(func(p *planner.Planner) { p.Restore(gang, now) })
 	}
+	if len(m.unbound) == 0 && !m.claimsWait() {
+		require.Equal(t, before, m.subject.State().Guarantees, "guarantees after a takeover")
+	}
+}
+
+// claimsWait reports whether a claim is queued; one that waits for evictions
+// has reserved blocks, which a takeover gives up.
+func (m *machine) claimsWait() bool {
+	for id, job := range m.jobs {
+		if _, ok := m.placed[id]; job.Claim && !ok {
+			return true
+		}
+	}
+	return false
 }
 
 // check compares the placements with the shapes, the workers and the quotas.
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -305,7 +305,7 @@
 	g.started, g.saved = now, now
 	p.account(g, 1)
 	plan.Placements = append(plan.Placements, primrosespar.Placement{
-		Job: g.job.ID, Slices: g.slices, Borrowed: g.borrowed, Reason: reason, Figures: p.figures(g),
+		Job: g.job.ID, Slices: g.slices, Bindings: g.bindings(), Borrowed: g.borrowed, Reason: reason, Figures: p.figures(g),
 	})
 }
 
--- a/internal/place/planner/planner_test.go
+++ b/internal/place/planner/planner_test.go
@@ -176,3 +176,28 @@
 	p.SetQuarantined("w-0", false)
 	require.Equal(t, []string{"claim"}, placements(p.Plan(start())))
 }
+
+// TestTakeoverKeepsBinding guards against a new holder that binds a claim to
+// another block of its account than the one that it was placed in.
+func TestTakeoverKeepsBinding(t *testing.T) {
+	guarantees := []primrosespar.Guarantee{{Place: place, Block: 4, Count: 1}, {Place: place, Block: 8, Count: 1}}
+	p := fixture(guarantees...)
+	jobs := map[primrosespar.JobID]primrosespar.Job{}
+	for _, id := range []string{"first", "second"} {
+		claim := gangJob(id, "a", 1, 4)
+		claim.Claim = true
+		jobs[claim.ID] = claim
+		require.NoError(t, p.Add(claim, start()))
+	}
+	plan := p.Plan(start())
+	require.Len(t, plan.Placements, 2)
+	second := plan.Placements[1]
+	p.Remove("first", primrosespar.GangDone, start())
+	before := p.State().Guarantees
+	require.Equal(t, 1, before[1].Claimed, "the second claim stands in the larger block")
+	next := fixture(guarantees...)
+	next.Restore(primrosespar.Gang{
+		Job: jobs[second.Job], State: primrosespar.GangRunning, Attempt: 1, Slices: second.Slices, Bindings: second.Bindings,
+	}, start())
+	require.Equal(t, before, next.State().Guarantees)
+}
--- a/internal/place/planner/restore.go
+++ b/internal/place/planner/restore.go
@@ -15,10 +15,71 @@
 	level int
 }
 
-// settleRestored binds guaranteed blocks to the restored claims. The binding is
-// not part of a committed gang and a claim alone may fit several of its
-// account's blocks, so all restored claims are bound together, such that the
-// unclaimed blocks pack.
+// bindings describes the guaranteed blocks that the gang draws on.
+func (g *gang) bindings() []primrosespar.Binding {
+	var out []primrosespar.Binding
+	seen := map[*promise]int{}
+	for _, q := range g.draws {
+		i, known := seen[q]
+		if !known {
+			i = len(out)
+			seen[q] = i
+			out = append(out, primrosespar.Binding{Block: 1 << q.level, Cells: q.cells})
+		}
+		out[i].Units++
+	}
+	return out
+}
+
+// rebindCommitted lets the gang draw on the blocks that it was committed with.
+// It reports false for a row without bindings. A block that the contract no
+// longer guarantees stays bound until its claims end, as for the holder that
+// placed them.
+func (p *Planner) rebindCommitted(g *gang, bindings []primrosespar.Binding) bool {
+	want, _ := units(g.job.Shape)
+	for _, b := range bindings {
+		if len(b.Cells) == 0 {
+			return false
+		}
+		want -= b.Units
+	}
+	if want != 0 {
+		return false
+	}
+	for _, b := range bindings {
+		q := p.promiseAt(g.account, b)
+		for range b.Units {
+			q.draws++
+			g.draws = append(g.draws, q)
+		}
+	}
+	return true
+}
+
+// promiseAt returns the promise that is bound to the cells of the binding,
+// else binds an unclaimed one.
+func (p *Planner) promiseAt(a *account, b primrosespar.Binding) *promise {
+	level := packer.LevelOf(b.Block)
+	for _, q := range a.promises {
+		if q.draws > 0 && q.level == level && coversSlice(q.cells, b.Cells[0]) {
+			return q
+		}
+	}
+	for _, q := range a.promises {
+		if q.draws == 0 && !q.ended && q.level == level {
+			p.bind(q, b.Cells)
+			return q
+		}
+	}
+	q := &promise{account: a, level: level, ended: true}
+	a.promises = append(a.promises, q)
+	p.bind(q, b.Cells)
+	return q
+}
+
+// settleRestored binds guaranteed blocks to the restored claims whose rows have
+// no bindings. A claim alone may fit several of its account's blocks, so all of
+// them are bound together, such that the unclaimed blocks pack.
 func (p *Planner) settleRestored() {
 	if len(p.restored) == 0 {
 		return
--- a/internal/place/runner/gangs.go
+++ b/internal/place/runner/gangs.go
@@ -37,6 +37,7 @@
 		return
 	}
 	entry.row.Slices = p.Slices
+	entry.row.Bindings = p.Bindings
 	entry.row.Borrowed = p.Borrowed
 	r.drive(entry, assembler.Place(entry.row, now, assembler.WorkerLease(r.options.WorkerLease)))
 	d := r.decision(entry.row, primrosespar.DecisionPlacement, p.Reason, "placed")
--- a/internal/place/runner/inbox.go
+++ b/internal/place/runner/inbox.go
@@ -97,7 +97,7 @@
 	r.record(r.decision(entry.row, primrosespar.DecisionRefusal, primrosespar.CodeOf(err), err.Error()))
 	entry.row.State = primrosespar.GangFailed
 	entry.row.Reason = primrosespar.CodeOf(err)
-	entry.row.Slices = nil
+	entry.row.Slices, entry.row.Bindings = nil, nil
 	r.drive(entry, assembler.Settle(entry.row, now))
 	return nil
 }
@@ -175,7 +175,7 @@
 	}
 	entry.row.State = primrosespar.GangCancelled
 	entry.row.Reason = primrosespar.CodeCancelled
-	entry.row.Slices = nil
+	entry.row.Slices, entry.row.Bindings = nil, nil
 	r.planner.Remove(id, primrosespar.GangCancelled, now)
 	r.drive(entry, assembler.Settle(entry.row, now))
 }
--- a/job.go
+++ b/job.go
@@ -72,6 +72,16 @@
 	Count  int    `json:"count"`
 }
 
+// Binding ties units of a claim to one guaranteed block of their account.
+type Binding struct {
+	// Block is the number of accelerators of the guaranteed block.
+	Block int `json:"block"`
+	// Units is the number of the claim's units that stand in the block.
+	Units int `json:"units"`
+	// Cells are the accelerators of the block in the order of the rack.
+	Cells []Slice `json:"cells"`
+}
+
 // Gang is the committed state of one job's gang.
 type Gang struct {
 	Job     Job       `json:"job"`
@@ -79,6 +89,9 @@
 	Attempt uint64    `json:"attempt"`
 	// Slices are the accelerators reserved for the current attempt.
 	Slices []Slice `json:"slices,omitempty"`
+	// Bindings are the guaranteed blocks that a claim draws on. A row written
+	// by an earlier version has none.
+	Bindings []Binding `json:"bindings,omitempty"`
 	// Borrowed gangs stand on capacity that a guarantee may reclaim.
 	Borrowed bool `json:"borrowed,omitempty"`
 	// Reason is why the gang entered its state.
--- a/planner.go
+++ b/planner.go
@@ -4,8 +4,10 @@
 
 // Placement gives a job its accelerators.
 type Placement struct {
-	Job      JobID
-	Slices   []Slice
+	Job    JobID
+	Slices []Slice
+	// Bindings are the guaranteed blocks that a claim draws on.
+	Bindings []Binding
 	Borrowed bool
 	Reason   Code
 	Figures  []Figure
