Measure refusals by shape over reclaimable capacity

Cause: the bench counted a large request as refused by shape if the free accelerators hold no block for it, also where borrowed work could give way, which is no fault of the placement of work that stays.

Change: the bench's mirror knows borrowed cells; the result has reclaim_shape_refused_share. Placement is unchanged.

--- a/internal/place/bencher/bencher.go
+++ b/internal/place/bencher/bencher.go
@@ -149,7 +149,14 @@
 		r.beyond = true
 		b.tally.beyond++
 	}
-	if t.Job.Shape.Accelerators() < largeSize || before < t.Job.Shape.Accelerators() {
+	size := t.Job.Shape.Accelerators()
+	if size >= largeSize && before+b.mirror.Count(packer.Preemptible) >= size {
+		b.tally.reclaimLarge++
+		if !b.mirror.Packs(demand(t.Job.Shape)) {
+			b.tally.reclaimRefused++
+		}
+	}
+	if size < largeSize || before < size {
 		return
 	}
 	b.tally.large++
@@ -165,21 +172,25 @@
 		b.at(b.now.Add(stopTime), func() { b.stopped(r, attempt) })
 	}
 	for _, p := range plan.Placements {
-		b.start(b.jobs[p.Job], p.Slices)
+		b.start(b.jobs[p.Job], p)
 	}
 }
 
-func (b *Bencher) start(r *run, slices []primrosespar.Slice) {
+func (b *Bencher) start(r *run, p primrosespar.Placement) {
 	r.attempt++
-	r.placed, r.slices = true, slices
-	b.mirror.Hold(slices, r.task.Job.ID, packer.NonPreemptible)
+	r.placed, r.slices = true, p.Slices
+	state := packer.NonPreemptible
+	if p.Borrowed {
+		state = packer.Preemptible
+	}
+	b.mirror.Hold(p.Slices, r.task.Job.ID, state)
 	r.started = b.now.Add(startTime)
 	attempt := r.attempt
 	if r.task.Job.Claim && !r.claimed && !r.beyond {
 		r.claimed = true
 		b.tally.claim(r.started.Add(decideTime).Sub(r.task.At))
 	}
-	if worker, bad := b.badWorker(slices); bad {
+	if worker, bad := b.badWorker(p.Slices); bad {
 		b.at(r.started.Add(failTime), func() { b.failed(r, attempt, worker) })
 		return
 	}
--- a/internal/place/bencher/result.go
+++ b/internal/place/bencher/result.go
@@ -33,8 +33,11 @@
 	// allow; a block is a power of two.
 	FragmentationFloor float64 `json:"fragmentation_floor"`
 	ShapeRefused       float64 `json:"shape_refused_share"`
-	LostHours          float64 `json:"lost_accelerator_hours"`
-	Utilization        float64 `json:"utilization"`
+	// ReclaimShapeRefused is the same share with free and borrowed accelerators
+	// together: large requests that their number admits and no blocks hold.
+	ReclaimShapeRefused float64 `json:"reclaim_shape_refused_share"`
+	LostHours           float64 `json:"lost_accelerator_hours"`
+	Utilization         float64 `json:"utilization"`
 }
 
 // tally collects the figures of a run.
@@ -43,6 +46,8 @@
 	missed, late, beyond   int
 	cancelled, refused     int
 	large, shapeRefused    int
+	reclaimLarge           int
+	reclaimRefused         int
 	lost                   float64
 	fragments, used, spent float64
 	floor                  float64
@@ -103,6 +108,9 @@
 	if t.large > 0 {
 		r.ShapeRefused = float64(t.shapeRefused) / float64(t.large)
 	}
+	if t.reclaimLarge > 0 {
+		r.ReclaimShapeRefused = float64(t.reclaimRefused) / float64(t.reclaimLarge)
+	}
 	return r
 }
 
