--- a/internal/place/planner/gang.go
+++ b/internal/place/planner/gang.go
@@ -40,6 +40,8 @@
 	// waiters are the claims that this evicted gang has to make room for.
 	waiters []*gang
 	wait    primrosespar.Code
+	// share orders the gang within one plan.
+	share float64
 	// blocked is since when no capacity was found, zero if it was not missing.
 	blocked time.Time
 	// distrusted gangs ran longer than their estimate once.
@@ -205,11 +207,12 @@
 		g.phase = phaseStopping
 	}
 	p.account(g, 1)
-	if g.job.Claim {
+	if g.job.Claim && !p.rebindCommitted(g, committed.Bindings) {
 		p.restored = append(p.restored, g)
 		return
 	}
 	p.hold(g)
+	p.changed = true
 }
 
 // Requeue frees the accelerators of a placed job and queues it again.
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -56,7 +56,7 @@
 type Planner struct {
 	options  Options
 	pack     *packer.Packer
-	hosts    map[primrosespar.Worker]*host
+	workers  map[primrosespar.Worker]*worker
 	kinds    map[kind]int
 	banned   map[primrosespar.Worker]bool
 	accounts map[primrosespar.Account]*account
@@ -69,7 +69,7 @@
 	// checkpointed gangs have saved their state since the last plan.
 	checkpointed map[primrosespar.JobID]*gang
 	// spare orders the workers for members without accelerators.
-	spare *btree.BTreeG[*host]
+	spare *btree.BTreeG[*worker]
 	// demand counts the unclaimed guaranteed blocks, promised all of them.
 	demand, promised packer.Counts
 	// whole is the supply with all accelerators alive and free.
@@ -81,6 +81,10 @@
 	// stalled jobs have waited too long to be passed by younger ones.
 	stalled   map[waitKind]*gang
 	estimator *estimator.Estimator
+	// tries and failed belong to one plan and are kept for the next, since new
+	// ones for each plan made the garbage collector delay plans by milliseconds.
+	tries  []*gang
+	failed map[shapeKey]primrosespar.Code
 	// restored are claims of an earlier holder whose blocks are not bound yet.
 	restored []*gang
 	changed  bool
@@ -93,7 +97,7 @@
 func New(opts ...Option) *Planner {
 	p := &Planner{
 		pack:         packer.New(),
-		hosts:        map[primrosespar.Worker]*host{},
+		workers:      map[primrosespar.Worker]*worker{},
 		kinds:        map[kind]int{},
 		banned:       map[primrosespar.Worker]bool{},
 		accounts:     map[primrosespar.Account]*account{},
@@ -101,6 +105,7 @@
 		gangs:        map[primrosespar.JobID]*gang{},
 		stalled:      map[waitKind]*gang{},
 		estimator:    estimator.New(),
+		failed:       map[shapeKey]primrosespar.Code{},
 		queue:        btree.NewG(degree, before),
 		fresh:        btree.NewG(degree, before),
 		pending:      btree.NewG(degree, before),
@@ -117,7 +122,7 @@
 	p.settleRestored()
 	changed := false
 	for _, e := range entries {
-		changed = p.setHost(e) || changed
+		changed = p.setWorker(e) || changed
 		p.noteTasks(e)
 	}
 	if p.pack.SetWorkers(entries, func(w primrosespar.Worker) bool { return p.banned[w] }) {
@@ -140,8 +145,8 @@
 	} else {
 		delete(p.banned, worker)
 	}
-	if h := p.hosts[worker]; h != nil {
-		p.SetWorkers([]primrosespar.WorkerEntry{h.entry})
+	if w := p.workers[worker]; w != nil {
+		p.SetWorkers([]primrosespar.WorkerEntry{w.entry})
 		p.changed = true
 		p.dropBrokenClaims()
 	}
@@ -166,7 +171,7 @@
 // usable reports whether all workers of the slices take new work.
 func (p *Planner) usable(slices []primrosespar.Slice) bool {
 	for _, s := range slices {
-		if h := p.hosts[s.Worker]; h == nil || !h.usable || p.banned[s.Worker] {
+		if w := p.workers[s.Worker]; w == nil || !w.usable || p.banned[s.Worker] {
 			return false
 		}
 	}
@@ -225,7 +230,7 @@
 	if p.changed {
 		from = p.queue
 	}
-	var tries []*gang
+	tries := p.tries[:0]
 	from.Ascend(func(g *gang) bool {
 		tries = append(tries, g)
 		return true
@@ -233,7 +238,8 @@
 	p.arrange(tries)
 	p.changed = false
 	p.fresh.Clear(false)
-	failed := map[shapeKey]primrosespar.Code{}
+	failed := p.failed
+	clear(failed)
 	for _, g := range tries {
 		key := g.shapeKey(p.target)
 		code, known := failed[key]
@@ -253,6 +259,8 @@
 			plan.Waits = append(plan.Waits, primrosespar.Wait{Job: g.job.ID, Reason: code, Figures: p.figures(g)})
 		}
 	}
+	clear(tries)
+	p.tries = tries[:0]
 	p.reserveOldest(now)
 }
 
@@ -305,7 +313,7 @@
 	g.started, g.saved = now, now
 	p.account(g, 1)
 	plan.Placements = append(plan.Placements, primrosespar.Placement{
-		Job: g.job.ID, Slices: g.slices, Borrowed: g.borrowed, Reason: reason, Figures: p.figures(g),
+		Job: g.job.ID, Slices: g.slices, Bindings: g.bindings(), Borrowed: g.borrowed, Reason: reason, Figures: p.figures(g),
 	})
 }
 
--- a/internal/place/runner/gangs.go
+++ b/internal/place/runner/gangs.go
@@ -37,6 +37,7 @@
 		return
 	}
 	entry.row.Slices = p.Slices
+	entry.row.Bindings = p.Bindings
 	entry.row.Borrowed = p.Borrowed
 	r.drive(entry, assembler.Place(entry.row, now, assembler.WorkerLease(r.options.WorkerLease)))
 	d := r.decision(entry.row, primrosespar.DecisionPlacement, p.Reason, "placed")
@@ -88,6 +89,7 @@
 // end takes a gang whose attempt is over and committed.
 func (r *Runner) end(id primrosespar.JobID, entry *gang, now time.Time) {
 	entry.row = entry.assembler.Gang()
+	r.judge(entry)
 	r.release(entry)
 	if entry.row.State == primrosespar.GangQueued {
 		r.planner.Requeue(id, now)
