Delete rows of ended gangs past their retention

Rows of ended gangs stayed in the table for ever, and each scan of a place's gangs read all of them. The age of a row is the time since this process first saw it ended, on its own clock; a new token starts all counts again, so a row may stay longer but never shorter. Rows of an account without a contract are kept, as claims are. Claims and gangs are now deleted only while the view of the contracts is current, since an unread amendment may raise the retention.

--- a/imports_test.go
+++ b/imports_test.go
@@ -24,7 +24,7 @@
 		"internal/request/claimer", "internal/request/minter", "internal/request/admitter",
 		"internal/request/balancer", "internal/request/retrier",
 		"internal/place/packer", "internal/place/planner", "internal/place/estimator",
-		"internal/place/assembler", "internal/place/quarantiner",
+		"internal/place/assembler", "internal/place/cleaner", "internal/place/quarantiner",
 		"internal/member/leaser", "internal/member/watcher", "internal/member/divider",
 		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
 	}
--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -16,6 +16,7 @@
 	"primrosespar.example/primrosespar/internal/member/heartbeater"
 	"primrosespar.example/primrosespar/internal/member/leaser"
 	"primrosespar.example/primrosespar/internal/member/messenger"
+	"primrosespar.example/primrosespar/internal/place/cleaner"
 	"primrosespar.example/primrosespar/internal/place/planner"
 	"primrosespar.example/primrosespar/internal/place/runner"
 	"primrosespar.example/primrosespar/internal/place/submitter"
@@ -47,6 +48,7 @@
 	counted    *counted
 	lease      *leaser.Leaser
 	runner     *runner.Runner
+	cleaner    *cleaner.Cleaner
 	racks      *racks
 	meter      *meter.Meter
 	server     *server.Server
@@ -179,6 +181,9 @@
 		Planner: func() primrosespar.Planner { return planner.New(planner.WithPlace(s.Place)) },
 		Failed:  func(err error) { d.note("runner", err) },
 	}, runnerOptions(s)...)
+	h.cleaner = cleaner.New(cleaner.Parts{
+		Place: s.Place, Table: d.platform.Table, Clock: clock, Lease: h.lease, Retention: h.retention,
+	})
 	h.racks = newRacks(d.platform.Workers, clock, s.Places)
 	h.amender = amender.New(
 		amender.WithTable(d.platform.Table),
--- a/internal/entry/daemon/loops.go
+++ b/internal/entry/daemon/loops.go
@@ -15,6 +15,7 @@
 	ackPeriod       = time.Second
 	settlePeriod    = 10 * time.Second
 	sweepPeriod     = 10 * time.Minute
+	cleanPeriod     = 10 * time.Minute
 )
 
 // start runs all loops until ctx ends.
@@ -28,6 +29,7 @@
 	wg.Go(func() { h.every(ctx, ackPeriod, "acknowledgement", h.acknowledge) })
 	wg.Go(func() { h.every(ctx, settlePeriod, "pending contracts", h.settle) })
 	wg.Go(func() { h.every(ctx, sweepPeriod, "claim sweep", h.sweep) })
+	wg.Go(func() { h.every(ctx, cleanPeriod, "gang cleaning", h.clean) })
 }
 
 // every calls f at once and then each period.
@@ -90,11 +92,23 @@
 	if _, held := h.lease.Held(); !held || s.Place != s.Places[0].Place {
 		return nil
 	}
-	_, err := h.claims.Sweep(ctx, func(account primrosespar.Account) (time.Duration, bool) {
-		view, _ := h.contracts.View()
-		c, ok := view.Find(account)
-		return c.Contract.Retention, ok
-	})
+	_, err := h.claims.Sweep(ctx, h.retention)
+	return err
+}
+
+// retention returns how long the account's contract keeps ended work. It is
+// not known without a current view, because an amendment that is not yet read
+// here may have raised it.
+func (h *host) retention(account primrosespar.Account) (time.Duration, bool) {
+	view, _ := h.contracts.View()
+	c, ok := view.Find(account)
+	return c.Contract.Retention, ok && h.contracts.Current()
+}
+
+// clean deletes the rows of ended gangs past their retention; only the holder
+// of the place lease does.
+func (h *host) clean(ctx context.Context) error {
+	_, err := h.cleaner.Pass(ctx)
 	return err
 }
 
--- /dev/null
+++ b/internal/place/cleaner/cleaner_test.go
@@ -0,0 +1,143 @@
+package cleaner_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/member/leaser"
+	"primrosespar.example/primrosespar/internal/place/cleaner"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+const retention = time.Hour
+
+// host is one process that wants the lease of the place and cleans.
+type host struct {
+	lease *leaser.Leaser
+	*cleaner.Cleaner
+}
+
+func newHost(table primrosespar.Table, name primrosespar.Host, opts ...cleaner.Option) host {
+	clock := clockwork.NewRealClock()
+	lease := leaser.New(table, clock, leaser.Identity{Place: "a", Host: name, Incarnation: primrosespar.Incarnation(name)})
+	return host{lease, cleaner.New(cleaner.Parts{
+		Place: "a", Table: table, Clock: clock, Lease: lease,
+		Retention: func(account primrosespar.Account) (time.Duration, bool) { return retention, account == "nord" },
+	}, opts...)}
+}
+
+// wait renews the lease for the duration, as the runner does.
+func (h host) wait(t *testing.T, d time.Duration) {
+	const renewal = 2 * time.Second
+	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(renewal) {
+		require.NoError(t, h.lease.Step(t.Context()))
+	}
+}
+
+func (h host) clean(t *testing.T) int {
+	require.NoError(t, h.lease.Step(t.Context()))
+	deleted, err := h.Pass(t.Context())
+	require.NoError(t, err)
+	return deleted
+}
+
+func put(t *testing.T, table primrosespar.Table, id primrosespar.JobID, account primrosespar.Account, state primrosespar.GangState) {
+	value, err := json.Marshal(primrosespar.Gang{Job: primrosespar.Job{ID: id, Account: account}, State: state})
+	require.NoError(t, err)
+	_, err = table.Commit(t.Context(), primrosespar.Txn{Writes: []primrosespar.Write{{Key: primrosespar.GangKey("a", id), Value: value}}})
+	require.NoError(t, err)
+}
+
+func left(t *testing.T, table primrosespar.Table) (ids []string) {
+	rows, err := table.Scan(t.Context(), primrosespar.GangPrefix("a"), "", 1000)
+	require.NoError(t, err)
+	for _, row := range rows {
+		ids = append(ids, row.Key[len(primrosespar.GangPrefix("a")):])
+	}
+	return ids
+}
+
+// TestKeepsYoungAndLiveRows guards against the loss of a row that still runs,
+// that ended less than the retention ago or that has no retention.
+func TestKeepsYoungAndLiveRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		h := newHost(table, "one", cleaner.Page(2))
+		put(t, table, "old", "nord", primrosespar.GangDone)
+		put(t, table, "runs", "nord", primrosespar.GangRunning)
+		put(t, table, "other", "gone", primrosespar.GangDone)
+		require.Zero(t, h.clean(t))
+		h.wait(t, retention/2)
+		put(t, table, "runs", "nord", primrosespar.GangFailed)
+		require.Zero(t, h.clean(t))
+		h.wait(t, retention/2)
+		require.Equal(t, 1, h.clean(t))
+		require.Equal(t, []string{"other", "runs"}, left(t, table))
+	})
+}
+
+// TestNewHolderCountsAgain guards against a delete that relies on what another
+// process saw, and against a former holder that goes on deleting.
+func TestNewHolderCountsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		first, second := newHost(table, "one"), newHost(table, "two")
+		put(t, table, "job", "nord", primrosespar.GangDone)
+		require.Zero(t, first.clean(t))
+		first.wait(t, retention/2)
+		require.NoError(t, first.lease.Release(t.Context()))
+		require.Zero(t, second.clean(t))
+		second.wait(t, retention/2)
+		require.Zero(t, first.clean(t), "a host without the lease deleted")
+		require.NoError(t, second.lease.Release(t.Context()))
+		require.Zero(t, first.clean(t), "the count went on over another holder's tenure")
+		first.wait(t, retention)
+		require.Equal(t, 1, first.clean(t))
+	})
+}
+
+// TestRateAndMemoryAreBounded guards against deletes that crowd out the other
+// users of the table, and against a count per row without a bound.
+func TestRateAndMemoryAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		h := newHost(table, "one", cleaner.Page(2), cleaner.Writes(4), cleaner.Tracked(3))
+		for _, id := range []primrosespar.JobID{"a", "b", "c", "d", "e"} {
+			put(t, table, id, "nord", primrosespar.GangCancelled)
+		}
+		require.Zero(t, h.clean(t))
+		h.wait(t, retention)
+		start := time.Now()
+		require.Equal(t, 3, h.clean(t))
+		require.GreaterOrEqual(t, time.Since(start), 3*time.Second/4)
+		require.Equal(t, []string{"d", "e"}, left(t, table))
+		h.wait(t, retention)
+		require.Equal(t, 2, h.clean(t))
+	})
+}
+
+// TestFailedDeleteIsTriedAgain guards against a row that stays after a delete
+// whose answer was lost, and against a pass that hides the failure.
+func TestFailedDeleteIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		h := newHost(table, "one")
+		put(t, table, "a", "nord", primrosespar.GangDone)
+		put(t, table, "b", "nord", primrosespar.GangDone)
+		require.Zero(t, h.clean(t))
+		h.wait(t, retention)
+		table.SetFaults(keeper.Faults{LoseEvery: 1})
+		_, err := h.Pass(context.Background())
+		require.Equal(t, primrosespar.CodeStoreUnknown, primrosespar.CodeOf(err))
+		table.SetFaults(keeper.Faults{})
+		require.Equal(t, 1, h.clean(t))
+		require.Empty(t, left(t, table))
+	})
+}
