Read the host list each second until an upstream is known

Cause: with the list read each 5 s a host that started before its upstreams were listed refused calls for 5 s (demo: 703 confirmations no_upstream). Change: the period is 1 s until the list has an upstream.

--- a/internal/entry/daemon/loops.go
+++ b/internal/entry/daemon/loops.go
@@ -13,11 +13,12 @@
 const (
 	// directoryPeriod is longer than the answers of a leaving upstream take to
 	// show it; a list of 170 upstreams each 2 s cost a host 7.9 KB/s.
-	directoryPeriod = 5 * time.Second
-	ackPeriod       = time.Second
-	settlePeriod    = 2 * time.Second
-	sweepPeriod     = 10 * time.Minute
-	cleanPeriod     = 10 * time.Minute
+	directoryPeriod      = 5 * time.Second
+	firstDirectoryPeriod = time.Second
+	ackPeriod            = time.Second
+	settlePeriod         = 2 * time.Second
+	sweepPeriod          = 10 * time.Minute
+	cleanPeriod          = 10 * time.Minute
 )
 
 // start runs all loops until ctx ends.
@@ -27,7 +28,7 @@
 	wg.Go(func() { h.daemon.note("runner", h.runner.Run(ctx)) })
 	wg.Go(func() { h.recorder.Start(ctx) })
 	wg.Go(func() { h.claims.Run(ctx) })
-	wg.Go(func() { h.every(ctx, directoryPeriod, "host list", h.readDirectory) })
+	wg.Go(func() { h.followDirectory(ctx) })
 	wg.Go(func() { h.every(ctx, ackPeriod, "acknowledgement", h.acknowledge) })
 	wg.Go(func() { h.every(ctx, settlePeriod, "pending contracts", h.settle) })
 	wg.Go(func() { h.every(ctx, sweepPeriod, "claim sweep", h.sweep) })
@@ -45,14 +46,24 @@
 	}
 }
 
-// readDirectory takes the platform's list; on an error the last one stays.
-func (h *host) readDirectory(ctx context.Context) error {
-	directory, err := h.daemon.platform.Hosts.List(ctx, h.daemon.settings.Place)
-	if err != nil {
-		return err
+// followDirectory reads the platform's list. A host that knows no upstream yet
+// asks again soon, since it can serve nothing.
+func (h *host) followDirectory(ctx context.Context) {
+	for ctx.Err() == nil {
+		period := firstDirectoryPeriod
+		directory, err := h.daemon.platform.Hosts.List(ctx, h.daemon.settings.Place)
+		h.daemon.note("host list", err)
+		if err == nil {
+			h.dispatcher.SetDirectory(directory)
+		}
+		if err == nil && len(directory.Upstreams) > 0 {
+			period = directoryPeriod
+		}
+		select {
+		case <-ctx.Done():
+		case <-h.daemon.options.Clock.After(period):
+		}
 	}
-	h.dispatcher.SetDirectory(directory)
-	return nil
 }
 
 // acknowledge lets the holder of the place lease say which contract revision
