Reuse the buffers of a plan

Cause: 64% of the bytes that a plan with a backlog allocated were made in startQueued, for the most part its map of failed shapes, and 18% were the maps of arrange (profile of alloc_space, Plan/target/backlog).

Change: the map and the list of tried gangs are kept for the next plan, the share of a gang and the sum of an account are fields.

--- a/internal/place/planner/account.go
+++ b/internal/place/planner/account.go
@@ -17,6 +17,9 @@
 	// held counts accelerators of placed gangs, pending those of claims that
 	// wait for evictions.
 	held, pending int
+	// ahead counts the accelerators of the waiting gangs that one plan has
+	// ordered so far.
+	ahead int
 	// firm counts accelerators of placed work that neither claims nor gives
 	// way; promised counts those of all guaranteed blocks.
 	firm, promised int
--- a/internal/place/planner/gang.go
+++ b/internal/place/planner/gang.go
@@ -40,6 +40,8 @@
 	// waiters are the claims that this evicted gang has to make room for.
 	waiters []*gang
 	wait    primrosespar.Code
+	// share orders the gang within one plan.
+	share float64
 	// blocked is since when no capacity was found, zero if it was not missing.
 	blocked time.Time
 	// distrusted gangs ran longer than their estimate once.
--- a/internal/place/planner/order.go
+++ b/internal/place/planner/order.go
@@ -26,24 +26,25 @@
 // reservation, then the rest so that the accelerators held by each account
 // stay in proportion to its weight.
 func (p *Planner) arrange(tries []*gang) {
-	ahead := make(map[*account]int, len(p.accounts))
-	share := make(map[*gang]float64, len(tries))
+	for _, g := range tries {
+		g.account.ahead = 0
+	}
 	for _, g := range tries {
 		if g.rank != rankOther {
 			continue
 		}
 		a := g.account
-		ahead[a] += g.size()
-		share[g] = float64(a.held+a.pending+ahead[a]) / float64(max(a.contract.Weight, 1))
+		a.ahead += g.size()
+		g.share = float64(a.held+a.pending+a.ahead) / float64(max(a.contract.Weight, 1))
 		if p.target != nil && p.target.holder == g {
-			share[g] = -1
+			g.share = -1
 		}
 	}
 	slices.SortStableFunc(tries, func(a, b *gang) int {
 		if a.rank != b.rank || a.rank != rankOther {
 			return 0
 		}
-		return cmp.Compare(share[a], share[b])
+		return cmp.Compare(a.share, b.share)
 	})
 }
 
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -81,6 +81,10 @@
 	// stalled jobs have waited too long to be passed by younger ones.
 	stalled   map[waitKind]*gang
 	estimator *estimator.Estimator
+	// tries and failed belong to one plan and are kept for the next, since new
+	// ones were most of the bytes that a plan with a backlog allocated.
+	tries  []*gang
+	failed map[shapeKey]primrosespar.Code
 	// restored are claims of an earlier holder whose blocks are not bound yet.
 	restored []*gang
 	changed  bool
@@ -101,6 +105,7 @@
 		gangs:        map[primrosespar.JobID]*gang{},
 		stalled:      map[waitKind]*gang{},
 		estimator:    estimator.New(),
+		failed:       map[shapeKey]primrosespar.Code{},
 		queue:        btree.NewG(degree, before),
 		fresh:        btree.NewG(degree, before),
 		pending:      btree.NewG(degree, before),
@@ -225,7 +230,7 @@
 	if p.changed {
 		from = p.queue
 	}
-	var tries []*gang
+	tries := p.tries[:0]
 	from.Ascend(func(g *gang) bool {
 		tries = append(tries, g)
 		return true
@@ -233,7 +238,8 @@
 	p.arrange(tries)
 	p.changed = false
 	p.fresh.Clear(false)
-	failed := map[shapeKey]primrosespar.Code{}
+	failed := p.failed
+	clear(failed)
 	for _, g := range tries {
 		key := g.shapeKey(p.target)
 		code, known := failed[key]
@@ -253,6 +259,8 @@
 			plan.Waits = append(plan.Waits, primrosespar.Wait{Job: g.job.ID, Reason: code, Figures: p.figures(g)})
 		}
 	}
+	clear(tries)
+	p.tries = tries[:0]
 	p.reserveOldest(now)
 }
 
