--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -257,7 +257,7 @@
 	if err != nil {
 		return "", eris.Wrap(err, "encode work")
 	}
-	answer, err := operator.Submit(ctx, key, caller.JobRequest{
+	answer, err := operator.Submit(ctx, key, true, caller.JobRequest{
 		Account: account, Class: s.job, Place: s.place, Claim: claim, Work: work,
 		Shape:    primrosespar.Shape{Members: members, Block: block, Cores: 4, MemoryBytes: 1 << 30},
 		Declared: caller.Span(run),
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -88,8 +88,8 @@
 	}
 	out.Header.Set("Authorization", "Bearer "+l.deployment.token(r.Account))
 	out.Header.Set(caller.HeaderRequestKey, r.Key)
-	if r.Calls == 1 {
-		out.Header.Set("X-First-Attempt", "1")
+	if r.Outcome == "" || r.Outcome == outcomeNotRun {
+		out.Header.Set(caller.HeaderFirst, "1")
 	}
 	response, err := l.client.Do(out)
 	if err != nil {
@@ -129,15 +129,8 @@
 	}
 	r.Code = refusal.Name
 	r.Outcome = outcomeUnknown
-	if refusal.Ran == primrosespar.RanNot && !l.earlierUnknown(r) {
+	if refusal.Ran == primrosespar.RanNot {
 		r.Outcome = outcomeNotRun
 	}
 	return false
 }
-
-// earlierUnknown reports whether an earlier call of the same request may have
-// run: then "not run" of a later one is no answer for the whole request, unless
-// the host checked the key, which its code says.
-func (l *load) earlierUnknown(r *request) bool {
-	return r.Calls > 1 && r.Code == "store_unavailable"
-}
--- a/internal/entry/server/input_test.go
+++ b/internal/entry/server/input_test.go
@@ -131,13 +131,13 @@
 		{"unknown field", job, "caller", "", `{"klass":"x"}`, primrosespar.CodeUnknownField, `"klass"`},
 		{"trailing data", job, "caller", "", `{} {}`, primrosespar.CodeBadSyntax, "after its JSON document"},
 		{"oversized job", job, "caller", "", `{"work":"` + strings.Repeat("A", 5000) + `"}`, primrosespar.CodeBodyTooLarge, "4096 bytes"},
-		{"oversized call", call, "caller", "X-Request-Key: k", strings.Repeat("A", 5000), primrosespar.CodeBodyTooLarge, "4096 bytes"},
+		{"oversized call", call, "caller", "X-Request-Key: k|X-First-Attempt: 1", strings.Repeat("A", 5000), primrosespar.CodeBodyTooLarge, "4096 bytes"},
 		{"duration", job, "caller", "", `{` + class + `,"declared":"soon"}`, primrosespar.CodeBadRequest, "declared"},
 		{"payload", job, "caller", "", `{` + class + `,"work":"%%%"}`, primrosespar.CodeBadRequest, "work"},
-		{"deadline zero", call, "caller", "X-Request-Key: k|X-Deadline-Ms: 0", "", primrosespar.CodeOutOfRange, "X-Deadline-Ms is \"0\", it must be from 1 to 300000"},
-		{"deadline overflow", call, "caller", "X-Request-Key: k|X-Deadline-Ms: 18446744073710", "", primrosespar.CodeOutOfRange, "from 1 to 300000"},
-		{"first attempt", call, "caller", "X-Request-Key: k|X-First-Attempt: yes", "", primrosespar.CodeBadRequest, "X-First-Attempt"},
-		{"unknown account", call, "operator", "X-Account: nobody|X-Request-Key: k", "", primrosespar.CodeUnknownAccount, `"nobody"`},
+		{"deadline zero", call, "caller", "X-Request-Key: k|X-First-Attempt: 1|X-Deadline-Ms: 0", "", primrosespar.CodeOutOfRange, "X-Deadline-Ms is \"0\", it must be from 1 to 300000"},
+		{"deadline overflow", call, "caller", "X-Request-Key: k|X-First-Attempt: 1|X-Deadline-Ms: 18446744073710", "", primrosespar.CodeOutOfRange, "from 1 to 300000"},
+		{"first attempt", call, "caller", "X-First-Attempt: yes", "", primrosespar.CodeBadRequest, "X-First-Attempt"},
+		{"unknown account", call, "operator", "X-Account: nobody|X-Request-Key: k|X-First-Attempt: 1", "", primrosespar.CodeUnknownAccount, `"nobody"`},
 		{"unknown class", "POST /v1/requests/nothing", "caller", "", "", primrosespar.CodeUnknownClass, `"nothing"`},
 		{"gang class as request", "POST /v1/requests/allotment", "caller", "", "", primrosespar.CodeUnknownClass, `"allotment"`},
 		{"request class as gang", job, "caller", "", `{"class":"booking","shape":{"members":1,"block":1}}`, primrosespar.CodeUnknownClass, `"booking"`},
@@ -180,6 +180,19 @@
 	}
 }
 
+// TestRepeatedKeyIsNotDenied guards against "not run" in a refusal that read no
+// claim: an earlier request with the key may have run. Only the caller's word
+// that there was none makes it true.
+func TestRepeatedKeyIsNotDenied(t *testing.T) {
+	f := newFixture(t)
+	const call = "POST /v1/requests/booking"
+	_, refusal := f.send(t, call, "operator", "X-Account: nobody|X-Request-Key: k", "")
+	require.Equal(t, primrosespar.CodeUnknownAccount, refusal.Code)
+	require.Equal(t, primrosespar.RanUnknown, refusal.Ran)
+	_, refusal = f.send(t, call, "operator", "X-Account: nobody|X-Request-Key: k|X-First-Attempt: 1", "")
+	require.Equal(t, primrosespar.RanNot, refusal.Ran)
+}
+
 // TestJobOfAnotherAccount guards against an answer that tells whether a job of
 // another account exists.
 func TestJobOfAnotherAccount(t *testing.T) {
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -192,11 +193,25 @@
 			err = h(w, r, p, id)
 		}
 		if err != nil {
-			s.refuse(w, err, "")
+			s.refuse(w, doubt(r, err), "")
 		}
 	}
 }
 
+// doubt takes back a "not run" that holds only for this request: with a key
+// that the caller may have sent before, an earlier request may have run, and
+// what refuses here has not read the key's row.
+func doubt(r *http.Request, err error) error {
+	var failure *primrosespar.Failure
+	key := r.Header.Get(caller.HeaderRequestKey)
+	usable := key != "" && len(key) <= maxKeyBytes && printable(key)
+	again := usable && r.Header.Get(caller.HeaderFirst) != "1"
+	if again && errors.As(err, &failure) && failure.Ran == primrosespar.RanNot {
+		return primrosespar.FailUnknown(failure.Code, "%s (an earlier request with this key may have run)", failure.Message).Because(err)
+	}
+	return err
+}
+
 // counted wraps what callers do. Requests beyond the limit are refused before
 // their body is read, so that a burst cannot use up the memory of the host;
 // operators' commands are not counted and stay possible.
@@ -205,7 +220,7 @@
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		defer s.callsIn.Add(-1)
 		if s.callsIn.Add(1) > int64(s.options.MaxCalls) {
-			s.busy(w)
+			s.busy(w, r)
 			return
 		}
 		next(w, r, p)
@@ -215,7 +230,7 @@
 // busy refuses a request for which the host has no room. The status differs
 // from that of a full class queue (429), because the account did not cause it
 // and another host may have room.
-func (s *Server) busy(w http.ResponseWriter) {
-	failure := primrosespar.Fail(primrosespar.CodeQueueFull, "the host serves its limit of %d requests", s.options.MaxCalls)
-	s.refusalWith(w, http.StatusServiceUnavailable, failure)
+func (s *Server) busy(w http.ResponseWriter, r *http.Request) {
+	full := primrosespar.Fail(primrosespar.CodeQueueFull, "the host serves its limit of %d requests", s.options.MaxCalls)
+	s.refusalWith(w, http.StatusServiceUnavailable, asFailure(doubt(r, full)))
 }
--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -191,14 +191,18 @@
 	return answer, err
 }
 
-// Submit submits a job. The key lets the host recognise the same submission.
-func (c *Caller) Submit(ctx context.Context, key string, job JobRequest) (answer JobAnswer, err error) {
+// Submit submits a job. The key lets the host recognise the same submission;
+// first says that no earlier submission with the key can have been accepted.
+func (c *Caller) Submit(ctx context.Context, key string, first bool, job JobRequest) (answer JobAnswer, err error) {
 	body, err := json.Marshal(job)
 	if err != nil {
 		return answer, err
 	}
 	header := http.Header{}
 	header.Set(HeaderRequestKey, key)
+	if first {
+		header.Set(HeaderFirst, "1")
+	}
 	header.Set(HeaderAccount, string(job.Account))
 	err = c.do(ctx, call{
 		method: http.MethodPost, path: "/v1/jobs", header: header,
--- a/internal/operator/caller/shapes.go
+++ b/internal/operator/caller/shapes.go
@@ -11,8 +11,11 @@
 
 // Headers of the caller interface.
 const (
-	HeaderAccount     = "X-Account"
-	HeaderRequestKey  = "X-Request-Key"
+	HeaderAccount    = "X-Account"
+	HeaderRequestKey = "X-Request-Key"
+	// HeaderFirst is "1" if no earlier request with the key can have run: the
+	// key is new, or every earlier answer said that it did not run.
+	HeaderFirst       = "X-First-Attempt"
 	HeaderRequestID   = "X-Request-Id"
 	HeaderResultCode  = "X-Result-Code"
 	HeaderDeadline    = "X-Deadline-Ms"
--- a/internal/operator/handler/jobs.go
+++ b/internal/operator/handler/jobs.go
@@ -59,7 +59,7 @@
 	if key == "" {
 		key = newID()
 	}
-	answer, err := env.caller.Submit(context.Background(), key, job)
+	answer, err := env.caller.Submit(context.Background(), key, c.Key == "", job)
 	if primrosespar.CodeOf(err) == primrosespar.CodeOutcomeUnknown {
 		return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "send it again with --key %s", key).Because(err)
 	}
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -82,7 +82,7 @@
 	stalled   map[waitKind]*gang
 	estimator *estimator.Estimator
 	// tries and failed belong to one plan and are kept for the next, since new
-	// ones for each plan made the garbage collector delay plans by milliseconds.
+	// ones were most of the bytes that a plan with a backlog allocated.
 	tries  []*gang
 	failed map[shapeKey]primrosespar.Code
 	// restored are claims of an earlier holder whose blocks are not bound yet.
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -62,7 +62,7 @@
 func (r *Router) serve(ctx context.Context, call primrosespar.Call, forwarded bool) primrosespar.Answer {
 	j := job{call: call, forwarded: forwarded}
 	if refusal := r.check(&j); refusal != nil {
-		answer := answerOf(refusal)
+		answer := doubt(answerOf(refusal), call)
 		r.record(j, primrosespar.DecisionRefusal, answer.Code, answer.Message)
 		return answer
 	}
@@ -71,7 +71,7 @@
 	var answer primrosespar.Answer
 	switch {
 	case j.terms.Idempotent:
-		answer = r.serveIdempotent(ctx, j)
+		answer = doubt(r.serveIdempotent(ctx, j), call)
 	case minter.IsMinted(j.call.Key):
 		answer = r.serveMinted(ctx, j)
 	default:
@@ -81,6 +81,16 @@
 	return answer
 }
 
+// doubt takes back a "not run" where the key's claim was not read: with a key
+// that the caller may have sent before, an earlier call may have run.
+func doubt(answer primrosespar.Answer, call primrosespar.Call) primrosespar.Answer {
+	if call.Key != "" && !call.First && answer.Ran == primrosespar.RanNot {
+		answer.Ran = primrosespar.RanUnknown
+		answer.Message += " (an earlier call with this key may have run)"
+	}
+	return answer
+}
+
 // check validates the call against its contract and sets its deadline.
 func (r *Router) check(j *job) *primrosespar.Failure {
 	view, _ := r.opts.Contracts.View()
--- a/request.go
+++ b/request.go
@@ -13,9 +13,10 @@
 	// Key is the caller's idempotency key or a minted key; it may be empty
 	// for a call of an idempotent class.
 	Key string `json:"key,omitempty"`
-	// First is the caller's word that it never sent the key before. Only with
-	// it can a host that cannot read the key's row say that the work did not
-	// run: an earlier call may have run elsewhere.
+	// First is the caller's word that no earlier call with the key can have
+	// run: the key is new, or every earlier answer said "not run". Only with it
+	// can a refusal that did not read the key's claim say that the work did not
+	// run; without it an earlier call may have run elsewhere.
 	First       bool   `json:"first,omitempty"`
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
