Bound, name and number what refusals left open

- GET /v1/explain?from= read records of any period; it takes at most 31 days.
- Most refusals had an empty request_id.
Each request gets its id before it is looked at, and every answer carries X-Request-Id.
- A call whose body broke off was answered internal with ran = unknown.
No call runs before its body is whole, so it is bad_request and not run.
- JobRequest.preemptible was accepted and ignored.
The class decides, so the field and the flag are removed; a request that still has it is refused.
- answer_bytes (default 4 MiB, up to 64 MiB) was above the 2 MiB message in which a peer passes on the answer to a minted key.
The default is 1 MiB, the bound 2 MiB less 64 KiB for the other fields.
- X-Resent took any text; it is 1 or absent.
- The platform clients did not use the authority of the settings.
With TLS they trust only that authority, read again when its file changes; the daemon takes the keys as an option.

--- a/cmd/primrosespar/entry.go
+++ b/cmd/primrosespar/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/certifier"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/daemon"
 	"primrosespar.example/primrosespar/internal/operator/handler"
@@ -38,7 +40,12 @@
 	log := newLog(os.Stderr, c.LogLevel, settings)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err = daemon.New(settings, platformOf(settings),
+	keys, err := keysOf(settings, log)
+	if err != nil {
+		return err
+	}
+	err = daemon.New(settings, platformOf(settings, keys),
+		daemon.Keys(keys),
 		daemon.Version(handler.Version),
 		daemon.Failed(func(part string, err error) { logFailure(log, part, err) }),
 		daemon.Started(func(a daemon.Addresses) {
@@ -54,14 +61,28 @@
 	return nil
 }
 
-// platformOf returns the clients of the platform's services.
-func platformOf(s configurer.Settings) daemon.Platform {
+// keysOf reads the TLS files; it returns nil if the settings name none.
+func keysOf(s configurer.Settings, log *logrus.Entry) (*certifier.Certifier, error) {
+	if !s.TLS.Enabled() {
+		return nil, nil
+	}
+	return certifier.New(certifier.Files(s.TLS),
+		certifier.WithFailed(func(err error) { logFailure(log, "tls", err) }))
+}
+
+// platformOf returns the clients of the platform's services. With keys they
+// trust only the authority of the settings.
+func platformOf(s configurer.Settings, keys *certifier.Certifier) daemon.Platform {
 	timeout := s.Timeouts.PlatformCall
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if keys != nil {
+		transport = keys.Transport()
+	}
 	return daemon.Platform{
-		Table:   tabler.New(s.Platform.Table, s.Place, tabler.WithTimeout(timeout)),
-		Objects: tabler.New(s.Platform.Objects, s.Place, tabler.WithTimeout(timeout)),
-		Hosts:   tabler.New(s.Platform.Hosts, s.Place, tabler.WithTimeout(timeout)),
-		Workers: commander.New(s.Platform.Workers, s.Place, commander.WithTimeout(timeout)),
+		Table:   tabler.New(s.Platform.Table, s.Place, tabler.WithTimeout(timeout), tabler.WithTransport(transport)),
+		Objects: tabler.New(s.Platform.Objects, s.Place, tabler.WithTimeout(timeout), tabler.WithTransport(transport)),
+		Hosts:   tabler.New(s.Platform.Hosts, s.Place, tabler.WithTimeout(timeout), tabler.WithTransport(transport)),
+		Workers: commander.New(s.Platform.Workers, s.Place, commander.WithTimeout(timeout), commander.WithTransport(transport)),
 	}
 }
 
--- a/internal/entry/certifier/certifier.go
+++ b/internal/entry/certifier/certifier.go
@@ -8,6 +8,7 @@
 //	go c.Run(ctx)
 //	listener = tls.NewListener(listener, c.Public()) // callers and operators
 //	config := c.Peers()                              // one connection between hosts
+//	transport := c.Transport()                       // to the platform
 //
 // Hosts authenticate each other by the authority: both sides show a
 // certificate that it signed, and the dialled one must name the IP address.
@@ -19,6 +20,8 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -176,6 +179,17 @@
 	}
 }
 
+// Transport returns the HTTP transport to the platform. Each new connection
+// trusts only the newest authority.
+func (c *Certifier) Transport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		config := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: c.current().authority}
+		return (&tls.Dialer{Config: config}).DialContext(ctx, network, address)
+	}
+	return transport
+}
+
 // Peers returns the encryption of one connection between hosts, for either
 // side, with the newest keys.
 func (c *Certifier) Peers() *tls.Config {
--- a/internal/entry/certifier/certifier_test.go
+++ b/internal/entry/certifier/certifier_test.go
@@ -9,8 +9,12 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"io"
+	"log"
 	"math/big"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -24,6 +28,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/entry/certifier"
 	"primrosespar.example/primrosespar/internal/member/messenger"
+	"primrosespar.example/primrosespar/internal/platform/tabler"
 )
 
 // authority signs certificates of hosts.
@@ -170,3 +175,38 @@
 		wg.Wait()
 	}
 }
+
+// TestPlatformIsVerified guards against calls to a platform whose certificate
+// another authority signed, and against an authority that changes only with a
+// restart.
+func TestPlatformIsVerified(t *testing.T) {
+	ours, theirs, dir := newAuthority(t), newAuthority(t), t.TempDir()
+	platform, err := certifier.New(ours.write(t, t.TempDir(), 1, "127.0.0.1"))
+	require.NoError(t, err)
+	service := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"rows":[{"key":"k","version":7}]}`)
+	}))
+	service.TLS = &tls.Config{Certificates: platform.Peers().Certificates, MinVersion: tls.VersionTLS12}
+	service.Config.ErrorLog = log.New(io.Discard, "", 0)
+	service.StartTLS()
+	defer service.Close()
+	clock := clockwork.NewFakeClock()
+	host, err := certifier.New(theirs.write(t, dir, 1, "127.0.0.1"), certifier.WithClock(clock), certifier.WithPeriod(time.Minute))
+	require.NoError(t, err)
+	table := tabler.New(service.URL, "p", tabler.WithTransport(host.Transport()))
+	_, err = table.Get(t.Context(), "k")
+	require.Equal(t, primrosespar.CodeStoreUnavailable, primrosespar.CodeOf(err))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	wg.Go(func() { host.Run(ctx) })
+	ours.write(t, dir, 2, "127.0.0.1")
+	require.NoError(t, clock.BlockUntilContext(ctx, 1))
+	clock.Advance(time.Minute)
+	require.NoError(t, clock.BlockUntilContext(ctx, 1))
+	rows, err := table.Get(t.Context(), "k")
+	require.NoError(t, err)
+	require.EqualValues(t, 7, rows[0].Version)
+	cancel()
+	wg.Wait()
+}
--- a/internal/entry/configurer/fields.go
+++ b/internal/entry/configurer/fields.go
@@ -23,8 +23,10 @@
 	maxURL   = 2048
 	// maxBody keeps a call that is forwarded to another host below the limit
 	// of one message between hosts, which is 2 MiB.
-	maxBody   = 1 << 20
-	maxAnswer = 64 << 20
+	maxBody = 1 << 20
+	// maxAnswer leaves room for the other fields in a message between hosts,
+	// which is at most 2 MiB: a minted key may be run by another host.
+	maxAnswer = 2<<20 - 64<<10
 	maxBuffer = 100_000
 )
 
@@ -75,7 +77,7 @@
 	}
 	return []decoder.Field{
 		whole("body_bytes", "bytes", "1048576", 1024, maxBody, "Largest body of a request."),
-		whole("answer_bytes", "bytes", "4194304", 1024, maxAnswer, "Largest answer of an upstream."),
+		whole("answer_bytes", "bytes", "1048576", 1024, maxAnswer, "Largest answer of an upstream."),
 		whole("requests", "requests", "1024", 1, maxBuffer, "Calls, key requests and job requests in the host at once, queued ones included; more are refused as not run."),
 		whole("connections", "connections", "4096", 1, maxBuffer, "Open connections of each HTTP address; more wait to be accepted."),
 		whole("minted_keys", "keys", "65536", 1, 1<<20, "Minted keys that the host remembers."),
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -47,6 +47,8 @@
 	// PublicTLS and PeerTLS encrypt the listeners; nil leaves them plain.
 	PublicTLS *tls.Config
 	PeerTLS   func() *tls.Config
+	// Keys are read again while the daemon runs.
+	Keys *certifier.Certifier
 	// Version is shown in the status.
 	Version string
 	// Grace is how long an unready host goes on taking new work, so that the
@@ -67,11 +69,14 @@
 	return func(o *Options) { o.Started = f }
 }
 
-// TLS sets the encryption of the listeners for callers and operators and of
-// each new connection between hosts. Without it Run takes both from the files
-// that the settings name.
-func TLS(public *tls.Config, peers func() *tls.Config) Option {
-	return func(o *Options) { o.PublicTLS, o.PeerTLS = public, peers }
+// Keys sets the keys of the listeners for callers and operators and of each
+// new connection between hosts; with nil they are plain.
+func Keys(keys *certifier.Certifier) Option {
+	return func(o *Options) {
+		if keys != nil {
+			o.Keys, o.PublicTLS, o.PeerTLS = keys, keys.Public(), keys.Peers
+		}
+	}
 }
 
 // Version sets the version that the status shows.
@@ -103,20 +108,6 @@
 	return &Daemon{settings: settings, platform: bound(platform, settings.Timeouts.PlatformCall), options: newOptions(opts)}
 }
 
-// loadKeys reads the TLS files; without any it returns nil.
-func (d *Daemon) loadKeys() (*certifier.Certifier, error) {
-	if !d.settings.TLS.Enabled() || d.options.PublicTLS != nil {
-		return nil, nil
-	}
-	keys, err := certifier.New(certifier.Files(d.settings.TLS), certifier.WithClock(d.options.Clock),
-		certifier.WithFailed(func(err error) { d.note("tls", err) }))
-	if err != nil {
-		return nil, err
-	}
-	TLS(keys.Public(), keys.Peers)(&d.options)
-	return keys, nil
-}
-
 // listeners are the three open listeners.
 type listeners struct {
 	callers, operators, peers net.Listener
@@ -124,10 +115,6 @@
 
 // Run serves until ctx ends and then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
-	keys, err := d.loadKeys()
-	if err != nil {
-		return err
-	}
 	open, err := d.listen(ctx)
 	if err != nil {
 		return err
@@ -140,7 +127,7 @@
 	defer stop()
 	var wg conc.WaitGroup
 	host.start(work, &wg)
-	if keys != nil {
+	if keys := d.options.Keys; keys != nil {
 		wg.Go(func() { keys.Run(work) })
 	}
 	wg.Go(func() { d.note("peers", messenger.Serve(work, open.peers, host, host.messengerOptions()...)) })
--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -198,7 +198,7 @@
 	d := h.daemon
 	clock, s := d.options.Clock, d.settings
 	h.server = server.New(server.Parts{
-		Place: s.Place, Host: s.Host, Clock: clock, Router: h.router, Contracts: h.contracts,
+		Place: s.Place, Places: placesOf(s.Places), Host: s.Host, Clock: clock, Router: h.router, Contracts: h.contracts,
 		Authorizer: authorizer.New(tokensOf(s)...), Meter: h.meter,
 		Jobs: submitter.New(d.platform.Table, h.contracts, clock,
 			append(submitterOptions(s), submitter.Random(random), submitter.Check(h.racks.check))...),
--- a/internal/entry/server/answer.go
+++ b/internal/entry/server/answer.go
@@ -15,7 +15,7 @@
 )
 
 // refuse answers with the error's code.
-func (s *Server) refuse(w http.ResponseWriter, err error, id primrosespar.RequestID) {
+func (s *Server) refuse(w http.ResponseWriter, err error) {
 	failure := asFailure(err)
 	var faults decoder.Faults
 	errors.As(err, &faults)
@@ -23,7 +23,7 @@
 	if len(faults) > 0 {
 		message += ": " + strings.ReplaceAll(faults.Error(), "\n", "; ")
 	}
-	s.refusal(w, failure.Code, failure.Ran, message, id, faults)
+	s.refusal(w, failure.Code, failure.Ran, message, faults)
 }
 
 // asFailure gives every error a code.
@@ -40,20 +40,36 @@
 }
 
 // refusal writes the JSON form of a code.
-func (s *Server) refusal(w http.ResponseWriter, code primrosespar.Code, ran primrosespar.Ran, message string, id primrosespar.RequestID, faults []decoder.Fault) {
+func (s *Server) refusal(w http.ResponseWriter, code primrosespar.Code, ran primrosespar.Ran, message string, faults []decoder.Fault) {
 	info := code.Info()
 	status := info.HTTP
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 	}
 	w.Header().Set("X-Result-Code", strconv.Itoa(int(code)))
-	writeJSON(w, status, caller.Refusal{Code: code, Name: info.Name, Message: message, Ran: ran, RequestID: id, Faults: faults})
+	writeJSON(w, status, caller.Refusal{Code: code, Name: info.Name, Message: message, Ran: ran, RequestID: requestID(w), Faults: faults})
 }
 
 // refusalWith refuses with a status that is not the code's usual one.
 func (s *Server) refusalWith(w http.ResponseWriter, status int, f *primrosespar.Failure) {
 	w.Header().Set("X-Result-Code", strconv.Itoa(int(f.Code)))
-	writeJSON(w, status, caller.Refusal{Code: f.Code, Name: f.Code.String(), Message: f.Message, Ran: f.Ran})
+	writeJSON(w, status, caller.Refusal{Code: f.Code, Name: f.Code.String(), Message: f.Message, Ran: f.Ran, RequestID: requestID(w)})
+}
+
+// requestID returns the id that the request got before it was looked at.
+func requestID(w http.ResponseWriter) primrosespar.RequestID {
+	return primrosespar.RequestID(w.Header().Get(caller.HeaderRequestID))
+}
+
+// readBody reads the whole body. Nothing runs before that, so a body that
+// breaks off is refused as not run.
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(r.Body)
+	var tooLarge *http.MaxBytesError
+	if err != nil && !errors.As(err, &tooLarge) {
+		return nil, primrosespar.Fail(primrosespar.CodeBadRequest, "the body broke off after %d bytes", len(body)).Because(err)
+	}
+	return body, err
 }
 
 // writeJSON writes a value; a caller that left is not an error.
--- a/internal/entry/server/calls.go
+++ b/internal/entry/server/calls.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,24 +20,24 @@
 // call serves one request of a request class.
 func (s *Server) call(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error {
 	start := s.parts.Clock.Now()
-	call, err := s.readCall(r, p, id, start)
+	call, err := s.readCall(w, r, p, id, start)
 	if err != nil {
 		return err
 	}
 	answer := s.parts.Router.Serve(r.Context(), call)
 	s.parts.Meter.Call(s.label(call.Account), call.Class, answer.Code, s.parts.Clock.Since(start))
-	s.answer(w, answer, call.ID)
+	s.answer(w, answer)
 	return nil
 }
 
 // readCall reads and checks headers and body.
-func (s *Server) readCall(r *http.Request, p httprouter.Params, id authorizer.Identity, now time.Time) (primrosespar.Call, error) {
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity, now time.Time) (primrosespar.Call, error) {
 	account, err := s.account(r, id)
 	if err != nil {
 		return primrosespar.Call{}, err
 	}
 	call := primrosespar.Call{
-		ID:          s.parts.NewID(),
+		ID:          requestID(w),
 		Account:     account,
 		Class:       primrosespar.Class(p.ByName("class")),
 		Key:         r.Header.Get("X-Request-Key"),
@@ -57,7 +56,7 @@
 	if err := s.readDeadline(r, &call, now); err != nil {
 		return call, err
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := readBody(r)
 	if err != nil {
 		return call, err
 	}
@@ -108,10 +107,9 @@
 }
 
 // answer passes the upstream's answer on, or the refusal.
-func (s *Server) answer(w http.ResponseWriter, a primrosespar.Answer, id primrosespar.RequestID) {
-	w.Header().Set("X-Request-Id", string(id))
+func (s *Server) answer(w http.ResponseWriter, a primrosespar.Answer) {
 	if a.Status == 0 || a.Message != "" {
-		s.refusal(w, a.Code, a.Ran, a.Message, id, nil)
+		s.refusal(w, a.Code, a.Ran, a.Message, nil)
 		return
 	}
 	w.Header().Set("X-Result-Code", strconv.Itoa(int(a.Code)))
--- a/internal/entry/server/contracts.go
+++ b/internal/entry/server/contracts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -97,14 +96,19 @@
 		return amender.Amendment{}, primrosespar.Fail(primrosespar.CodeBadRequest,
 			"header %s must be a unique id of at most %d printable characters", caller.HeaderAmendmentID, maxKeyBytes)
 	}
-	document, err := io.ReadAll(r.Body)
+	resent := r.Header.Get(caller.HeaderResent)
+	if resent != "" && resent != "1" {
+		return amender.Amendment{}, primrosespar.Fail(primrosespar.CodeBadRequest,
+			"header %s is %q, it must be 1 or absent", caller.HeaderResent, resent)
+	}
+	document, err := readBody(r)
 	if err != nil {
 		return amender.Amendment{}, err
 	}
 	return amender.Amendment{
 		ID: name, Account: primrosespar.Account(p.ByName("account")), Base: primrosespar.Version(base),
 		Document: document, Delete: r.Method == http.MethodDelete, Author: id.Name,
-		At: s.parts.Clock.Now().UTC(), Resent: r.Header.Get(caller.HeaderResent) != "",
+		At: s.parts.Clock.Now().UTC(), Resent: resent == "1",
 	}, nil
 }
 
@@ -144,7 +148,7 @@
 	if err := id.MayOperate(); err != nil {
 		return err
 	}
-	document, err := io.ReadAll(r.Body)
+	document, err := readBody(r)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/server/input_test.go
+++ b/internal/entry/server/input_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -70,7 +72,7 @@
 		return nil
 	}
 	f.handler = server.New(server.Parts{
-		Place: "burnie-a", Clock: clock, Contracts: view, Meter: meter.New(), Amender: amendments, Recorder: nothing{}, AllWorkers: all,
+		Place: "burnie-a", Places: []primrosespar.Place{"burnie-a", "campbell-a"}, Clock: clock, Contracts: view, Meter: meter.New(), Amender: amendments, Recorder: nothing{}, AllWorkers: all,
 		Router: router.New(router.WithProcess("burnie-a", "h"), router.WithClock(clock), router.WithContracts(view, f.ran), router.WithRecorder(nothing{})),
 		Authorizer: authorizer.New(
 			authorizer.Token{Secret: "caller", Role: authorizer.RoleCaller, Account: "derwent-haulage"},
@@ -158,6 +160,11 @@
 		{"guarantee above a rack", put, "operator", amend, strings.Replace(document, "block = 64", "block = 128", 1), primrosespar.CodeGuaranteesDontPack, "128"},
 		{"base version", put, "operator", "If-Match: x|X-Amendment-Id: second", document, primrosespar.CodeBadRequest, "If-Match"},
 		{"amended since", put, "operator", "If-Match: 0|X-Amendment-Id: second", document, primrosespar.CodeVersionConflict, "1"},
+		{"preemptible", job, "caller", "", `{` + class + `,"preemptible":true}`, primrosespar.CodeUnknownField, `"preemptible"`},
+		{"jobs of an unknown place", "GET /v1/jobs?place=hobart", "caller", "", "", primrosespar.CodeNotFound, `"hobart" does not exist; the places are burnie-a, campbell-a`},
+		{"explanation without bound", "GET /v1/explain/x?from=1970-01-01T00:00:00Z", "caller", "", "", primrosespar.CodeOutOfRange, "at most 744h"},
+		{"explanation of the future", "GET /v1/explain/x?from=9970-01-01T00:00:00Z", "caller", "", "", primrosespar.CodeOutOfRange, "in the past"},
+		{"resent", put, "operator", amend + "|X-Resent: maybe", document, primrosespar.CodeBadRequest, `X-Resent is "maybe", it must be 1 or absent`},
 		{"unknown path", "GET /v1/nothing", "caller", "", "", primrosespar.CodeNotFound, "/v1/nothing"},
 		{"unknown method", "PATCH /v1/jobs", "caller", "", "", primrosespar.CodeBadRequest, "PATCH"},
 	}
@@ -174,6 +181,7 @@
 			require.Equal(t, in.code, refusal.Code, refusal.Message)
 			require.Contains(t, refusal.Message, in.message)
 			require.Equal(t, primrosespar.RanNot, refusal.Ran)
+			require.Equal(t, primrosespar.RequestID("r-1"), refusal.RequestID)
 			require.Equal(t, before, f.rows(t), "the refused request was applied in part")
 			require.Zero(t, f.ran.calls, "the refused request got to an upstream")
 		})
@@ -198,3 +206,22 @@
 		require.Equal(t, absentStatus, status)
 	}
 }
+
+// TestBrokenBody guards against a call whose body breaks off and that is
+// answered as one that may have run.
+func TestBrokenBody(t *testing.T) {
+	f := newFixture(t)
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/requests/booking",
+		io.MultiReader(strings.NewReader("half"), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	r.Header.Set("Authorization", "Bearer caller")
+	r.Header.Set("X-Request-Key", "k")
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	var refusal caller.Refusal
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &refusal))
+	require.Equal(t, primrosespar.CodeBadRequest, refusal.Code)
+	require.Equal(t, primrosespar.RanNot, refusal.Ran)
+	require.Contains(t, refusal.Message, "broke off after 4 bytes")
+	require.Equal(t, "r-1", w.Header().Get("X-Request-Id"))
+	require.Zero(t, f.ran.calls)
+}
--- a/internal/entry/server/jobs.go
+++ b/internal/entry/server/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/base64"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -47,22 +49,21 @@
 // from text here, so that a refusal names their field.
 func readJob(r *http.Request) (caller.JobRequest, error) {
 	var text struct {
-		Account     primrosespar.Account `json:"account"`
-		Class       primrosespar.Class   `json:"class"`
-		Place       primrosespar.Place   `json:"place"`
-		Shape       primrosespar.Shape   `json:"shape"`
-		Claim       bool                 `json:"claim"`
-		Preemptible bool                 `json:"preemptible"`
-		Declared    *string              `json:"declared"`
-		Deadline    *string              `json:"deadline"`
-		Work        *string              `json:"work"`
+		Account  primrosespar.Account `json:"account"`
+		Class    primrosespar.Class   `json:"class"`
+		Place    primrosespar.Place   `json:"place"`
+		Shape    primrosespar.Shape   `json:"shape"`
+		Claim    bool                 `json:"claim"`
+		Declared *string              `json:"declared"`
+		Deadline *string              `json:"deadline"`
+		Work     *string              `json:"work"`
 	}
 	if err := readJSON(r, &text); err != nil {
 		return caller.JobRequest{}, err
 	}
 	body := caller.JobRequest{
 		Account: text.Account, Class: text.Class, Place: text.Place, Shape: text.Shape,
-		Claim: text.Claim, Preemptible: text.Preemptible,
+		Claim: text.Claim,
 	}
 	for _, span := range []struct {
 		field string
@@ -110,6 +111,9 @@
 	if place == "" {
 		place = s.parts.Place
 	}
+	if !slices.Contains(s.parts.Places, place) {
+		return primrosespar.Fail(primrosespar.CodeNotFound, "place %q does not exist; the places are %s", place, names(s.parts.Places))
+	}
 	gangs, err := s.parts.Jobs.List(r.Context(), place, account)
 	if err != nil {
 		return err
@@ -122,6 +126,15 @@
 	return nil
 }
 
+// names lists places for a message.
+func names(places []primrosespar.Place) string {
+	list := make([]string, len(places))
+	for i, place := range places {
+		list[i] = string(place)
+	}
+	return strings.Join(list, ", ")
+}
+
 // showJob shows one job.
 func (s *Server) showJob(w http.ResponseWriter, r *http.Request, p httprouter.Params, id authorizer.Identity) error {
 	gang, err := s.ownJob(r, p, id)
--- a/internal/entry/server/reports.go
+++ b/internal/entry/server/reports.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if !from.Before(now) || now.Sub(from) > maxPeriod {
+		return primrosespar.Fail(primrosespar.CodeOutOfRange, "from is %s, it must be in the past, by at most %s", from.Format(caller.QueryTime), maxPeriod)
+	}
 	if err := s.parts.Flush(r.Context()); err != nil && id.Role == authorizer.RoleOperator {
 		return err
 	}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -34,7 +34,9 @@
 
 // Parts are what a Server works with.
 type Parts struct {
-	Place      primrosespar.Place
+	Place primrosespar.Place
+	// Places are those of the installation.
+	Places     []primrosespar.Place
 	Host       primrosespar.Host
 	Clock      primrosespar.Clock
 	Router     primrosespar.Router
@@ -164,16 +166,18 @@
 // drainPoll is how often Drain looks.
 const drainPoll = 20 * time.Millisecond
 
-// limited bounds what any request may cost before it is looked at.
+// limited gives each request its id and bounds what it may cost before it is
+// looked at.
 func (s *Server) limited(next *httprouter.Router) http.Handler {
 	next.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.refuse(w, primrosespar.Fail(primrosespar.CodeNotFound, "the path %q does not exist", r.URL.Path), "")
+		s.refuse(w, primrosespar.Fail(primrosespar.CodeNotFound, "the path %q does not exist", r.URL.Path))
 	})
 	next.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		failure := primrosespar.Fail(primrosespar.CodeBadRequest, "the path has no method %s; it has %s", r.Method, w.Header().Get("Allow"))
 		s.refusalWith(w, http.StatusMethodNotAllowed, failure)
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(caller.HeaderRequestID, string(s.parts.NewID()))
 		r.Body = http.MaxBytesReader(w, r.Body, s.options.MaxBody)
 		next.ServeHTTP(w, r)
 	})
@@ -192,7 +196,7 @@
 			err = h(w, r, p, id)
 		}
 		if err != nil {
-			s.refuse(w, err, "")
+			s.refuse(w, err)
 		}
 	}
 }
--- a/internal/member/messenger/messenger_test.go
+++ b/internal/member/messenger/messenger_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,8 @@
 	"go.uber.org/goleak"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/document/decoder"
+	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/member/messenger"
 )
 
@@ -140,3 +144,18 @@
 	require.ErrorAs(t, err, &f)
 	require.Equal(t, primrosespar.RanNot, f.Ran)
 }
+
+// TestLargestAnswerFits guards against a limit of answers above that of
+// messages: such an answer would be lost between two hosts after its call ran.
+func TestLargestAnswerFits(t *testing.T) {
+	fields := configurer.Fields()
+	limits := fields[slices.IndexFunc(fields, func(f decoder.Field) bool { return f.Key == "limits" })].Fields
+	largest := int(limits[slices.IndexFunc(limits, func(f decoder.Field) bool { return f.Key == "answer_bytes" })].Max)
+	to, stop := serve(t, "127.0.0.1:0", handler{func(context.Context, primrosespar.Call) (primrosespar.Answer, error) {
+		return primrosespar.Answer{Status: 200, ContentType: strings.Repeat("c", 16<<10), Body: make([]byte, largest)}, nil
+	}})
+	defer stop()
+	answer, err := client(t).Execute(t.Context(), to, primrosespar.Call{ID: "r", Left: time.Minute})
+	require.NoError(t, err)
+	require.Len(t, answer.Body, largest)
+}
--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -207,12 +207,16 @@
 	return answer, err
 }
 
-// Jobs lists the jobs of an account, or all without one.
-func (c *Caller) Jobs(ctx context.Context, account primrosespar.Account) (answer JobsAnswer, err error) {
+// Jobs lists the jobs of an account in a place; without an account all, without
+// a place those of the host's.
+func (c *Caller) Jobs(ctx context.Context, account primrosespar.Account, place primrosespar.Place) (answer JobsAnswer, err error) {
 	query := url.Values{}
 	if account != "" {
 		query.Set("account", string(account))
 	}
+	if place != "" {
+		query.Set("place", string(place))
+	}
 	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query}, &answer)
 	return answer, err
 }
--- a/internal/operator/caller/shapes.go
+++ b/internal/operator/caller/shapes.go
@@ -82,15 +82,14 @@
 
 // JobRequest is the body of POST /v1/jobs.
 type JobRequest struct {
-	Account     primrosespar.Account `json:"account"`
-	Class       primrosespar.Class   `json:"class"`
-	Place       primrosespar.Place   `json:"place"`
-	Shape       primrosespar.Shape   `json:"shape"`
-	Claim       bool                 `json:"claim,omitempty"`
-	Preemptible bool                 `json:"preemptible,omitempty"`
-	Declared    Span                 `json:"declared"`
-	Deadline    Span                 `json:"deadline"`
-	Work        []byte               `json:"work,omitempty"`
+	Account  primrosespar.Account `json:"account"`
+	Class    primrosespar.Class   `json:"class"`
+	Place    primrosespar.Place   `json:"place"`
+	Shape    primrosespar.Shape   `json:"shape"`
+	Claim    bool                 `json:"claim,omitempty"`
+	Declared Span                 `json:"declared"`
+	Deadline Span                 `json:"deadline"`
+	Work     []byte               `json:"work,omitempty"`
 }
 
 // JobAnswer is one job; it answers POST, GET and DELETE of a job.
--- a/internal/operator/handler/jobs.go
+++ b/internal/operator/handler/jobs.go
@@ -26,7 +26,6 @@
 	Cores       int           `help:"Cores of each member."`
 	MemoryBytes int64         `help:"Memory of each member in bytes."`
 	Claim       bool          `help:"Claim the guarantee of the account."`
-	Preemptible bool          `help:"The job may run on borrowed capacity."`
 	Declared    time.Duration `required:"" help:"Expected run time, such as 2h."`
 	Deadline    time.Duration `required:"" help:"Time from now by which the job should end."`
 	Work        string        `help:"File with the payload." type:"path" placeholder:"FILE"`
@@ -43,10 +42,9 @@
 			Members: c.Members, Block: c.Block, OneRack: c.OneRack,
 			Cores: c.Cores, MemoryBytes: c.MemoryBytes,
 		},
-		Claim:       c.Claim,
-		Preemptible: c.Preemptible,
-		Declared:    caller.Span(c.Declared),
-		Deadline:    caller.Span(c.Deadline),
+		Claim:    c.Claim,
+		Declared: caller.Span(c.Declared),
+		Deadline: caller.Span(c.Deadline),
 	}
 	if c.Work != "" {
 		data, err := readFile(c.Work)
@@ -71,11 +69,12 @@
 
 type jobList struct {
 	Account string `help:"Only jobs of this client account."`
+	Place   string `help:"Place whose jobs are listed; by default that of the host."`
 }
 
 // Run lists jobs.
 func (c *jobList) Run(env *Env) error {
-	answer, err := env.caller.Jobs(context.Background(), primrosespar.Account(c.Account))
+	answer, err := env.caller.Jobs(context.Background(), primrosespar.Account(c.Account), primrosespar.Place(c.Place))
 	if err != nil {
 		return err
 	}
--- a/internal/platform/commander/commander.go
+++ b/internal/platform/commander/commander.go
@@ -26,7 +26,8 @@
 
 // Options configure a Commander.
 type Options struct {
-	Timeout time.Duration
+	Timeout   time.Duration
+	Transport http.RoundTripper
 }
 
 // WithTimeout sets the time that one call may take.
@@ -34,6 +35,11 @@
 	return func(o *Options) { o.Timeout = timeout }
 }
 
+// WithTransport sets the HTTP transport.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(o *Options) { o.Transport = transport }
+}
+
 // Commander is a Workers that is safe for concurrent use.
 type Commander struct {
 	base    string
@@ -46,12 +52,11 @@
 
 // New returns a client of the service at the base URL for a caller in place.
 func New(base string, place primrosespar.Place, opts ...Option) *Commander {
-	options := Options{Timeout: DefaultTimeout}
+	options := Options{Timeout: DefaultTimeout, Transport: http.DefaultTransport.(*http.Transport).Clone()}
 	for _, opt := range opts {
 		opt(&options)
 	}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	return &Commander{base: base, place: place, options: options, client: &http.Client{Transport: transport}}
+	return &Commander{base: base, place: place, options: options, client: &http.Client{Transport: options.Transport}}
 }
 
 // Changes returns the workers that changed after the cursor.
