Add the command that ends a contract

The server had DELETE /v1/contracts/:account, but no command used it and the page did not name it. While an amendment is pending, show no longer prints its version as that of the document in force.

With PUT sent instead of DELETE, or without the mark, TestDeleteNamesItsVersion fails; with both it passes under the race detector.

--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -154,18 +154,28 @@
 
 // Apply amends the version of a contract. It sends the amendment again, with
 // the same id, if no answer came.
-func (c *Caller) Apply(ctx context.Context, account primrosespar.Account, base primrosespar.Version, id string, document []byte) (answer ContractAnswer, err error) {
+func (c *Caller) Apply(ctx context.Context, account primrosespar.Account, base primrosespar.Version, id string, document []byte) (ContractAnswer, error) {
+	return c.amend(ctx, base, id, call{
+		method: http.MethodPut, path: contractPath(account), body: document, contentType: TypeTOML, writes: true,
+	})
+}
+
+// Delete ends a contract in the same way as Apply amends it.
+func (c *Caller) Delete(ctx context.Context, account primrosespar.Account, base primrosespar.Version, id string) (ContractAnswer, error) {
+	return c.amend(ctx, base, id, call{method: http.MethodDelete, path: contractPath(account), writes: true})
+}
+
+// amend sends one amendment up to applyAttempts times.
+func (c *Caller) amend(ctx context.Context, base primrosespar.Version, id string, amendment call) (answer ContractAnswer, err error) {
 	for attempt := range applyAttempts {
 		header := http.Header{}
+		amendment.header = header
 		header.Set(HeaderIfMatch, strconv.FormatUint(uint64(base), 10))
 		header.Set(HeaderAmendmentID, id)
 		if attempt > 0 {
 			header.Set(HeaderResent, "1")
 		}
-		err = c.do(ctx, call{
-			method: http.MethodPut, path: contractPath(account), header: header,
-			body: document, contentType: TypeTOML, writes: true,
-		}, &answer)
+		err = c.do(ctx, amendment, &answer)
 		if !unknown(err) {
 			return answer, err
 		}
--- a/internal/operator/handler/contracts.go
+++ b/internal/operator/handler/contracts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/contract/parser"
@@ -17,6 +18,7 @@
 	Apply   contractApply   `cmd:"" help:"Amend a contract. Names the version that is amended; a newer one gives a conflict."`
 	Show    contractShow    `cmd:"" help:"Show a contract and how far it is in force."`
 	History contractHistory `cmd:"" help:"List the amendments of a contract."`
+	Delete  contractDelete  `cmd:"" help:"End a contract. Names the version that is ended; history goes on showing it."`
 	Diff    contractDiff    `cmd:"" help:"Compare a document with the contract in force."`
 }
 
@@ -72,11 +74,35 @@
 	}
 	answer, err := env.caller.Apply(context.Background(), contract.Account, primrosespar.Version(c.Base), id, data)
 	if err != nil {
-		var failure *primrosespar.Failure
-		if errors.As(err, &failure) && failure.Ran == primrosespar.RanUnknown {
-			return primrosespar.FailUnknown(failure.Code, "amendment %s; send it again with --amendment %s", id, id).Because(err)
-		}
-		return err
+		return sendAgain(err, id)
+	}
+	return env.printer.Contract(answer)
+}
+
+// sendAgain adds to an unknown outcome how to settle it.
+func sendAgain(err error, id string) error {
+	var failure *primrosespar.Failure
+	if errors.As(err, &failure) && failure.Ran == primrosespar.RanUnknown {
+		return primrosespar.FailUnknown(failure.Code, "amendment %s; send it again with --amendment %s", id, id).Because(err)
+	}
+	return err
+}
+
+type contractDelete struct {
+	Account   string `arg:"" help:"Client account."`
+	Base      uint64 `required:"" help:"Version that is ended."`
+	Amendment string `help:"Id of the amendment; give the same id to send it again after an unknown outcome." placeholder:"ID"`
+}
+
+// Run ends the contract.
+func (c *contractDelete) Run(env *Env) error {
+	id := c.Amendment
+	if id == "" {
+		id = newID()
+	}
+	answer, err := env.caller.Delete(context.Background(), primrosespar.Account(c.Account), primrosespar.Version(c.Base), id)
+	if err != nil {
+		return sendAgain(err, id)
 	}
 	return env.printer.Contract(answer)
 }
@@ -132,6 +158,9 @@
 	if err != nil {
 		return err
 	}
+	if answer.Deleted {
+		return primrosespar.Fail(primrosespar.CodeUnknownAccount, "the contract of %s ended with version %d", contract.Account, answer.Version)
+	}
 	inForce, err := parser.Parse([]byte(answer.Document))
 	if err != nil {
 		return err
@@ -144,6 +173,13 @@
 	if err != nil {
 		return err
 	}
-	text := printer.Diff(string(old), string(changed))
-	return env.printer.Text(diffAnswer{contract.Account, answer.Version, text}, text)
+	text := ""
+	if string(old) != string(changed) {
+		text = printer.Diff(string(old), string(changed))
+	}
+	shown := text
+	if text == "" {
+		shown = fmt.Sprintf("no difference from version %d of %s\n", answer.Version, contract.Account)
+	}
+	return env.printer.Text(diffAnswer{contract.Account, answer.Version, text}, shown)
 }
--- a/internal/operator/handler/handler_test.go
+++ b/internal/operator/handler/handler_test.go
@@ -82,6 +82,24 @@
 	require.Equal(t, "1", last.Get(caller.HeaderResent))
 }
 
+// TestDeleteNamesItsVersion guards against an end of a contract that names no
+// version or id, or that is shown like a contract in force.
+func TestDeleteNamesItsVersion(t *testing.T) {
+	var method string
+	var header http.Header
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		method, header = r.Method+" "+r.URL.Path, r.Header
+		_ = json.NewEncoder(w).Encode(caller.ContractAnswer{Account: "nord", Version: 4, State: "accepted", Deleted: true})
+	}))
+	defer server.Close()
+	code, out, _ := run(t, server.URL, "contract", "delete", "nord", "--base", "3")
+	require.Zero(t, code)
+	require.Equal(t, "DELETE /v1/contracts/nord", method)
+	require.Equal(t, "3", header.Get(caller.HeaderIfMatch))
+	require.NotEmpty(t, header.Get(caller.HeaderAmendmentID))
+	require.Contains(t, out, "accepted, ended")
+}
+
 // TestOutputs guards against JSON that another program cannot read back and
 // against tables that lack the columns.
 func TestOutputs(t *testing.T) {
--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/contract/amender"
 	"primrosespar.example/primrosespar/internal/operator/caller"
 )
 
@@ -68,9 +69,10 @@
 func (p *Printer) Contract(a caller.ContractAnswer) error {
 	return p.print(a, func(w io.Writer) {
 		line(w, "ACCOUNT", "VERSION", "REVISION", "STATE")
-		line(w, a.Account, a.Version, a.Revision, a.State)
 		if a.Pending != nil {
-			line(w, a.Account, a.Pending.Version, a.Pending.Revision, a.Pending.State)
+			line(w, a.Account, a.Pending.Version, a.Pending.Revision, state(a.Pending.State, a.Pending.Deleted))
+		} else {
+			line(w, a.Account, a.Version, a.Revision, state(a.State, a.Deleted))
 		}
 		if len(a.Places) > 0 {
 			line(w)
@@ -81,11 +83,23 @@
 		}
 		if a.Document != "" {
 			line(w)
+			if a.Pending != nil {
+				line(w, "The document in force:")
+				line(w)
+			}
 			_, _ = io.WriteString(w, a.Document)
 		}
 	})
 }
 
+// state names the state of a version, and whether it ends the contract.
+func state(s amender.State, deleted bool) string {
+	if deleted {
+		return string(s) + ", ended"
+	}
+	return string(s)
+}
+
 // History writes the amendments of a contract.
 func (p *Printer) History(a caller.HistoryAnswer) error {
 	return p.print(a, func(w io.Writer) {
