Add trials of real processes and judge at-most-once

standin trial runs one deployment under seeded faults (kill and restart, freeze and resume, store outage, slow store, lost answers), records every call and judges each key with porcupine by the runs that the service runners counted. Runners number their runs, so that the answers of two runs differ and a replay is comparable byte for byte.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT_VERSION := v0.12.0
 TOOLS := $(shell go env GOPATH)/bin
 
-.PHONY: build test race lint format tools fuzz bench demo docs clean
+.PHONY: build test race lint format tools fuzz bench demo trial docs clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -45,5 +45,15 @@
 demo: build
 	bin/standin demo
 
+# Proofs with real processes: make trial SEED=1 TRIAL_LOAD=60s
+TRIAL_LOAD ?= 30s
+TRIAL_MIXES ?= store hosts mix
+
+trial: build
+	@for mix in $(TRIAL_MIXES); do \
+		echo "bin/standin trial --seed $(SEED) --faults $$mix --load $(TRIAL_LOAD)"; \
+		bin/standin trial --seed $(SEED) --faults $$mix --load $(TRIAL_LOAD) || exit 1; \
+	done
+
 clean:
 	rm -rf bin
--- a/cmd/standin/deployment.go
+++ b/cmd/standin/deployment.go
@@ -137,7 +137,11 @@
 
 // startHost starts one host and puts it on the platform's list.
 func (d *deployment) startHost(ctx context.Context, place primrosespar.Place, region string, number int) error {
-	name := primrosespar.Host(fmt.Sprintf("%s-%d", place, number+1))
+	return d.startNamed(ctx, primrosespar.Host(fmt.Sprintf("%s-%d", place, number+1)), place, region)
+}
+
+// startNamed starts the host of that name.
+func (d *deployment) startNamed(ctx context.Context, name primrosespar.Host, place primrosespar.Place, region string) error {
 	file := filepath.Join(d.children.dir, string(name)+".toml")
 	if err := os.WriteFile(file, []byte(d.settingsText(name, place, region)), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
@@ -218,7 +222,8 @@
 	)
 }
 
-// pick returns a host of the place that the balancer would use.
+// pick returns a host of the place that the balancer would use, or nil if the
+// place has none.
 func (d *deployment) pick(place primrosespar.Place, turn int) *entryHost {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -228,6 +233,9 @@
 			live = append(live, h)
 		}
 	}
+	if len(live) == 0 {
+		return nil
+	}
 	return live[turn%len(live)]
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,7 @@
 //	standin platform --listen 127.0.0.1:7001
 //	standin upstream --count 17
 //	standin demo
+//	standin trial --seed 1 --faults store --load 30s
 //
 // The first two print one JSON line with their addresses and stop on SIGTERM.
 package main
@@ -38,6 +39,7 @@
 	Platform platformCommand `cmd:"" help:"Play the table, the object store, the host list and the workers."`
 	Upstream upstreamCommand `cmd:"" help:"Play service runners, one listener each."`
 	Demo     demoCommand     `cmd:"" help:"Run both example deployments with faults and count what happened."`
+	Trial    trialCommand    `cmd:"" help:"Run one deployment under seeded faults and judge the recorded history."`
 }
 
 func main() {
--- a/cmd/standin/process.go
+++ b/cmd/standin/process.go
@@ -37,7 +37,8 @@
 // start runs the program and returns once a line of the stream satisfies
 // found. The rest of the output goes to a file in the directory.
 func (p *processes) start(ctx context.Context, name, program string, args []string, found func(line []byte) bool) (*process, error) {
-	log, err := os.Create(filepath.Join(p.dir, name+".log"))
+	// A restarted process adds to the log of its predecessor.
+	log, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, eris.Wrap(err, "create log")
 	}
--- a/internal/standin/servicer/servicer.go
+++ b/internal/standin/servicer/servicer.go
@@ -5,7 +5,9 @@
 //	s := servicer.New(servicer.WithServiceTime("booking", 20*time.Millisecond))
 //	server := &http.Server{Handler: s, ConnState: s.ConnState}
 //
-// POST /run runs a request; GET /stats returns the runs per key and attempt.
+// POST /run runs a request; GET /stats returns the runs per key and attempt;
+// GET /admin/executions returns every run with its time and the number that
+// its answer carries.
 // A 503 with X-Not-Run: 1 says that the request did not run.
 package servicer
 
@@ -89,6 +91,22 @@
 	Runs    int                  `json:"runs"`
 }
 
+// Execution is one run of a request. Number is unique to it and part of its
+// answer, so that the answers of two runs of one request differ.
+type Execution struct {
+	Account primrosespar.Account `json:"account"`
+	Key     string               `json:"key"`
+	Number  string               `json:"number"`
+	At      time.Time            `json:"at"`
+}
+
+// Departure is what a leaving runner saw: when it first refused a request as
+// leaving and when the last request arrived; zero times mean never.
+type Departure struct {
+	FirstRefusal time.Time `json:"first_refusal"`
+	LastRequest  time.Time `json:"last_request"`
+}
+
 // Servicer is an http.Handler that is safe for concurrent use.
 type Servicer struct {
 	router  *httprouter.Router
@@ -100,6 +118,9 @@
 	total   uint64
 	refused uint64
 	runs    map[Run]int
+
+	executions []Execution
+	departure  Departure
 }
 
 // New returns a service runner.
@@ -119,6 +140,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	s.router.PUT("/admin/misbehaviour", s.misbehave)
+	s.router.GET("/admin/executions", s.listExecutions)
 	return s
 }
 
@@ -180,13 +202,14 @@
 		return
 	}
 	defer s.free()
-	fault := s.count(r)
+	fault, number := s.count(r)
 	class := primrosespar.Class(r.Header.Get("X-Class"))
 	s.options.Clock.Sleep(s.options.ServiceTimes[class])
 	account, key := primrosespar.Account(r.Header.Get("X-Account")), r.Header.Get("X-Request-Key")
 	answer, _ := json.Marshal(struct {
 		Digest string `json:"digest"`
-	}{Digest(account, class, key, body)})
+		Number string `json:"number"`
+	}{Digest(account, class, key, body), number})
 	s.respond(w, fault, answer)
 }
 
@@ -194,6 +217,7 @@
 func (s *Servicer) take(w http.ResponseWriter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.departure.LastRequest = s.options.Clock.Now()
 	if !s.leaving && s.busy < s.options.Slots {
 		s.busy++
 		return true
@@ -201,6 +225,9 @@
 	s.refused++
 	w.Header().Set("X-Not-Run", "1")
 	if s.leaving {
+		if s.departure.FirstRefusal.IsZero() {
+			s.departure.FirstRefusal = s.departure.LastRequest
+		}
 		w.Header().Set("X-Leaving", "1")
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -226,13 +253,17 @@
 	faultFailed
 )
 
-// count records the run and chooses its fault.
-func (s *Servicer) count(r *http.Request) fault {
+// count records the run, numbers it and chooses its fault.
+func (s *Servicer) count(r *http.Request) (fault, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.total++
 	account := primrosespar.Account(r.Header.Get("X-Account"))
-	s.runs[Run{Account: account, Key: r.Header.Get("X-Request-Key")}]++
+	key := r.Header.Get("X-Request-Key")
+	s.runs[Run{Account: account, Key: key}]++
+	now := s.options.Clock.Now()
+	number := fmt.Sprintf("%d-%d", now.UnixNano(), s.total)
+	s.executions = append(s.executions, Execution{Account: account, Key: key, Number: number, At: now})
 	if attempt := r.Header.Get("X-Attempt-Id"); attempt != "" {
 		s.runs[Run{Account: account, Attempt: attempt}]++
 	}
@@ -243,11 +274,11 @@
 	drawn := float64(xxhash.Sum64(seeded[:])>>11) / (1 << 53)
 	for i, share := range []float64{m.Slow, m.Truncated, m.Unended, m.Closed, m.Failed} {
 		if drawn < share {
-			return faultSlow + fault(i)
+			return faultSlow + fault(i), number
 		}
 		drawn -= share
 	}
-	return faultNone
+	return faultNone, number
 }
 
 // respond sends the answer as the fault has it.
@@ -302,3 +333,17 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(doc)
 }
+
+// listExecutions serves GET /admin/executions.
+func (s *Servicer) listExecutions(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Record{Executions: s.executions, Departure: s.departure})
+}
+
+// Record answers GET /admin/executions.
+type Record struct {
+	Executions []Execution `json:"executions"`
+	Departure  Departure   `json:"departure"`
+}
