Make status, incident report and refusals say what happened

Found by trying each command against a running demonstration:

- status never listed upstreams.
It shows each with the slots this host may use, those in use, leaving and ejected.
- The incident report counted each refusal twice, called a change of the place lease "the work ran", a waiting job "placed", and did not say what ran or for how long.
Each section now says how many requests were answered, were refused and not run, or may have run, from when to when and where, and what became of jobs; successful admissions and attempts are left out of the timeline.
Calls refused by the first check had no outcome record and get one, so that each call has exactly one per host.
- job cancel of an ended job said "accepted"; it shows how the job ended.

Measured: with the text "Not run." not read, the lease not named, or refusals counted, TestIncidentSaysWhatRan fails; without the check of the URL TestServerMustBeURL, without the used slots TestUpstreamsAreShown.

--- a/internal/document/decoder/reader.go
+++ b/internal/document/decoder/reader.go
@@ -109,7 +109,7 @@
 // typed reports a value of the wrong type.
 func (d *reader) typed(ok bool, raw any, f Field, path string) bool {
 	if !ok {
-		d.fault(path, "%s is a %s, a %s is required", f.show(raw), typeName(raw), f.Kind)
+		d.fault(path, "%s is %s, %s is required", f.show(raw), article(typeName(raw)), article(string(f.Kind)))
 	}
 	return ok
 }
@@ -264,3 +264,11 @@
 	}
 	return false
 }
+
+// article puts the indefinite article before a noun.
+func article(noun string) string {
+	if noun != "" && strings.ContainsRune("aeiou", rune(noun[0])) {
+		return "an " + noun
+	}
+	return "a " + noun
+}
--- a/internal/entry/daemon/racks.go
+++ b/internal/entry/daemon/racks.go
@@ -131,6 +131,11 @@
 	for _, name := range append(membership.Dead, membership.Silent...) {
 		answer.Hosts = append(answer.Hosts, h.hostStatus(name, false, false, view.Revision))
 	}
+	for _, u := range h.dispatcher.Upstreams() {
+		answer.Upstreams = append(answer.Upstreams, caller.UpstreamStatus{
+			Upstream: u.Upstream, Slots: u.Slots, Used: u.Used, Leaving: u.Leaving, Ejected: u.Ejected,
+		})
+	}
 	return answer
 }
 
--- a/internal/entry/server/jobs.go
+++ b/internal/entry/server/jobs.go
@@ -151,6 +151,10 @@
 	if err != nil {
 		return err
 	}
+	if gang.State.Ended() {
+		writeJSON(w, http.StatusOK, jobAnswer(gang, gang.Reason))
+		return nil
+	}
 	if err := s.parts.Jobs.Cancel(r.Context(), gang.Job.ID); err != nil {
 		return err
 	}
--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -87,6 +87,9 @@
 	if len(call.query) > 0 {
 		target += "?" + call.query.Encode()
 	}
+	if base, err := url.Parse(c.opts.Server); err != nil || base.Host == "" || base.Scheme != "http" && base.Scheme != "https" {
+		return primrosespar.Fail(primrosespar.CodeBadRequest, "--server is %q, it must be a URL such as http://127.0.0.1:7102", c.opts.Server)
+	}
 	request, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
 	if err != nil {
 		return primrosespar.Fail(primrosespar.CodeBadRequest, "the server is not a URL")
--- a/internal/operator/handler/handler_test.go
+++ b/internal/operator/handler/handler_test.go
@@ -131,3 +131,13 @@
 	require.NoError(t, err)
 	require.Equal(t, printer.CodesManual(), string(text))
 }
+
+// TestServerMustBeURL guards against a mistyped address that is reported as a
+// host that gives no answer.
+func TestServerMustBeURL(t *testing.T) {
+	for _, server := range []string{"nonsense", "127.0.0.1:7102", "ftp://h", "http://"} {
+		code, _, diagnostics := run(t, server, "status")
+		require.Equal(t, 2, code, server)
+		require.Contains(t, diagnostics, "--server is")
+	}
+}
--- a/internal/record/reporter/incident.go
+++ b/internal/record/reporter/incident.go
@@ -42,8 +42,8 @@
 		}
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "# Incident report\n\nPeriod: %s to %s (UTC).\n\n", stamp(from), stamp(to))
-	b.WriteString("Each row gives the time of the first and the last of equal decisions, what was decided, where, and how often. Clocks of hosts may differ by some milliseconds.\n")
+	fmt.Fprintf(&b, "# Incident report\n\nPeriod: %s to %s (UTC), %s.\n\n", stamp(from), stamp(to), to.Sub(from).Round(time.Second))
+	b.WriteString("Each client account has a section under its public name. It says what was answered, what did not run and what may have run, then the results and a timeline. A row gives the first and the last of equal events, where they happened, and how often. Clocks of hosts may differ by some milliseconds.\n")
 	completeness(&b, general, missing)
 	b.WriteString("\n## The system as a whole\n\n")
 	section(&b, general)
@@ -108,24 +108,6 @@
 	}
 }
 
-// section writes the counts and the timeline of a list of decisions.
-func section(b *strings.Builder, decisions []primrosespar.Decision) {
-	if len(decisions) == 0 {
-		b.WriteString("Nothing was decided in this period.\n")
-		return
-	}
-	counts := map[primrosespar.Code]int{}
-	for _, d := range decisions {
-		counts[d.Code]++
-	}
-	for _, info := range primrosespar.Codes() {
-		if n := counts[info.Code]; n > 0 {
-			fmt.Fprintf(b, "- %s: %s\n", times(n), info.Meaning)
-		}
-	}
-	timeline(b, decisions)
-}
-
 // row is one line of a timeline.
 type row struct {
 	first, last time.Time
@@ -144,6 +126,9 @@
 	var rows []*row
 	open := map[key]*row{}
 	for _, d := range decisions {
+		if !told(d) {
+			continue
+		}
 		k := key{d.Kind, d.Code, d.Place, d.Class}
 		if now := open[k]; now != nil && d.At.Sub(now.first) < joinWithin {
 			now.last = d.At
@@ -160,7 +145,7 @@
 			return
 		}
 		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %d |\n", stamp(now.first), stamp(now.last),
-			escape(string(now.sample.Place)), escape(string(now.sample.Class)), what(now.sample.Kind), now.sample.Code, now.count)
+			escape(string(now.sample.Place)), escape(string(now.sample.Class)), event(now.sample), now.sample.Code, now.count)
 	}
 }
 
--- a/internal/record/reporter/reporter.go
+++ b/internal/record/reporter/reporter.go
@@ -51,7 +51,7 @@
 		}
 	}
 	if len(own) == 0 {
-		b.WriteString("  There is no record of it.\n")
+		b.WriteString("  There is no record of it in this period. Hosts write their records every 10 s.\n")
 	}
 	day := ""
 	for _, d := range own {
--- a/internal/record/reporter/reporter_test.go
+++ b/internal/record/reporter/reporter_test.go
@@ -69,3 +69,30 @@
 `, story)
 	require.Contains(t, reporter.Explain("job-9", decisions), "no record")
 }
+
+// TestIncidentSaysWhatRan guards against a report that counts a refused request
+// as answered or twice, a lease change as answered work, or that does not say
+// for how long requests were affected.
+func TestIncidentSaysWhatRan(t *testing.T) {
+	var decisions []primrosespar.Decision
+	add := func(second int, account primrosespar.Account, kind primrosespar.DecisionKind, codes ...primrosespar.Code) {
+		for _, code := range codes {
+			decisions = append(decisions, primrosespar.Decision{
+				At: start().Add(time.Duration(second) * time.Second), Place: "p", Account: account, Kind: kind, Code: code,
+			})
+		}
+	}
+	add(0, "", primrosespar.DecisionLease, primrosespar.CodeOK)
+	add(1, "a", primrosespar.DecisionOutcome, primrosespar.CodeOK, primrosespar.CodeReplayed)
+	add(2, "a", primrosespar.DecisionRefusal, primrosespar.CodeRateLimited)
+	add(2, "a", primrosespar.DecisionOutcome, primrosespar.CodeRateLimited)
+	add(32, "a", primrosespar.DecisionOutcome, primrosespar.CodeOutcomeUnknown)
+	add(33, "a", primrosespar.DecisionPlacement, primrosespar.CodeWaiting)
+	report := reporter.New(nil).Incident(start(), start().Add(time.Hour), decisions, false)
+	require.Contains(t, report, "Requests: 2 were answered in full, 1 were refused and did not run, 1 may have run without a whole answer.")
+	require.Contains(t, report, "at 2026-03-01 02:00:02, the last at 2026-03-01 02:00:32 (30s later), in p.")
+	require.Contains(t, report, "- once: The rate of the account's class is used up. Not run.\n")
+	require.Contains(t, report, "a host took over the placement")
+	require.Contains(t, report, "job waits for placement | waiting")
+	require.NotContains(t, report, "The work ran")
+}
--- a/internal/request/dispatcher/drain_test.go
+++ b/internal/request/dispatcher/drain_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/request/dispatcher"
 )
 
 // TestDrainServesWaitingCalls guards against a planned stop that drops calls
@@ -37,3 +38,18 @@
 		require.Empty(t, d.Beat("peer").Usage)
 	})
 }
+
+// TestUpstreamsAreShown guards against a status without upstreams, or without
+// the slots in use and the announcement that one is leaving.
+func TestUpstreamsAreShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := single()
+		grant, err := d.Acquire(t.Context(), primrosespar.Call{Account: "x", Class: "c", Deadline: time.Now().Add(time.Second)})
+		require.NoError(t, err)
+		want := dispatcher.UpstreamState{Upstream: "u", Slots: slotCount, Used: 1}
+		require.Equal(t, []dispatcher.UpstreamState{want}, d.Upstreams())
+		grant.Release(primrosespar.AttemptOutcome{Code: primrosespar.CodeOK, Sent: true, Leaving: true})
+		want.Used, want.Leaving = 0, true
+		require.Equal(t, []dispatcher.UpstreamState{want}, d.Upstreams())
+	})
+}
--- a/internal/request/dispatcher/membership.go
+++ b/internal/request/dispatcher/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"primrosespar.example/primrosespar"
@@ -178,3 +179,28 @@
 	}
 	return wanted
 }
+
+// UpstreamState is one upstream as this host sees it.
+type UpstreamState struct {
+	Upstream primrosespar.Upstream
+	// Slots are those that this host may use now, Used those in use.
+	Slots, Used      int
+	Leaving, Ejected bool
+}
+
+// Upstreams returns the listed upstreams of the place in the order of the list.
+func (d *Dispatcher) Upstreams() []UpstreamState {
+	now := d.opts.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	used, ejected, ready := d.balancer.Used(), d.balancer.Ejected(), d.balancer.Candidates(now)
+	states := make([]UpstreamState, 0, len(d.upstreams))
+	for _, u := range d.upstreams {
+		out := slices.Contains(ejected, u.Upstream)
+		states = append(states, UpstreamState{
+			Upstream: u.Upstream, Slots: d.divider.Usable(u.Upstream, now), Used: used[u.Upstream],
+			Ejected: out, Leaving: !out && !slices.Contains(ready, u.Upstream),
+		})
+	}
+	return states
+}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -64,6 +64,7 @@
 	if refusal := r.check(&j); refusal != nil {
 		answer := answerOf(refusal)
 		r.record(j, primrosespar.DecisionRefusal, answer.Code, answer.Message)
+		r.record(j, primrosespar.DecisionOutcome, answer.Code, answer.Message)
 		return answer
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.call.Left)
