Refuse truthfully before the contracts are read

Cause: a restarted host answers calls before its first read of the head. Its empty view makes every account unknown, and unknown_account says that the work did not run, also for a key that ran before the restart.

Ruled out: claims (later calls of the same keys replay the first answer) and the other hosts (only processes that had just started gave the refusal).

Change: without a revision the router answers starting, with ran = unknown unless the caller says that it never sent the key.

--- a/code.go
+++ b/code.go
@@ -165,7 +165,7 @@
 		{CodePeerUnavailable, "peer_unavailable", 503, exitPlatform, "The host that must answer cannot be reached."},
 		{CodeInternal, "internal", 500, exitPlatform, "The host failed in a way that it did not expect."},
 		{CodeLeaseLost, "lease_lost", 503, exitPlatform, "The scheduling lease went to another host."},
-		{CodeStarting, "starting", 503, exitPlatform, "The host has not read the contracts yet. Not run."},
+		{CodeStarting, "starting", 503, exitPlatform, "The host has not read the contracts yet. This call was not run; ran says whether an earlier one under the same key may have."},
 
 		{CodeWaiting, "waiting", 0, exitOK, "The job waits for accelerators."},
 		{CodePlaced, "placed", 0, exitOK, "All members of the gang have their accelerators."},
--- a/internal/request/router/fake_test.go
+++ b/internal/request/router/fake_test.go
@@ -58,6 +58,8 @@
 
 // world is one place whose parts a test replaces.
 type world struct {
+	// unread makes the contracts not read yet.
+	unread bool
 	primrosespar.Peers
 	table   *table
 	current bool
@@ -116,7 +118,10 @@
 	terms := func(class primrosespar.Class, idempotent bool) primrosespar.ClassTerms {
 		return primrosespar.ClassTerms{Class: class, Kind: primrosespar.KindRequest, Idempotent: idempotent, Deadline: 5 * time.Second}
 	}
-	return primrosespar.ContractView{Contracts: []primrosespar.VersionedContract{{Version: 1, Contract: primrosespar.Contract{
+	if w.unread {
+		return primrosespar.ContractView{}, 0
+	}
+	return primrosespar.ContractView{Revision: 1, Contracts: []primrosespar.VersionedContract{{Version: 1, Contract: primrosespar.Contract{
 		Account: "co-op", Places: []primrosespar.PlaceShare{{Place: "burnie-a", Share: 1}},
 		Classes: []primrosespar.ClassTerms{terms("booking", false), terms("confirmation", true)},
 	}}}}, 0
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -84,6 +84,9 @@
 // check validates the call against its contract and sets its deadline.
 func (r *Router) check(j *job) *primrosespar.Failure {
 	view, _ := r.opts.Contracts.View()
+	if view.Revision == 0 {
+		return starting(j.call)
+	}
 	contract, ok := view.Find(j.call.Account)
 	if !ok {
 		return primrosespar.Fail(primrosespar.CodeUnknownAccount, "no contract for account %q", j.call.Account)
@@ -111,6 +114,16 @@
 	return r.setDeadline(j)
 }
 
+// starting refuses a call before the contracts are read. The account is not
+// known to be missing then, and the key may have run before a restart.
+func starting(call primrosespar.Call) *primrosespar.Failure {
+	if call.First || call.Key == "" {
+		return primrosespar.Fail(primrosespar.CodeStarting, "the host has not read the contracts yet")
+	}
+	return primrosespar.FailUnknown(primrosespar.CodeStarting,
+		"this call was not run, because the host has not read the contracts yet; an earlier use of the key could not be checked")
+}
+
 // setDeadline takes the earliest of the contract's and the caller's deadline.
 func (r *Router) setDeadline(j *job) *primrosespar.Failure {
 	now := r.opts.Clock.Now()
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -168,3 +168,18 @@
 	}
 	require.Zero(t, w.sent.Load())
 }
+
+// TestStartingHost guards against a restarted host that takes the accounts for
+// missing before it has read the contracts, and so denies an earlier run.
+func TestStartingHost(t *testing.T) {
+	w := newWorld()
+	host, _ := w.host("h1", incarnation)
+	require.Equal(t, primrosespar.CodeOK, host.Serve(context.Background(), booking("k")).Code)
+	w.unread = true
+	answer := host.Serve(context.Background(), booking("k"))
+	require.Equal(t, primrosespar.CodeStarting, answer.Code)
+	require.Equal(t, primrosespar.RanUnknown, answer.Ran)
+	call := booking("new")
+	call.First = true
+	require.Equal(t, primrosespar.RanNot, host.Serve(context.Background(), call).Ran)
+}
