Add trial faults of places, upstreams, stops and contracts

Adds: all hosts of a place replaced, a place cut off, service runners that misbehave, one that leaves, a planned stop under load, two operators that amend one contract at once, and the judges of leaving upstreams, planned stops, revisions (7 s) and races.

--- a/cmd/standin/faults.go
+++ b/cmd/standin/faults.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"syscall"
@@ -35,6 +36,7 @@
 	next    map[primrosespar.Place]int
 	busy    map[primrosespar.Place]bool
 	windows []window
+	left    map[netip.AddrPort]time.Time
 	errs    []error
 }
 
@@ -44,6 +46,8 @@
 	shortestFault = 1500 * time.Millisecond
 	longestFault  = 8 * time.Second
 	faultPause    = 500 * time.Millisecond
+	// warmUp lets keys run that are called again during the first fault.
+	warmUp = 2 * time.Second
 	// shortestOutage lets calls happen after every host has noticed it.
 	shortestOutage = 2 * restrictedAfter
 	// listLag is the age of the host list, as in the demonstration.
@@ -56,7 +60,7 @@
 func newSchedule(d *deployment, seed uint64, hosts int) *schedule {
 	s := &schedule{
 		deployment: d, random: rand.New(rand.NewPCG(seed, 1)), store: keeper.Faults{ListLag: listLag},
-		next: map[primrosespar.Place]int{}, busy: map[primrosespar.Place]bool{},
+		left: map[netip.AddrPort]time.Time{}, next: map[primrosespar.Place]int{}, busy: map[primrosespar.Place]bool{},
 	}
 	for _, p := range d.settings.Places {
 		s.next[p.Place] = hosts
@@ -80,8 +84,11 @@
 // mixes are the sets of faults by name.
 func mixes() map[string][]string {
 	m := map[string][]string{
-		"store": {"outage", "slow", "lose"},
-		"hosts": {"kill", "freeze"},
+		"store":    {"outage", "slow", "lose"},
+		"hosts":    {"kill", "freeze"},
+		"place":    {"replace", "cut"},
+		"upstream": {"misbehave", "leave"},
+		"stop":     {"stop"},
 	}
 	for _, name := range slices.Sorted(maps.Keys(m)) {
 		m["mix"] = append(m["mix"], m[name]...)
@@ -91,11 +98,16 @@
 
 func causes() map[string]cause {
 	return map[string]cause{
-		"outage": (*schedule).outage,
-		"slow":   (*schedule).slow,
-		"lose":   (*schedule).lose,
-		"kill":   (*schedule).kill,
-		"freeze": (*schedule).freeze,
+		"outage":    (*schedule).outage,
+		"slow":      (*schedule).slow,
+		"lose":      (*schedule).lose,
+		"kill":      (*schedule).kill,
+		"freeze":    (*schedule).freeze,
+		"replace":   (*schedule).replace,
+		"cut":       (*schedule).cut,
+		"misbehave": (*schedule).misbehave,
+		"leave":     (*schedule).leave,
+		"stop":      (*schedule).stop,
 	}
 }
 
@@ -104,6 +116,7 @@
 func (s *schedule) run(ctx context.Context, faults []string) {
 	all := causes()
 	var queue []string
+	pause(ctx, warmUp)
 	for ctx.Err() == nil {
 		var wg sync.WaitGroup
 		for range 2 {
--- a/cmd/standin/trial.go
+++ b/cmd/standin/trial.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -22,7 +24,7 @@
 // judges the recorded history by what the stand-ins counted.
 type trialCommand struct {
 	Seed     uint64        `help:"Seed of callers and faults." default:"1"`
-	Faults   string        `help:"Fault mix: store, hosts or mix." default:"mix"`
+	Faults   string        `help:"Fault mix: store, hosts, place, upstream, stop or mix." default:"mix"`
 	Load     time.Duration `help:"Time that callers send requests and faults happen." default:"30s"`
 	Hosts    int           `help:"Entry hosts per place." default:"2"`
 	Scenario string        `help:"Example deployment: coop or bascule." default:"coop"`
@@ -49,6 +51,7 @@
 	scenario   scenario
 	deployment *deployment
 	callers    *callers
+	operators  *operators
 	schedule   *schedule
 	findings   findings
 	// seen counts what the judges had to judge, so that a trial that saw
@@ -107,40 +110,55 @@
 		return err
 	}
 	t.callers = newCallers(t.deployment, t.command.Seed)
+	t.operators = &operators{deployment: t.deployment, account: t.scenario.borrower, random: rand.New(rand.NewPCG(t.command.Seed, 3))}
 	t.schedule = newSchedule(t.deployment, t.command.Seed, t.command.Hosts)
 	limit, cancel := context.WithTimeout(ctx, t.command.Load)
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { t.callers.run(limit, t.scenario) })
 	wg.Go(func() { t.schedule.run(limit, faults) })
+	wg.Go(func() { t.operators.watch(limit) })
+	var amendErr error
+	wg.Go(func() { amendErr = t.operators.run(limit, t.deployment.examples) })
 	wg.Wait()
 	time.Sleep(settleTime)
 	t.callers.askAgain(ctx, askAgainLimit)
-	return errors.Join(append(t.schedule.errs, t.judge(ctx))...)
+	return errors.Join(append(t.schedule.errs, amendErr, t.judge(ctx))...)
 }
 
 // judge judges what was recorded.
 func (t *trial) judge(ctx context.Context) error {
-	runs, err := t.deployment.executions(ctx)
+	runs, departures, err := t.deployment.executions(ctx)
 	if err != nil {
 		return err
 	}
+	amended, err := t.deployment.operator(t.scenario.place).History(ctx, t.operators.account)
+	if err != nil {
+		return err
+	}
+	judgeRevisions(&t.findings, t.seen, t.operators)
+	judgeRaces(&t.findings, t.seen, t.operators, amended)
+	judgeLeaving(&t.findings, t.seen, t.schedule.left, departures)
+	judgeStops(&t.findings, t.seen, t.callers.history.calls, t.schedule.windows)
 	judgeCalls(&t.findings, t.callers.history.calls, runs)
 	judgeMinted(&t.findings, t.seen, t.callers.history.calls, t.schedule.windows)
 	return nil
 }
 
-// executions returns every run that the service runners counted.
-func (d *deployment) executions(ctx context.Context) ([]servicer.Execution, error) {
+// executions returns every run that the service runners counted and what the
+// leaving ones saw.
+func (d *deployment) executions(ctx context.Context) ([]servicer.Execution, map[netip.AddrPort]servicer.Departure, error) {
 	var all []servicer.Execution
+	departures := map[netip.AddrPort]servicer.Departure{}
 	for _, address := range d.upstreams {
 		var record servicer.Record
 		if err := callJSON(ctx, http.MethodGet, "http://"+address.String()+"/admin/executions", nil, &record); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		all = append(all, record.Executions...)
+		departures[address] = record.Departure
 	}
-	return all, nil
+	return all, departures, nil
 }
 
 // report prints the totals and fails if a promise was broken.
--- a/cmd/standin/trial_test.go
+++ b/cmd/standin/trial_test.go
@@ -27,11 +27,11 @@
 // fixed seed, and a trial without calls or faults fails too.
 func TestTrial(t *testing.T) {
 	dir := build(t)
-	for _, mix := range []string{"store", "hosts"} {
+	for _, mix := range []string{"store", "hosts", "place", "upstream", "stop"} {
 		t.Run(mix, func(t *testing.T) {
 			t.Parallel()
 			keep := t.TempDir()
-			cmd := exec.Command(filepath.Join(dir, "standin"), "trial", "--seed", "1", "--faults", mix, "--load", "9s",
+			cmd := exec.Command(filepath.Join(dir, "standin"), "trial", "--seed", "1", "--faults", mix, "--load", "11s",
 				"--keep", keep, "--program", filepath.Join(dir, "primrosespar"), "--examples", filepath.Join("..", "..", "examples"))
 			out, err := cmd.Output()
 			require.NoError(t, err, "%s", out)
