Wait before a refused worker command is sent again

Cause: the benchmark of running tasks showed 300,000 commands and 1.2 s of processor time a second. A start that a worker refused was sent again with the next round, and each answer started a round. The refusals came from the stand-in, which took no task without accelerators, though the target has ten tasks per accelerator. Ruled out: reports, orphans and renewals (the count by kind showed only refused starts). Without the wait TestRefusedCommandIsNotRepeatedAtOnce sends 400 commands instead of at most 8.

--- a/internal/place/assembler/assembler_test.go
+++ b/internal/place/assembler/assembler_test.go
@@ -269,3 +269,22 @@
 	require.Equal(t, primrosespar.GangQueued, m.row)
 	require.NotEqual(t, primrosespar.TaskHeld, m.workers[1].state)
 }
+
+// TestRefusedCommandIsNotRepeatedAtOnce guards against a loop as fast as the
+// worker service answers when it refuses a command.
+func TestRefusedCommandIsNotRepeatedAtOnce(t *testing.T) {
+	m := newMachine()
+	m.step()
+	m.commit(true)
+	sent := 0
+	for range 100 {
+		m.now = m.now.Add(10 * time.Millisecond)
+		m.step()
+		for _, c := range m.queue {
+			sent++
+			m.gang.Answered(c, primrosespar.CommandResult{Code: primrosespar.CodeOutOfRange}, m.now)
+		}
+		m.queue = nil
+	}
+	require.LessOrEqual(t, sent, 2*members, "commands in one second with a resend time of 500 ms")
+}
--- a/internal/place/assembler/report.go
+++ b/internal/place/assembler/report.go
@@ -22,7 +22,8 @@
 	case primrosespar.CodeWorkerLost:
 		a.lose(t, now)
 	default:
-		t.pending = ""
+		// The command waits for its resend time. Sending it again at once made
+		// a refused start cost 300,000 commands a second.
 	}
 }
 
