Test the cancellation of an ended job

The answer to it was changed without a test. With the check of the ended state switched off the test fails (202 for 200); with it it passes. make lint build race passes.

--- a/internal/entry/server/input_test.go
+++ b/internal/entry/server/input_test.go
@@ -225,3 +225,21 @@
 	require.Equal(t, "r-1", w.Header().Get("X-Request-Id"))
 	require.Zero(t, f.ran.calls)
 }
+
+// TestCancelOfEndedJob guards against an answer that a cancellation was
+// accepted for a job that has ended.
+func TestCancelOfEndedJob(t *testing.T) {
+	f := newFixture(t)
+	id := primrosespar.JobID("burnie-a." + strings.Repeat("0", 24))
+	value, err := json.Marshal(primrosespar.Gang{
+		Job:   primrosespar.Job{ID: id, Account: "derwent-haulage", Place: "burnie-a"},
+		State: primrosespar.GangDone, Reason: primrosespar.CodeGangDone,
+	})
+	require.NoError(t, err)
+	_, err = f.table.Commit(t.Context(), primrosespar.Txn{Writes: []primrosespar.Write{{Key: primrosespar.GangKey("burnie-a", id), Value: value}}})
+	require.NoError(t, err)
+	before := f.rows(t)
+	status, _ := f.send(t, "DELETE /v1/jobs/"+string(id), "caller", "", "")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, before, f.rows(t))
+}
