Write rare decisions before those of calls

Change: decisions on jobs, workers, leases and contracts go first and displace records of calls when the buffer is full; each displaced one is counted. Result: with every kind treated as frequent TestRareDecisionsComeFirst finds 0 of 1 records after the first batch; with the change it finds it.

--- a/internal/record/recorder/recorder.go
+++ b/internal/record/recorder/recorder.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,8 +26,11 @@
 type Recorder struct {
 	opts Options
 
-	mu       sync.Mutex
-	waiting  []primrosespar.Decision
+	mu sync.Mutex
+	// rare waits before frequent: under load the records of calls use up the
+	// budget, and the story of a job would come hours late.
+	rare     []primrosespar.Decision
+	frequent []primrosespar.Decision
 	sequence uint64
 	lost     int
 	total    uint64
@@ -55,12 +59,33 @@
 	d.Figures = append([]primrosespar.Figure(nil), d.Figures[:min(len(d.Figures), maxFigures)]...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.waiting) >= r.opts.Capacity {
+	full := len(r.rare)+len(r.frequent) >= r.opts.Capacity
+	if full {
 		r.lost++
 		r.total++
-		return
 	}
-	r.waiting = append(r.waiting, r.stamp(d))
+	switch {
+	case isRare(d.Kind) && full && len(r.frequent) > 0:
+		r.frequent = r.frequent[:len(r.frequent)-1]
+		r.rare = append(r.rare, r.stamp(d))
+	case full:
+	case isRare(d.Kind):
+		r.rare = append(r.rare, r.stamp(d))
+	default:
+		r.frequent = append(r.frequent, r.stamp(d))
+	}
+}
+
+// isRare reports whether decisions of the kind are made per job, host or
+// contract and not per call.
+func isRare(kind primrosespar.DecisionKind) bool {
+	switch kind {
+	case primrosespar.DecisionAdmission, primrosespar.DecisionRefusal, primrosespar.DecisionAttempt,
+		primrosespar.DecisionRetry, primrosespar.DecisionOutcome:
+		return false
+	default:
+		return true
+	}
 }
 
 // stamp fills in what the recorder knows.
@@ -135,13 +160,14 @@
 			Figures: []primrosespar.Figure{{Name: "lost", Value: float64(r.lost)}},
 		})
 		// The loss goes first, so that it is written within one interval.
-		r.waiting = append([]primrosespar.Decision{loss}, r.waiting...)
+		r.rare = append([]primrosespar.Decision{loss}, r.rare...)
 		r.lost = 0
 	}
+	waiting := append(slices.Clone(r.rare), r.frequent...)
 	left := max(r.opts.Budget(), minBudget)
 	var batch bytes.Buffer
 	taken := 0
-	for _, d := range r.waiting {
+	for _, d := range waiting {
 		line, err := json.Marshal(d)
 		if err != nil {
 			// Only a figure that is NaN or infinite does not encode.
@@ -161,12 +187,13 @@
 		batch.Write(append(line, '\n'))
 		taken++
 	}
+	fromRare := min(taken, len(r.rare))
+	r.rare = slices.Clone(r.rare[fromRare:])
+	r.frequent = slices.Clone(r.frequent[taken-fromRare:])
 	if batch.Len() == 0 {
-		r.waiting = r.waiting[taken:]
 		return
 	}
-	r.name = Name(r.opts.Clock.Now(), r.opts.Place, r.opts.Host, r.opts.Incarnation, r.waiting[0].Sequence)
-	r.waiting = append([]primrosespar.Decision(nil), r.waiting[taken:]...)
+	r.name = Name(r.opts.Clock.Now(), r.opts.Place, r.opts.Host, r.opts.Incarnation, waiting[0].Sequence)
 	r.batch = batch.Bytes()
 }
 
--- a/internal/record/recorder/recorder_test.go
+++ b/internal/record/recorder/recorder_test.go
@@ -89,3 +89,24 @@
 	require.Equal(t, recorded, written+lost)
 	require.Equal(t, uint64(lost), r.Lost())
 }
+
+// TestRareDecisionsComeFirst guards against the story of a job that is late or
+// lost because the records of calls fill the buffer and the budget.
+func TestRareDecisionsComeFirst(t *testing.T) {
+	const capacity = 50
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 3, 1, 2, 0, 0, 0, time.UTC))
+	store := &objects{stored: map[string][]byte{}}
+	r := recorder.New(recorder.WithObjects(store), recorder.WithClock(clock), recorder.WithCapacity(capacity),
+		recorder.WithBudget(func() int { return 0 }), recorder.WithIdentity("p", "h", "i"))
+	start := clock.Now()
+	for range 2 * capacity {
+		r.Record(primrosespar.Decision{Kind: primrosespar.DecisionOutcome, Subject: "call"})
+	}
+	r.Record(primrosespar.Decision{Kind: primrosespar.DecisionGang, Subject: "job"})
+	require.NoError(t, r.Flush(context.Background()))
+	found, _, err := recorder.Read(context.Background(), store, start, clock.Now().Add(time.Second),
+		func(d primrosespar.Decision) bool { return d.Subject == "job" })
+	require.NoError(t, err)
+	require.Len(t, found, 1)
+	require.Equal(t, uint64(capacity+1), r.Lost())
+}
