--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 
 # Proofs with real processes: make trial SEED=1 TRIAL_LOAD=60s
 TRIAL_LOAD ?= 30s
-TRIAL_MIXES ?= store hosts place upstream stop mix
+TRIAL_MIXES ?= store hosts place upstream stop workers mix
 
 trial: build
 	@for mix in $(TRIAL_MIXES); do \
--- a/cmd/standin/faults.go
+++ b/cmd/standin/faults.go
@@ -89,6 +89,7 @@
 		"place":    {"replace", "cut"},
 		"upstream": {"misbehave", "leave"},
 		"stop":     {"stop"},
+		"workers":  {"worker"},
 	}
 	for _, name := range slices.Sorted(maps.Keys(m)) {
 		m["mix"] = append(m["mix"], m[name]...)
@@ -108,6 +109,7 @@
 		"misbehave": (*schedule).misbehave,
 		"leave":     (*schedule).leave,
 		"stop":      (*schedule).stop,
+		"worker":    (*schedule).worker,
 	}
 }
 
--- a/cmd/standin/outages.go
+++ b/cmd/standin/outages.go
@@ -146,6 +146,24 @@
 	return s.deployment.restart(context.WithoutCancel(ctx), host, t.region)
 }
 
+// worker kills a worker, cuts it off or lets it fail everything for a while.
+func (s *schedule) worker(ctx context.Context, t target) error {
+	kinds := [][2]string{{"kill", "restore"}, {"unreachable", "reachable"}, {"fail_all", "heal"}}
+	kind := kinds[t.draw%3]
+	name := primrosespar.Worker(fmt.Sprintf("%s-w%02d", t.place, t.turn%workersPerPlace))
+	from := time.Now()
+	for i, k := range kind {
+		if err := s.deployment.admin(context.Background(), http.MethodPost, "/admin/worker", server.WorkerFault{Worker: name, Kind: k}, nil); err != nil {
+			return err
+		}
+		if i == 0 {
+			pause(ctx, t.last)
+		}
+	}
+	s.record(window{Fault: "worker_" + kind[0], Place: t.place, From: from})
+	return nil
+}
+
 // leavingBound is the time within which no host sends to a leaving upstream:
 // a host that was refused passes it on by heartbeat within 2 s; the list lags
 // 1 s and is read every 2 s.
--- a/cmd/standin/trial.go
+++ b/cmd/standin/trial.go
@@ -24,7 +24,7 @@
 // judges the recorded history by what the stand-ins counted.
 type trialCommand struct {
 	Seed     uint64        `help:"Seed of callers and faults." default:"1"`
-	Faults   string        `help:"Fault mix: store, hosts, place, upstream, stop or mix." default:"mix"`
+	Faults   string        `help:"Fault mix: store, hosts, place, upstream, stop, workers or mix." default:"mix"`
 	Load     time.Duration `help:"Time that callers send requests and faults happen." default:"30s"`
 	Hosts    int           `help:"Entry hosts per place." default:"2"`
 	Scenario string        `help:"Example deployment: coop or bascule." default:"coop"`
@@ -52,6 +52,7 @@
 	deployment *deployment
 	callers    *callers
 	operators  *operators
+	submitters *submitters
 	schedule   *schedule
 	findings   findings
 	// seen counts what the judges had to judge, so that a trial that saw
@@ -111,6 +112,7 @@
 	}
 	t.callers = newCallers(t.deployment, t.command.Seed)
 	t.operators = &operators{deployment: t.deployment, account: t.scenario.borrower, random: rand.New(rand.NewPCG(t.command.Seed, 3))}
+	t.submitters = &submitters{deployment: t.deployment, scenario: t.scenario, seed: t.command.Seed}
 	t.schedule = newSchedule(t.deployment, t.command.Seed, t.command.Hosts)
 	limit, cancel := context.WithTimeout(ctx, t.command.Load)
 	defer cancel()
@@ -118,6 +120,7 @@
 	wg.Go(func() { t.callers.run(limit, t.scenario) })
 	wg.Go(func() { t.schedule.run(limit, faults) })
 	wg.Go(func() { t.operators.watch(limit) })
+	wg.Go(func() { t.submitters.run(limit) })
 	var amendErr error
 	wg.Go(func() { amendErr = t.operators.run(limit, t.deployment.examples) })
 	wg.Wait()
@@ -142,7 +145,7 @@
 	judgeStops(&t.findings, t.seen, t.callers.history.calls, t.schedule.windows)
 	judgeCalls(&t.findings, t.callers.history.calls, runs)
 	judgeMinted(&t.findings, t.seen, t.callers.history.calls, t.schedule.windows)
-	return nil
+	return t.judgeGangs(ctx)
 }
 
 // executions returns every run that the service runners counted and what the
--- a/cmd/standin/trial_test.go
+++ b/cmd/standin/trial_test.go
@@ -27,7 +27,7 @@
 // fixed seed, and a trial without calls or faults fails too.
 func TestTrial(t *testing.T) {
 	dir := build(t)
-	for _, mix := range []string{"store", "hosts", "place", "upstream", "stop"} {
+	for _, mix := range []string{"store", "hosts", "place", "upstream", "stop", "workers"} {
 		t.Run(mix, func(t *testing.T) {
 			t.Parallel()
 			keep := t.TempDir()
