--- a/cmd/standin/gangs.go
+++ b/cmd/standin/gangs.go
@@ -39,6 +39,10 @@
 	jobPause   = 900 * time.Millisecond
 	claimPause = 4 * time.Second
 	jobTime    = 3 * time.Second
+	// longTime is above partialBound: a partial gang that ends sooner is not
+	// counted.
+	longTime   = 18 * time.Second
+	longPart   = 6
 	claimTime  = 500 * time.Millisecond
 	cancelPart = 4
 	// endTime is how long jobs have to end after the load.
@@ -55,7 +59,11 @@
 		wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				members, block := 2+random.IntN(4), 1<<random.IntN(4)
-				id, ok := s.submit(ctx, s.scenario.borrower, p.Place, fmt.Sprintf("gang-%s-%d", p.Place, n), members, block, jobTime, false)
+				run := jobTime
+				if n%longPart == 1 {
+					run = longTime
+				}
+				id, ok := s.submit(ctx, s.scenario.borrower, p.Place, fmt.Sprintf("gang-%s-%d", p.Place, n), members, block, run, false)
 				if ok && n%cancelPart == 0 {
 					pause(ctx, time.Duration(random.IntN(1500))*time.Millisecond)
 					if h := s.deployment.pick(p.Place, n); h != nil {
