Take one token per claim transaction

Change: every transaction takes a token or waits for the window. Result: go test -race ./internal/platform/batcher -count=200 passes; how often it failed before was not measured.

--- a/internal/platform/batcher/batcher.go
+++ b/internal/platform/batcher/batcher.go
@@ -163,11 +163,11 @@
 	for {
 		select {
 		case <-b.wake:
-			b.wait()
 		case <-b.stop:
 		}
-		for batch := b.take(); len(batch) > 0; batch = b.take() {
-			b.send(batch)
+		for b.pending() {
+			b.wait()
+			b.send(b.take())
 		}
 		select {
 		case <-b.stop:
@@ -177,6 +177,13 @@
 	}
 }
 
+// pending reports whether parts wait.
+func (b *Batcher) pending() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.waiting) > 0
+}
+
 // wait lets other parts join the first one, unless the host is far below its
 // rate of transactions.
 func (b *Batcher) wait() {
@@ -243,7 +250,10 @@
 
 // send commits a batch and answers each of its parts.
 func (b *Batcher) send(batch []*part) {
-	if len(batch) == 1 {
+	switch len(batch) {
+	case 0:
+		return
+	case 1:
 		b.sendAlone(batch[0])
 		return
 	}
