Free a minted key that an upstream refused to run

Cause: a minted key kept an upstream's refusal as its final answer, so a booking that met a full upstream could never be made under that key; plain keys were freed already. Change: one rule for both: an upstream that says it did not run the call is believed.

--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -210,14 +210,17 @@
 func (r *Router) finish(ctx context.Context, j job, claim claimer.Claim, answer primrosespar.Answer, sent bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.opts.RecordTimeout)
 	defer cancel()
-	// An upstream that says it did not run the call is believed, so the key
-	// may be claimed again.
-	ran := sent && answer.Ran != primrosespar.RanNot
-	if !r.opts.Claims.Finish(ctx, claim, answer, ran) {
+	if !r.opts.Claims.Finish(ctx, claim, answer, mayHaveRun(answer, sent)) {
 		r.record(j, primrosespar.DecisionOutcome, primrosespar.CodeStoreUnavailable, "the outcome is recorded later")
 	}
 }
 
+// mayHaveRun reports whether a key stays bound to its attempt. An upstream that
+// says it did not run the call is believed, so the key is free again.
+func mayHaveRun(answer primrosespar.Answer, sent bool) bool {
+	return sent && answer.Ran != primrosespar.RanNot
+}
+
 // settled is the answer for a key that this call does not run.
 func settled(claim claimer.Claim, call primrosespar.Call) primrosespar.Answer {
 	switch claim.Verdict {
@@ -260,7 +263,7 @@
 			return *refusal
 		}
 		answer, sent := r.attempts(ctx, j, grant, r.opts.NewAttempt())
-		r.opts.Minter.Finish(claim, answer, sent)
+		r.opts.Minter.Finish(claim, answer, mayHaveRun(answer, sent))
 		return answer
 	case minter.Replay:
 		return replayed(claim.Answer)
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -125,6 +125,23 @@
 	require.EqualValues(t, 1, w.sent.Load())
 }
 
+// TestUpstreamRefusalFreesTheKey guards against a booking that can never be
+// made since an upstream once had no slot for it.
+func TestUpstreamRefusalFreesTheKey(t *testing.T) {
+	w := newWorld()
+	host, minted := w.host("h1", incarnation)
+	mintedKey, err := minted.Mint("co-op")
+	require.NoError(t, err)
+	for _, key := range []string{"plain", mintedKey} {
+		w.send = func(context.Context, forwarder.Attempt) forwarder.Result {
+			return refused(primrosespar.CodeUpstreamBusy, primrosespar.RanNot, true)
+		}
+		require.Equal(t, primrosespar.RanNot, host.Serve(context.Background(), booking(key)).Ran)
+		w.send = func(_ context.Context, a forwarder.Attempt) forwarder.Result { return ok(a) }
+		require.Equal(t, primrosespar.CodeOK, host.Serve(context.Background(), booking(key)).Code, key)
+	}
+}
+
 // TestRetries guards against retries of what may have run, and against "not
 // run" after an attempt that may have run.
 func TestRetries(t *testing.T) {
