--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -16,7 +16,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/operator/caller"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/server"
 	"primrosespar.example/primrosespar/internal/standin/servicer"
 )
@@ -276,7 +276,7 @@
 		}
 		released := map[primrosespar.JobID]bool{}
 		for _, e := range history.Events {
-			if e.Kind == hall.EventReleased {
+			if e.Kind == executor.EventReleased {
 				released[e.Gang] = true
 			}
 		}
--- a/cmd/standin/gangs.go
+++ b/cmd/standin/gangs.go
@@ -11,7 +11,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/operator/caller"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/server"
 )
 
@@ -115,7 +115,7 @@
 		return err
 	}
 	var counts struct {
-		Workers hall.Counts `json:"workers"`
+		Workers executor.Counts `json:"workers"`
 	}
 	if err := t.deployment.admin(ctx, http.MethodGet, "/admin/counts", nil, &counts); err != nil {
 		return err
@@ -177,7 +177,7 @@
 func judgeClaims(f *findings, seen map[string]int, jobs []submitted, history server.History, windows []window) {
 	released := map[primrosespar.JobID]time.Time{}
 	for _, e := range history.Events {
-		if e.Kind == hall.EventReleased && released[e.Gang].IsZero() {
+		if e.Kind == executor.EventReleased && released[e.Gang].IsZero() {
 			released[e.Gang] = e.At
 		}
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,7 +28,7 @@
 	"github.com/rotisserie/eris"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 	"primrosespar.example/primrosespar/internal/standin/server"
 	"primrosespar.example/primrosespar/internal/standin/servicer"
@@ -66,7 +66,7 @@
 func (c *platformCommand) Run() error {
 	clock := clockwork.NewRealClock()
 	k := keeper.New(keeper.WithClock(clock), keeper.WithFaults(keeper.Faults{ListLag: c.ListLag}))
-	h := hall.New(hall.WithClock(clock), hall.WithCheckpointTime(c.Checkpoint))
+	h := executor.New(executor.WithClock(clock), executor.WithCheckpointTime(c.Checkpoint))
 	return serve([]*http.Server{{Handler: server.New(k, h)}}, c.Listen)
 }
 
--- a/internal/entry/daemon/installation_test.go
+++ b/internal/entry/daemon/installation_test.go
@@ -16,7 +16,7 @@
 	"primrosespar.example/primrosespar/internal/contract/amender"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/daemon"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -33,11 +33,11 @@
 
 // installation is the platform of one place and the hosts that use it.
 type installation struct {
-	table  *keeper.Keeper
-	hall   *hall.Hall
-	mu     sync.Mutex
-	bound  []daemon.Addresses
-	failed map[string]int
+	table    *keeper.Keeper
+	executor *executor.Executor
+	mu       sync.Mutex
+	bound    []daemon.Addresses
+	failed   map[string]int
 }
 
 // newInstallation returns a platform without limits of rate, so that a
@@ -45,16 +45,16 @@
 func newInstallation() *installation {
 	clock := clockwork.NewRealClock()
 	return &installation{
-		table:  keeper.New(keeper.WithClock(clock), keeper.WithFaults(keeper.Faults{WritesPerSecond: -1, ReadsPerSecond: -1})),
-		hall:   hall.New(hall.WithClock(clock)),
-		failed: map[string]int{},
+		table:    keeper.New(keeper.WithClock(clock), keeper.WithFaults(keeper.Faults{WritesPerSecond: -1, ReadsPerSecond: -1})),
+		executor: executor.New(executor.WithClock(clock)),
+		failed:   map[string]int{},
 	}
 }
 
 // addWorkers installs workers with 8 accelerators, 8 workers to a rack.
 func (i *installation) addWorkers(n int) {
 	for w := range n {
-		i.hall.Add(primrosespar.WorkerEntry{
+		i.executor.Add(primrosespar.WorkerEntry{
 			Worker: primrosespar.Worker(fmt.Sprintf("w-%04d", w)), Place: place,
 			Rack: primrosespar.Rack(fmt.Sprintf("r-%03d", w/rackSize)), Position: w % rackSize,
 			Cores: 130, MemoryBytes: 500 << 30, Accelerators: 8,
@@ -103,7 +103,7 @@
 func (i *installation) addContracts(tb testing.TB, n int) *amender.Amender {
 	a := amender.New(amender.WithTable(i.table), amender.WithPlaces(place),
 		amender.WithWorkers(func(ctx context.Context) ([]primrosespar.WorkerEntry, error) {
-			entries, _, err := i.hall.Changes(ctx, place, 0)
+			entries, _, err := i.executor.Changes(ctx, place, 0)
 			return entries, err
 		}))
 	for c := range n {
@@ -144,7 +144,7 @@
 
 // start runs n hosts until the test ends.
 func (i *installation) start(tb testing.TB, n int) {
-	i.startWith(tb, n, daemon.Platform{Table: i.table, Objects: i.table, Hosts: i.table, Workers: i.hall})
+	i.startWith(tb, n, daemon.Platform{Table: i.table, Objects: i.table, Hosts: i.table, Workers: i.executor})
 }
 
 func (i *installation) startWith(tb testing.TB, n int, platform daemon.Platform) {
--- a/internal/entry/daemon/payload_test.go
+++ b/internal/entry/daemon/payload_test.go
@@ -22,7 +22,7 @@
 }
 
 func (i *installation) counted() (*payload, daemon.Platform) {
-	p := &payload{table: i.table, objects: i.table, hosts: i.table, workers: i.hall}
+	p := &payload{table: i.table, objects: i.table, hosts: i.table, workers: i.executor}
 	return p, daemon.Platform{Table: p, Objects: p, Hosts: p, Workers: p}
 }
 
--- a/internal/place/runner/cost_test.go
+++ b/internal/place/runner/cost_test.go
@@ -17,7 +17,7 @@
 	"primrosespar.example/primrosespar/internal/place/planner"
 	"primrosespar.example/primrosespar/internal/place/runner"
 	"primrosespar.example/primrosespar/internal/place/submitter"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -53,7 +53,7 @@
 func measureTasks(b *testing.B, gangs int) {
 	clock := clockwork.NewRealClock()
 	table := keeper.New(keeper.WithClock(clock))
-	workers := hall.New(hall.WithClock(clock), hall.WithRunTime(time.Hour))
+	workers := executor.New(executor.WithClock(clock), executor.WithRunTime(time.Hour))
 	for i := range targetWorkers {
 		workers.Add(primrosespar.WorkerEntry{
 			Worker: primrosespar.Worker(fmt.Sprintf("w%03d", i)), Place: place,
--- a/internal/place/runner/runner_test.go
+++ b/internal/place/runner/runner_test.go
@@ -17,7 +17,7 @@
 	"primrosespar.example/primrosespar/internal/place/planner"
 	"primrosespar.example/primrosespar/internal/place/runner"
 	"primrosespar.example/primrosespar/internal/place/submitter"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -78,7 +78,7 @@
 	t       *testing.T
 	clock   clockwork.Clock
 	table   *keeper.Keeper
-	workers *hall.Hall
+	workers *executor.Executor
 	jobs    *submitter.Submitter
 	records *records
 	hosts   int
@@ -89,7 +89,7 @@
 	w := &world{
 		t: t, clock: clock, records: &records{counts: map[primrosespar.DecisionKind]map[primrosespar.Code]int{}},
 		table:   keeper.New(keeper.WithClock(clock)),
-		workers: hall.New(hall.WithClock(clock)),
+		workers: executor.New(executor.WithClock(clock)),
 	}
 	for i := range racks * 8 {
 		w.workers.Add(primrosespar.WorkerEntry{
@@ -154,7 +154,7 @@
 	return w.clock.Since(start)
 }
 
-func (w *world) verdict() hall.Verdict {
+func (w *world) verdict() executor.Verdict {
 	v := w.workers.Verdict(partialBound)
 	require.Zero(w.t, v.GangsPartial, "partial gangs: %v", v.Partial)
 	require.Zero(w.t, w.workers.Counts().DoubleStarts)
--- a/internal/standin/hall/hall.go
+++ b/internal/standin/executor/executor.go
@@ -1,17 +1,17 @@
-// Package hall is the workers of the stand-in platform, simulated in memory.
+// Package executor is the workers of the stand-in platform, simulated in memory.
 // It has no timers: each call first carries out what became due on the
 // injected clock, in the order of the due times.
 //
 // # Usage
 //
-//	h := hall.New(hall.WithClock(clock))
+//	h := executor.New(executor.WithClock(clock))
 //	h.Add(primrosespar.WorkerEntry{Worker: "w1", Place: "burnie-a", Accelerators: 8})
 //	results, err := h.Do(ctx, "burnie-a", token, commands)
 //	verdict := h.Verdict(15 * time.Second)
 //
 // The payload of a start is JSON: run_time_ms, fail, and optionally members
 // (the size of the gang), used_cores and used_memory_bytes.
-package hall
+package executor
 
 import (
 	"cmp"
@@ -28,8 +28,8 @@
 // treeDegree is the branching factor of the tree of due times.
 const treeDegree = 16
 
-// Hall is a simulated Workers service that is safe for concurrent use.
-type Hall struct {
+// Executor is a simulated Workers service that is safe for concurrent use.
+type Executor struct {
 	mu      sync.Mutex
 	options Options
 	clock   primrosespar.Clock
@@ -52,7 +52,7 @@
 	worker primrosespar.Worker
 }
 
-// Counts are totals since the hall was made.
+// Counts are totals since the executor was made.
 type Counts struct {
 	Commands uint64 `json:"commands"`
 	// Refused counts commands with a result other than CodeOK.
@@ -65,12 +65,12 @@
 	LeasesExpired uint64 `json:"leases_expired"`
 }
 
-var _ primrosespar.Workers = (*Hall)(nil)
+var _ primrosespar.Workers = (*Executor)(nil)
 
-// New returns a hall without workers; WithClock is required.
-func New(opts ...Option) *Hall {
+// New returns an executor without workers; WithClock is required.
+func New(opts ...Option) *Executor {
 	options := newOptions(opts)
-	return &Hall{
+	return &Executor{
 		options: options,
 		clock:   options.Clock,
 		workers: map[primrosespar.Worker]*worker{},
@@ -86,7 +86,7 @@
 
 // Add installs a worker; Alive and Tasks of the entry are ignored. A worker
 // that exists keeps its tasks and gets the new description.
-func (h *Hall) Add(entry primrosespar.WorkerEntry) {
+func (h *Executor) Add(entry primrosespar.WorkerEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
@@ -109,7 +109,7 @@
 }
 
 // Changes returns the workers of the place that changed after the cursor.
-func (h *Hall) Changes(_ context.Context, place primrosespar.Place, cursor uint64) ([]primrosespar.WorkerEntry, uint64, error) {
+func (h *Executor) Changes(_ context.Context, place primrosespar.Place, cursor uint64) ([]primrosespar.WorkerEntry, uint64, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
@@ -126,7 +126,7 @@
 }
 
 // Do carries out commands under a fencing token.
-func (h *Hall) Do(_ context.Context, place primrosespar.Place, token primrosespar.Token, commands []primrosespar.Command) ([]primrosespar.CommandResult, error) {
+func (h *Executor) Do(_ context.Context, place primrosespar.Place, token primrosespar.Token, commands []primrosespar.Command) ([]primrosespar.CommandResult, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
@@ -147,7 +147,7 @@
 }
 
 // Counts returns the totals.
-func (h *Hall) Counts() Counts {
+func (h *Executor) Counts() Counts {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
@@ -160,7 +160,7 @@
 }
 
 // carryOut checks the token of one command and passes it to its worker.
-func (h *Hall) carryOut(place primrosespar.Place, token primrosespar.Token, command primrosespar.Command) *primrosespar.Failure {
+func (h *Executor) carryOut(place primrosespar.Place, token primrosespar.Token, command primrosespar.Command) *primrosespar.Failure {
 	w, ok := h.workers[command.Worker]
 	if !ok || w.entry.Place != place {
 		return primrosespar.Fail(primrosespar.CodeNotFound, "place %s has no worker %q", place, command.Worker)
@@ -179,7 +179,7 @@
 }
 
 // advance carries out everything that is due by now.
-func (h *Hall) advance() {
+func (h *Executor) advance() {
 	now := h.clock.Now()
 	for {
 		next, ok := h.due.Min()
@@ -193,7 +193,7 @@
 }
 
 // schedule files the worker under its next due time.
-func (h *Hall) schedule(w *worker) {
+func (h *Executor) schedule(w *worker) {
 	if w.filed {
 		h.due.Delete(dueTime{at: w.filedAt, worker: w.entry.Worker})
 	}
@@ -204,7 +204,7 @@
 }
 
 // touch marks the worker as changed.
-func (h *Hall) touch(w *worker) {
+func (h *Executor) touch(w *worker) {
 	h.cursor++
 	w.changed = h.cursor
 }
--- a/internal/standin/hall/hall_test.go
+++ b/internal/standin/executor/executor_test.go
@@ -1,4 +1,4 @@
-package hall_test
+package executor_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 )
 
 const (
@@ -20,19 +20,19 @@
 	bound = 15 * time.Second
 )
 
-// bench is a hall with two workers of 8 accelerators.
+// bench is an executor with two workers of 8 accelerators.
 type bench struct {
-	t     require.TestingT
-	clock *clockwork.FakeClock
-	hall  *hall.Hall
-	token primrosespar.Token
+	t        require.TestingT
+	clock    *clockwork.FakeClock
+	executor *executor.Executor
+	token    primrosespar.Token
 }
 
 func newBench(t require.TestingT) *bench {
 	clock := clockwork.NewFakeClock()
-	b := &bench{t: t, clock: clock, hall: hall.New(hall.WithClock(clock)), token: 5}
+	b := &bench{t: t, clock: clock, executor: executor.New(executor.WithClock(clock)), token: 5}
 	for _, name := range []primrosespar.Worker{"w0", "w1"} {
-		b.hall.Add(primrosespar.WorkerEntry{Worker: name, Place: place, Rack: "r", Accelerators: 8})
+		b.executor.Add(primrosespar.WorkerEntry{Worker: name, Place: place, Rack: "r", Accelerators: 8})
 	}
 	return b
 }
@@ -46,7 +46,7 @@
 }
 
 func (b *bench) send(c primrosespar.Command) primrosespar.Code {
-	results, err := b.hall.Do(context.Background(), place, b.token, []primrosespar.Command{c})
+	results, err := b.executor.Do(context.Background(), place, b.token, []primrosespar.Command{c})
 	require.NoError(b.t, err)
 	return results[0].Code
 }
@@ -60,7 +60,7 @@
 }
 
 func (b *bench) task(member int) primrosespar.TaskStatus {
-	entries, _, err := b.hall.Changes(context.Background(), place, 0)
+	entries, _, err := b.executor.Changes(context.Background(), place, 0)
 	require.NoError(b.t, err)
 	require.Len(b.t, entries[member].Tasks, 1)
 	return entries[member].Tasks[0]
@@ -96,7 +96,7 @@
 			require.Equal(t, primrosespar.CodeOK, b.do(primrosespar.CommandStart, member, 1))
 			require.Equal(t, primrosespar.CodeOK, b.do(primrosespar.CommandRelease, member, 1))
 		}
-		require.NoError(t, b.hall.SetUnreachable("w1", true))
+		require.NoError(t, b.executor.SetUnreachable("w1", true))
 		if silent {
 			b.renewFor(5 * time.Second)
 			require.Equal(t, primrosespar.CodeWorkerLost, b.do(primrosespar.CommandStop, 1, 1))
@@ -104,7 +104,7 @@
 		}
 		b.renewFor(40 * time.Second)
 		require.Equal(t, primrosespar.TaskStopped, b.task(1).State)
-		v := b.hall.Verdict(bound)
+		v := b.executor.Verdict(bound)
 		require.Equal(t, 1, v.GangsStarted)
 		if silent {
 			require.Zero(t, v.GangsPartial)
@@ -123,7 +123,7 @@
 	b.do(primrosespar.CommandStart, 0, 1)
 	b.do(primrosespar.CommandRelease, 0, 1)
 	b.renewFor(bound + time.Second)
-	require.Equal(t, 1, b.hall.Verdict(bound).GangsPartial)
+	require.Equal(t, 1, b.executor.Verdict(bound).GangsPartial)
 }
 
 // TestFencing guards against commands of an earlier holder or attempt and
@@ -150,19 +150,19 @@
 	b.do(primrosespar.CommandRelease, 0, 1)
 	b.do(primrosespar.CommandCheckpoint, 0, 1)
 	require.False(t, b.task(0).Checkpointed)
-	b.renewFor(hall.DefaultCheckpointTime)
+	b.renewFor(executor.DefaultCheckpointTime)
 	require.True(t, b.task(0).Checkpointed)
-	require.NoError(t, b.hall.Kill("w0"))
-	entries, cursor, err := b.hall.Changes(t.Context(), place, 0)
+	require.NoError(t, b.executor.Kill("w0"))
+	entries, cursor, err := b.executor.Changes(t.Context(), place, 0)
 	require.NoError(t, err)
 	require.True(t, entries[0].Alive, "the loss is not known yet")
-	b.clock.Advance(hall.DefaultSilentTime)
-	entries, _, err = b.hall.Changes(t.Context(), place, cursor)
+	b.clock.Advance(executor.DefaultSilentTime)
+	entries, _, err = b.executor.Changes(t.Context(), place, cursor)
 	require.NoError(t, err)
 	require.Len(t, entries, 1)
 	require.False(t, entries[0].Alive)
-	require.NoError(t, b.hall.Restore("w0"))
-	require.NoError(t, b.hall.SetFailAll("w0", true))
+	require.NoError(t, b.executor.Restore("w0"))
+	require.NoError(t, b.executor.SetFailAll("w0", true))
 	require.Equal(t, primrosespar.CodeOK, b.do(primrosespar.CommandStart, 0, 2))
 	require.Equal(t, primrosespar.TaskFailed, b.task(0).State)
 }
--- a/internal/standin/hall/faults.go
+++ b/internal/standin/executor/faults.go
@@ -1,4 +1,4 @@
-package hall
+package executor
 
 import (
 	"time"
@@ -8,7 +8,7 @@
 
 // SetCut cuts the commands and reports of a place off or restores them; its
 // workers continue until their leases lapse.
-func (h *Hall) SetCut(place primrosespar.Place, cut bool) {
+func (h *Executor) SetCut(place primrosespar.Place, cut bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
@@ -16,18 +16,18 @@
 }
 
 // SetFailAll makes the worker fail every task that it starts from now on.
-func (h *Hall) SetFailAll(name primrosespar.Worker, fail bool) error {
+func (h *Executor) SetFailAll(name primrosespar.Worker, fail bool) error {
 	return h.with(name, func(w *worker, _ time.Time) { w.failAll = fail })
 }
 
 // SetLeaving marks the worker as leaving.
-func (h *Hall) SetLeaving(name primrosespar.Worker, leaving bool) error {
+func (h *Executor) SetLeaving(name primrosespar.Worker, leaving bool) error {
 	return h.with(name, func(w *worker, _ time.Time) { w.entry.Leaving = leaving })
 }
 
 // SetUnreachable cuts the worker off from commands or restores it; its tasks
 // continue until its lease lapses.
-func (h *Hall) SetUnreachable(name primrosespar.Worker, unreachable bool) error {
+func (h *Executor) SetUnreachable(name primrosespar.Worker, unreachable bool) error {
 	return h.with(name, func(w *worker, now time.Time) {
 		if unreachable && !w.unreachable && !w.killed {
 			w.silentSince = now
@@ -38,7 +38,7 @@
 }
 
 // Kill ends the worker and all its tasks at once.
-func (h *Hall) Kill(name primrosespar.Worker) error {
+func (h *Executor) Kill(name primrosespar.Worker) error {
 	return h.with(name, func(w *worker, now time.Time) {
 		if w.killed {
 			return
@@ -54,7 +54,7 @@
 
 // Restore starts a killed worker again. Its tasks are gone; it keeps the
 // highest token and attempts, because a real worker stores them.
-func (h *Hall) Restore(name primrosespar.Worker) error {
+func (h *Executor) Restore(name primrosespar.Worker) error {
 	return h.with(name, func(w *worker, _ time.Time) {
 		if !w.killed {
 			return
@@ -66,7 +66,7 @@
 }
 
 // with changes one worker.
-func (h *Hall) with(name primrosespar.Worker, change func(*worker, time.Time)) error {
+func (h *Executor) with(name primrosespar.Worker, change func(*worker, time.Time)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
--- a/internal/standin/hall/history.go
+++ b/internal/standin/executor/history.go
@@ -1,4 +1,4 @@
-package hall
+package executor
 
 import (
 	"slices"
@@ -48,7 +48,7 @@
 }
 
 // log adds an event to the history.
-func (h *Hall) log(kind EventKind, w *worker, t *task, at time.Time) {
+func (h *Executor) log(kind EventKind, w *worker, t *task, at time.Time) {
 	h.history = append(h.history, Event{
 		At: at, Kind: kind, Worker: w.entry.Worker, Gang: t.status.Gang,
 		Member: t.status.Member, Attempt: t.status.Attempt, Members: t.work.Members,
@@ -56,7 +56,7 @@
 }
 
 // History returns all events up to now in the order of their times.
-func (h *Hall) History() []Event {
+func (h *Executor) History() []Event {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
@@ -66,7 +66,7 @@
 // Verdict judges the history up to now. The size of a gang is what its payload
 // states, or else the number of different members that any attempt started. A
 // member that finished its work does not make the others a proper subset.
-func (h *Hall) Verdict(bound time.Duration) Verdict {
+func (h *Executor) Verdict(bound time.Duration) Verdict {
 	history := h.History()
 	return Judge(history, bound, h.clock.Now())
 }
--- a/internal/standin/hall/options.go
+++ b/internal/standin/executor/options.go
@@ -1,4 +1,4 @@
-package hall
+package executor
 
 import (
 	"time"
@@ -14,7 +14,7 @@
 	DefaultRunTime        = time.Minute
 )
 
-// Options configure a Hall.
+// Options configure a Executor.
 type Options struct {
 	// Clock is required: the package reads no clock of its own.
 	Clock primrosespar.Clock
--- a/internal/standin/hall/task.go
+++ b/internal/standin/executor/task.go
@@ -1,4 +1,4 @@
-package hall
+package executor
 
 import (
 	"encoding/json"
@@ -76,7 +76,7 @@
 // succeeds without effect, because the answer to the first may have been lost.
 func (w *worker) start(key taskKey, c primrosespar.Command) *primrosespar.Failure {
 	if c.Attempt <= w.stopped[key] {
-		w.hall.counts.StaleAttempts++
+		w.executor.counts.StaleAttempts++
 		return primrosespar.Fail(primrosespar.CodeStaleAttempt, "attempt %d was stopped", c.Attempt)
 	}
 	if old := w.tasks[key]; old != nil && old.status.Attempt == c.Attempt {
@@ -90,7 +90,7 @@
 	if err := w.fits(c); err != nil {
 		return err
 	}
-	work, err := w.hall.parse(c.Work)
+	work, err := w.executor.parse(c.Work)
 	if err != nil {
 		return err
 	}
@@ -102,13 +102,13 @@
 	if !w.leased {
 		return primrosespar.Fail(primrosespar.CodeBadRequest, "worker %s has no lease", c.Worker)
 	}
-	t := &task{first: c.First, count: c.Count, work: work, worked: w.hall.saved[key]}
+	t := &task{first: c.First, count: c.Count, work: work, worked: w.executor.saved[key]}
 	t.runTime = time.Duration(work.RunTimeMS) * time.Millisecond
 	t.status = primrosespar.TaskStatus{Gang: c.Gang, Member: c.Member, Attempt: c.Attempt, State: primrosespar.TaskHeld}
 	w.tasks[key] = t
-	now := w.hall.clock.Now()
-	w.hall.log(EventStarted, w, t, now)
-	w.hall.touch(w)
+	now := w.executor.clock.Now()
+	w.executor.log(EventStarted, w, t, now)
+	w.executor.touch(w)
 	if w.failAll {
 		w.end(t, primrosespar.TaskFailed, EventFailed, now)
 	}
@@ -123,7 +123,7 @@
 	}
 	for _, t := range w.tasks {
 		if t.live() && c.First < t.first+t.count && t.first < c.First+c.Count {
-			w.hall.counts.DoubleStarts++
+			w.executor.counts.DoubleStarts++
 			return primrosespar.Fail(primrosespar.CodeConflict, "task %s/%d has accelerators %d+%d", t.status.Gang, t.status.Member, t.first, t.count)
 		}
 	}
@@ -131,7 +131,7 @@
 }
 
 // parse reads the payload; an empty one gets the default run time.
-func (h *Hall) parse(data []byte) (payload, *primrosespar.Failure) {
+func (h *Executor) parse(data []byte) (payload, *primrosespar.Failure) {
 	var work payload
 	if len(data) > 0 {
 		if err := json.Unmarshal(data, &work); err != nil {
--- a/internal/standin/hall/worker.go
+++ b/internal/standin/executor/worker.go
@@ -1,4 +1,4 @@
-package hall
+package executor
 
 import (
 	"cmp"
@@ -11,10 +11,10 @@
 
 // worker is one simulated worker.
 type worker struct {
-	hall    *Hall
-	entry   primrosespar.WorkerEntry
-	changed uint64
-	token   primrosespar.Token
+	executor *Executor
+	entry    primrosespar.WorkerEntry
+	changed  uint64
+	token    primrosespar.Token
 	// attempts holds the highest attempt seen per gang, stopped the highest
 	// attempt per task that a stop named, so that a start that was overtaken
 	// by its stop is refused.
@@ -39,9 +39,9 @@
 }
 
 // newWorker returns a worker without tasks or lease.
-func newWorker(h *Hall, entry primrosespar.WorkerEntry) *worker {
+func newWorker(h *Executor, entry primrosespar.WorkerEntry) *worker {
 	return &worker{
-		hall:     h,
+		executor: h,
 		entry:    entry,
 		attempts: map[primrosespar.JobID]uint64{},
 		stopped:  map[taskKey]uint64{},
@@ -71,7 +71,7 @@
 		return w.renew(c.Lease)
 	}
 	if c.Attempt < w.attempts[c.Gang] {
-		w.hall.counts.StaleAttempts++
+		w.executor.counts.StaleAttempts++
 		return primrosespar.Fail(primrosespar.CodeStaleAttempt, "attempt %d is below %d", c.Attempt, w.attempts[c.Gang])
 	}
 	w.attempts[c.Gang] = c.Attempt
@@ -82,7 +82,7 @@
 	case primrosespar.CommandStop:
 		w.stopped[key] = c.Attempt
 		if t := w.tasks[key]; t != nil && t.live() {
-			w.end(t, primrosespar.TaskStopped, EventStopped, w.hall.clock.Now())
+			w.end(t, primrosespar.TaskStopped, EventStopped, w.executor.clock.Now())
 		}
 		return nil
 	case primrosespar.CommandForget:
@@ -110,7 +110,7 @@
 		return primrosespar.Fail(primrosespar.CodeOutOfRange, "lease %s is not above 0", lease)
 	}
 	w.leased = true
-	w.leaseEnd = w.hall.clock.Now().Add(lease)
+	w.leaseEnd = w.executor.clock.Now().Add(lease)
 	return nil
 }
 
@@ -124,13 +124,13 @@
 		return primrosespar.Fail(primrosespar.CodeConflict, "task %s/%d has not ended", key.gang, key.member)
 	}
 	delete(w.tasks, key)
-	w.hall.touch(w)
+	w.executor.touch(w)
 	return nil
 }
 
 // change carries out release, throttle and checkpoint.
 func (w *worker) change(t *task, kind primrosespar.CommandKind) *primrosespar.Failure {
-	now := w.hall.clock.Now()
+	now := w.executor.clock.Now()
 	if !t.live() {
 		return primrosespar.Fail(primrosespar.CodeConflict, "the task is %s", t.status.State)
 	}
@@ -139,24 +139,24 @@
 		if t.status.State == primrosespar.TaskHeld {
 			t.status.State = primrosespar.TaskRunning
 			t.resumed = now
-			t.usageAt = now.Add(w.hall.options.UsageLag)
-			w.hall.log(EventReleased, w, t, now)
+			t.usageAt = now.Add(w.executor.options.UsageLag)
+			w.executor.log(EventReleased, w, t, now)
 		}
 	case primrosespar.CommandThrottle:
 		if t.status.State == primrosespar.TaskRunning {
 			t.worked = t.workedBy(now)
 			t.status.State = primrosespar.TaskHeld
-			w.hall.log(EventThrottled, w, t, now)
+			w.executor.log(EventThrottled, w, t, now)
 		}
 	case primrosespar.CommandCheckpoint:
 		if !t.checkpointing {
 			t.checkpointing = true
-			t.checkpointAt = now.Add(w.hall.options.CheckpointTime)
+			t.checkpointAt = now.Add(w.executor.options.CheckpointTime)
 		}
 	default:
 		return primrosespar.Fail(primrosespar.CodeBadRequest, "no command %q", kind)
 	}
-	w.hall.touch(w)
+	w.executor.touch(w)
 	return nil
 }
 
@@ -165,8 +165,8 @@
 	t.worked = t.workedBy(at)
 	t.status.State = state
 	t.checkpointing = false
-	w.hall.log(kind, w, t, at)
-	w.hall.touch(w)
+	w.executor.log(kind, w, t, at)
+	w.executor.touch(w)
 }
 
 // endAll ends all live tasks.
@@ -191,7 +191,7 @@
 		consider(w.leaseEnd)
 	}
 	if w.entry.Alive && (w.killed || w.unreachable) {
-		consider(w.silentSince.Add(w.hall.options.SilentTime))
+		consider(w.silentSince.Add(w.executor.options.SilentTime))
 	}
 	for _, t := range w.tasks {
 		if at, ok := t.next(); ok {
@@ -209,13 +209,13 @@
 	}
 	if w.leased && !w.leaseEnd.After(at) {
 		w.leased = false
-		w.hall.counts.LeasesExpired++
+		w.executor.counts.LeasesExpired++
 		w.endAll(EventLeaseExpired, at)
 	}
 	silent := w.killed || w.unreachable
-	if silent && w.entry.Alive && !w.silentSince.Add(w.hall.options.SilentTime).After(at) {
+	if silent && w.entry.Alive && !w.silentSince.Add(w.executor.options.SilentTime).After(at) {
 		w.entry.Alive = false
-		w.hall.touch(w)
+		w.executor.touch(w)
 	}
 }
 
@@ -228,8 +228,8 @@
 		t.checkpointing = false
 		t.status.Checkpointed = true
 		key := taskKey{t.status.Gang, t.status.Member}
-		w.hall.saved[key] = max(w.hall.saved[key], t.workedBy(at))
-		w.hall.touch(w)
+		w.executor.saved[key] = max(w.executor.saved[key], t.workedBy(at))
+		w.executor.touch(w)
 	}
 	if t.status.State != primrosespar.TaskRunning {
 		return
@@ -238,7 +238,7 @@
 		t.usageAt = time.Time{}
 		t.status.UsedCores = t.work.UsedCores
 		t.status.UsedMemoryBytes = t.work.UsedMemoryBytes
-		w.hall.touch(w)
+		w.executor.touch(w)
 	}
 	if t.finishAt().After(at) {
 		return
@@ -247,6 +247,6 @@
 		w.end(t, primrosespar.TaskFailed, EventFailed, at)
 		return
 	}
-	delete(w.hall.saved, taskKey{t.status.Gang, t.status.Member})
+	delete(w.executor.saved, taskKey{t.status.Gang, t.status.Member})
 	w.end(t, primrosespar.TaskFinished, EventFinished, at)
 }
--- a/internal/standin/server/admin.go
+++ b/internal/standin/server/admin.go
@@ -9,7 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 )
 
 // Topology adds to and removes from what the platform knows.
@@ -37,8 +37,8 @@
 
 // History is the events of all workers and the verdict on them.
 type History struct {
-	Events  []hall.Event `json:"events"`
-	Verdict hall.Verdict `json:"verdict"`
+	Events  []executor.Event `json:"events"`
+	Verdict executor.Verdict `json:"verdict"`
 }
 
 // adminWorkers adds the routes of the topology and the workers' faults.
@@ -51,7 +51,7 @@
 		return struct{}{}, s.workerFault(f)
 	})
 	handle(s, "/admin/cut", func(_ context.Context, c PlaceCut) (any, error) {
-		s.hall.SetCut(c.Place, c.Cut)
+		s.executor.SetCut(c.Place, c.Cut)
 		return struct{}{}, nil
 	})
 	s.router.GET("/admin/history", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -61,13 +61,13 @@
 			return
 		}
 		bound := time.Duration(ms) * time.Millisecond
-		s.answer(w, History{Events: s.hall.History(), Verdict: s.hall.Verdict(bound)}, nil)
+		s.answer(w, History{Events: s.executor.History(), Verdict: s.executor.Verdict(bound)}, nil)
 	})
 }
 
 func (s *Server) apply(t Topology) {
 	for _, e := range t.Workers {
-		s.hall.Add(e)
+		s.executor.Add(e)
 	}
 	for _, e := range t.Hosts {
 		s.keeper.SetHost(e)
@@ -86,15 +86,15 @@
 func (s *Server) workerFault(f WorkerFault) error {
 	switch f.Kind {
 	case "kill":
-		return s.hall.Kill(f.Worker)
+		return s.executor.Kill(f.Worker)
 	case "restore":
-		return s.hall.Restore(f.Worker)
+		return s.executor.Restore(f.Worker)
 	case "fail_all", "heal":
-		return s.hall.SetFailAll(f.Worker, f.Kind == "fail_all")
+		return s.executor.SetFailAll(f.Worker, f.Kind == "fail_all")
 	case "unreachable", "reachable":
-		return s.hall.SetUnreachable(f.Worker, f.Kind == "unreachable")
+		return s.executor.SetUnreachable(f.Worker, f.Kind == "unreachable")
 	case "leaving":
-		return s.hall.SetLeaving(f.Worker, true)
+		return s.executor.SetLeaving(f.Worker, true)
 	default:
 		return primrosespar.Fail(primrosespar.CodeBadRequest, "worker fault %q does not exist", f.Kind)
 	}
--- a/internal/standin/server/platform.go
+++ b/internal/standin/server/platform.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	handler := server.New(keeper, hall)
+//	handler := server.New(keeper, executor)
 //	http.Serve(listener, handler)
 //
 // Callers name their place in X-Place. PUT /admin/faults takes keeper.Faults;
@@ -19,15 +19,15 @@
 	"github.com/julienschmidt/httprouter"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
 // Server is the http.Handler of the platform.
 type Server struct {
-	router *httprouter.Router
-	keeper *keeper.Keeper
-	hall   *hall.Hall
+	router   *httprouter.Router
+	keeper   *keeper.Keeper
+	executor *executor.Executor
 }
 
 // query is the body of every call but a commit.
@@ -43,8 +43,8 @@
 }
 
 // New returns the handler.
-func New(k *keeper.Keeper, h *hall.Hall) *Server {
-	s := &Server{router: httprouter.New(), keeper: k, hall: h}
+func New(k *keeper.Keeper, h *executor.Executor) *Server {
+	s := &Server{router: httprouter.New(), keeper: k, executor: h}
 	handle(s, "/v1/table/get", func(ctx context.Context, q query) (any, error) {
 		rows, err := k.Get(ctx, q.Keys...)
 		return struct {
@@ -168,8 +168,8 @@
 	})
 	s.router.GET("/admin/counts", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		s.answer(w, struct {
-			Store   keeper.Counts `json:"store"`
-			Workers hall.Counts   `json:"workers"`
-		}{s.keeper.Counts(), s.hall.Counts()}, nil)
+			Store   keeper.Counts   `json:"store"`
+			Workers executor.Counts `json:"workers"`
+		}{s.keeper.Counts(), s.executor.Counts()}, nil)
 	})
 }
--- a/internal/standin/server/platform_test.go
+++ b/internal/standin/server/platform_test.go
@@ -10,7 +10,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/platform/commander"
 	"primrosespar.example/primrosespar/internal/platform/tabler"
-	"primrosespar.example/primrosespar/internal/standin/hall"
+	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 	"primrosespar.example/primrosespar/internal/standin/server"
 )
@@ -19,7 +19,7 @@
 // a field or a result code, and against a cut that ignores the place header.
 func TestClientsAgree(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	k, h := keeper.New(keeper.WithClock(clock)), hall.New(hall.WithClock(clock))
+	k, h := keeper.New(keeper.WithClock(clock)), executor.New(executor.WithClock(clock))
 	h.Add(primrosespar.WorkerEntry{Worker: "w", Place: "a", Accelerators: 8})
 	k.SetHost(primrosespar.HostEntry{Host: "h", Place: "a"})
 	s := httptest.NewServer(server.New(k, h))
