Use the field's words in the planner

Cause: promise, spot, crowd and lent need explaining. Change: guarantee, candidate, evictForSize and borrowing; no logic changed. Result: tests of internal/place pass, lint clean.

--- a/internal/place/planner/account.go
+++ b/internal/place/planner/account.go
@@ -10,10 +10,10 @@
 
 // account is what the planner knows of one client account.
 type account struct {
-	name     primrosespar.Account
-	contract primrosespar.Contract
-	known    bool
-	promises []*promise
+	name       primrosespar.Account
+	contract   primrosespar.Contract
+	known      bool
+	guarantees []*guarantee
 	// held counts accelerators of placed gangs, pending those of claims that
 	// wait for evictions.
 	held, pending int
@@ -21,24 +21,24 @@
 	// ordered so far.
 	ahead int
 	// firm counts accelerators of placed work that neither claims nor gives
-	// way; promised counts those of all guaranteed blocks.
-	firm, promised int
+	// way; guaranteed counts those of all guaranteed blocks.
+	firm, guaranteed int
 	// waiting counts the pending claims of each class.
 	waiting map[primrosespar.Class]int
 	active  map[primrosespar.Class]int
-	// lent are the account's gangs on borrowed capacity.
-	lent map[primrosespar.JobID]*gang
+	// borrowing are the account's gangs on borrowed capacity.
+	borrowing map[primrosespar.JobID]*gang
 }
 
-// promise is one guaranteed block.
-type promise struct {
+// guarantee is one guaranteed block.
+type guarantee struct {
 	account *account
 	level   int
 	// cells is the bound physical block in the order of the rack, nil while
-	// nothing draws on the promise.
+	// nothing draws on the guarantee.
 	cells []primrosespar.Slice
 	draws int
-	// ended promises were amended away while claims still stand in them.
+	// ended guarantees were amended away while claims still stand in them.
 	ended bool
 }
 
@@ -50,7 +50,7 @@
 func (p *Planner) accountOf(name primrosespar.Account) *account {
 	a := p.accounts[name]
 	if a == nil {
-		a = &account{name: name, active: map[primrosespar.Class]int{}, lent: map[primrosespar.JobID]*gang{}, waiting: map[primrosespar.Class]int{}}
+		a = &account{name: name, active: map[primrosespar.Class]int{}, borrowing: map[primrosespar.JobID]*gang{}, waiting: map[primrosespar.Class]int{}}
 		p.accounts[name] = a
 	}
 	return a
@@ -66,28 +66,28 @@
 		a := p.accountOf(v.Contract.Account)
 		a.contract, a.known = v.Contract, true
 	}
-	p.demand, p.promised = packer.Counts{}, packer.Counts{}
+	p.demand, p.guaranteed = packer.Counts{}, packer.Counts{}
 	for _, a := range p.accounts {
 		if !a.known {
 			a.contract = primrosespar.Contract{Account: a.name}
 		}
-		p.setPromises(a)
+		p.setGuarantees(a)
 	}
 	p.changed = true
 }
 
-// setPromises brings the guaranteed blocks in line with the contract; blocks
+// setGuarantees brings the guaranteed blocks in line with the contract; blocks
 // that claims draw on stay until those end.
-func (p *Planner) setPromises(a *account) {
+func (p *Planner) setGuarantees(a *account) {
 	var want packer.Counts
 	for _, g := range a.contract.GuaranteesIn(p.options.Place) {
 		if level := packer.LevelOf(g.Block); level < packer.Levels {
 			want[level] += g.Count
 		}
 	}
-	slices.SortStableFunc(a.promises, func(x, y *promise) int { return y.draws - x.draws })
-	var keep []*promise
-	for _, q := range a.promises {
+	slices.SortStableFunc(a.guarantees, func(x, y *guarantee) int { return y.draws - x.draws })
+	var keep []*guarantee
+	for _, q := range a.guarantees {
 		q.ended = want[q.level] == 0
 		if !q.ended {
 			want[q.level]--
@@ -98,26 +98,26 @@
 	}
 	for level, n := range want {
 		for range n {
-			keep = append(keep, &promise{account: a, level: level})
+			keep = append(keep, &guarantee{account: a, level: level})
 		}
 	}
-	slices.SortStableFunc(keep, func(x, y *promise) int { return x.level - y.level })
-	a.promises = keep
-	a.promised = 0
+	slices.SortStableFunc(keep, func(x, y *guarantee) int { return x.level - y.level })
+	a.guarantees = keep
+	a.guaranteed = 0
 	for _, q := range keep {
 		if q.ended {
 			continue
 		}
-		p.promised[q.level]++
-		a.promised += 1 << q.level
+		p.guaranteed[q.level]++
+		a.guaranteed += 1 << q.level
 		if q.draws == 0 {
 			p.demand[q.level]++
 		}
 	}
 }
 
-// bind ties the promise to the physical cells.
-func (p *Planner) bind(q *promise, cells []primrosespar.Slice) {
+// bind ties the guarantee to the physical cells.
+func (p *Planner) bind(q *guarantee, cells []primrosespar.Slice) {
 	q.cells = cells
 	p.pack.Bind(cells, true)
 	if !q.ended {
@@ -125,7 +125,7 @@
 	}
 }
 
-// unbind ends the gang's draws and frees the promises nobody draws on.
+// unbind ends the gang's draws and frees the guarantees nobody draws on.
 func (p *Planner) unbind(g *gang) {
 	for _, q := range g.draws {
 		q.draws--
@@ -138,7 +138,7 @@
 			p.demand[q.level]++
 			continue
 		}
-		q.account.promises = slices.DeleteFunc(q.account.promises, func(o *promise) bool { return o == q })
+		q.account.guarantees = slices.DeleteFunc(q.account.guarantees, func(o *guarantee) bool { return o == q })
 	}
 	g.draws = nil
 }
@@ -155,7 +155,7 @@
 	var out []primrosespar.GuaranteeState
 	for _, a := range names {
 		byLevel := [packer.Levels]primrosespar.GuaranteeState{}
-		for _, q := range a.promises {
+		for _, q := range a.guarantees {
 			if q.ended {
 				continue
 			}
--- a/internal/place/planner/admit.go
+++ b/internal/place/planner/admit.go
@@ -35,9 +35,9 @@
 	if job.Claim {
 		return p.admitClaim(a, s)
 	}
-	if !job.Preemptible && s.Accelerators()+a.promised > limit {
+	if !job.Preemptible && s.Accelerators()+a.guaranteed > limit {
 		return primrosespar.Fail(primrosespar.CodeQuotaExceeded,
-			"%d accelerators beside the guarantee of %d exceed max_accelerators %d", s.Accelerators(), a.promised, limit)
+			"%d accelerators beside the guarantee of %d exceed max_accelerators %d", s.Accelerators(), a.guaranteed, limit)
 	}
 	return p.admitShape(job)
 }
@@ -46,7 +46,7 @@
 func (p *Planner) admitClaim(a *account, s primrosespar.Shape) error {
 	count, level := units(s)
 	room := 0
-	for _, q := range a.promises {
+	for _, q := range a.guarantees {
 		if !q.ended && q.level >= level {
 			room += 1 << (q.level - level)
 		}
@@ -78,7 +78,7 @@
 	if job.Preemptible {
 		return nil
 	}
-	for k, n := range p.promised {
+	for k, n := range p.guaranteed {
 		want[k] += n
 	}
 	if packer.Fits(p.whole, want) >= 0 {
--- a/internal/place/planner/claim.go
+++ b/internal/place/planner/claim.go
@@ -17,17 +17,17 @@
 	maxOffsets      = 64
 )
 
-// spot is a place for one unit of a claim.
-type spot struct {
-	promise *promise
-	// bind are the cells to bind, nil if the promise is bound already.
+// candidate is a possible location for one unit of a claim.
+type candidate struct {
+	guarantee *guarantee
+	// bind are the cells to bind, nil if the guarantee is bound already.
 	bind    []primrosespar.Slice
 	slices  []primrosespar.Slice
 	victims map[primrosespar.JobID]*gang
 	cost    float64
 }
 
-func (s *spot) better(other *spot) bool {
+func (s *candidate) better(other *candidate) bool {
 	if other == nil {
 		return true
 	}
@@ -43,7 +43,7 @@
 	}
 	count, level := units(g.job.Shape)
 	for i := range count {
-		s := p.spotFor(g, i, level, now)
+		s := p.candidateFor(g, i, level, now)
 		if s == nil {
 			p.undoClaim(g)
 			return p.claimRefusal(g)
@@ -77,12 +77,12 @@
 	victims := map[primrosespar.JobID]*gang{}
 	count, level := units(g.job.Shape)
 	for i := range count {
-		var best *spot
+		var best *candidate
 		p.visitUpTo(packer.ViewReclaimable, level, maxReclaimTries, func(b packer.Block) {
 			if !p.allowed(g, b) {
 				return
 			}
-			s := p.spotAt(g, i, nil, p.pack.Slices(b, 0, b.Size(), 0), now)
+			s := p.candidateAt(g, i, nil, p.pack.Slices(b, 0, b.Size(), 0), now)
 			if s != nil && p.withinShare(g, s.slices) && s.better(best) {
 				best = s
 			}
@@ -100,7 +100,7 @@
 	return true
 }
 
-// claimRefusal says why no spot was found: too few accelerators are left, or
+// claimRefusal says why no candidate was found: too few accelerators are left, or
 // the account's guarantee is in use.
 func (p *Planner) claimRefusal(g *gang) primrosespar.Code {
 	if !p.pack.Packs(p.demand) {
@@ -108,7 +108,7 @@
 	}
 	count, level := units(g.job.Shape)
 	free := 0
-	for _, q := range g.account.promises {
+	for _, q := range g.account.guarantees {
 		if q.draws == 0 && !q.ended && q.level >= level {
 			free += 1 << (q.level - level)
 		}
@@ -119,13 +119,13 @@
 	return primrosespar.CodeWaiting
 }
 
-func (p *Planner) reserve(g *gang, s *spot) {
+func (p *Planner) reserve(g *gang, s *candidate) {
 	if s.bind != nil {
-		p.bind(s.promise, s.bind)
+		p.bind(s.guarantee, s.bind)
 	}
-	if s.promise != nil {
-		s.promise.draws++
-		g.draws = append(g.draws, s.promise)
+	if s.guarantee != nil {
+		s.guarantee.draws++
+		g.draws = append(g.draws, s.guarantee)
 	}
 	p.pack.Reserve(s.slices, g.job.ID)
 	for _, slice := range s.slices {
@@ -166,12 +166,12 @@
 	if over <= 0 && classOver <= 0 {
 		return victims, true
 	}
-	lent := make([]*gang, 0, len(a.lent))
-	for _, v := range a.lent {
-		lent = append(lent, v)
+	borrowing := make([]*gang, 0, len(a.borrowing))
+	for _, v := range a.borrowing {
+		borrowing = append(borrowing, v)
 	}
-	slices.SortFunc(lent, func(x, y *gang) int { return cheaper(x, y, now) })
-	for _, v := range lent {
+	slices.SortFunc(borrowing, func(x, y *gang) int { return cheaper(x, y, now) })
+	for _, v := range borrowing {
 		same := v.job.Class == g.job.Class
 		if over <= 0 && (classOver <= 0 || !same) {
 			continue
@@ -204,43 +204,43 @@
 	}
 }
 
-// spotFor finds cells for unit i: inside a guaranteed block that the account
+// candidateFor finds cells for unit i: inside a guaranteed block that the account
 // draws on already, else in the smallest unclaimed one.
-func (p *Planner) spotFor(g *gang, i, level int, now time.Time) *spot {
-	for _, q := range g.account.promises {
+func (p *Planner) candidateFor(g *gang, i, level int, now time.Time) *candidate {
+	for _, q := range g.account.guarantees {
 		if q.draws == 0 || q.ended || q.level < level {
 			continue
 		}
-		if s := p.spotInside(g, i, level, q, now); s != nil {
+		if s := p.candidateInside(g, i, level, q, now); s != nil {
 			return s
 		}
 	}
-	for _, q := range g.account.promises {
+	for _, q := range g.account.guarantees {
 		if q.draws > 0 || q.ended || q.level < level {
 			continue
 		}
-		if s := p.spotOutside(g, i, level, q, now); s != nil {
+		if s := p.candidateOutside(g, i, level, q, now); s != nil {
 			return s
 		}
 	}
 	return nil
 }
 
-// spotInside looks at the aligned runs of a bound block that no claim holds.
+// candidateInside looks at the aligned runs of a bound block that no claim holds.
 // The run in the smallest unclaimed surroundings wins, then the cheapest.
-func (p *Planner) spotInside(g *gang, i, level int, q *promise, now time.Time) *spot {
+func (p *Planner) candidateInside(g *gang, i, level int, q *guarantee, now time.Time) *candidate {
 	taken := make([]bool, 0, 1<<q.level)
 	p.pack.Visit(q.cells, func(c packer.Cell, s packer.State) {
 		taken = append(taken, s == packer.Dead || s == packer.NonPreemptible)
 	})
-	var best *spot
+	var best *candidate
 	tightest := packer.Levels
 	for at := 0; at+1<<level <= len(taken); at += 1 << level {
 		room := openLevel(taken, at, level)
 		if room < 0 || room > tightest {
 			continue
 		}
-		s := p.spotAt(g, i, q, packer.Sub(q.cells, at, 1<<level, 0), now)
+		s := p.candidateAt(g, i, q, packer.Sub(q.cells, at, 1<<level, 0), now)
 		if s != nil && (room < tightest || s.better(best)) {
 			best, tightest = s, room
 		}
@@ -262,15 +262,15 @@
 	return open
 }
 
-// spotAt values the use of the cells; nil if they can't be had.
-func (p *Planner) spotAt(g *gang, i int, q *promise, cells []primrosespar.Slice, now time.Time) *spot {
-	s := &spot{promise: q, slices: unitSlices(g.job.Shape, i, cells), victims: map[primrosespar.JobID]*gang{}}
+// candidateAt values the use of the cells; nil if they can't be had.
+func (p *Planner) candidateAt(g *gang, i int, q *guarantee, cells []primrosespar.Slice, now time.Time) *candidate {
+	s := &candidate{guarantee: q, slices: unitSlices(g.job.Shape, i, cells), victims: map[primrosespar.JobID]*gang{}}
 	p.pack.Visit(s.slices, func(c packer.Cell, state packer.State) {
 		if v := p.gangs[c.Holder]; state == packer.Preemptible && v != nil {
 			s.victims[v.job.ID] = v
 		}
 	})
-	if !p.crowd(g, s.slices, s.victims, now) {
+	if !p.evictForSize(g, s.slices, s.victims, now) {
 		return nil
 	}
 	for _, v := range s.victims {
@@ -279,13 +279,13 @@
 	return s
 }
 
-// spotOutside binds the promise to the physical block that loses least work
+// candidateOutside binds the guarantee to the physical block that loses least work
 // and leaves room for all other unclaimed blocks.
-func (p *Planner) spotOutside(g *gang, i, level int, q *promise, now time.Time) *spot {
+func (p *Planner) candidateOutside(g *gang, i, level int, q *guarantee, now time.Time) *candidate {
 	rest := p.demand
 	rest[q.level]--
 	sound := p.pack.Packs(p.demand)
-	var best *spot
+	var best *candidate
 	consider := func(b packer.Block) {
 		supply, ok := p.pack.Without(packer.ViewReclaimable, b)
 		if !ok || sound && packer.Fits(supply, rest) >= 0 {
@@ -293,7 +293,7 @@
 		}
 		cells := p.pack.Slices(b, 0, b.Size(), 0)
 		for at := 0; at < min(b.Size(), maxOffsets<<level); at += 1 << level {
-			s := p.spotAt(g, i, q, packer.Sub(cells, at, 1<<level, 0), now)
+			s := p.candidateAt(g, i, q, packer.Sub(cells, at, 1<<level, 0), now)
 			if s != nil && s.better(best) {
 				s.bind = cells
 				best = s
--- a/internal/place/planner/gang.go
+++ b/internal/place/planner/gang.go
@@ -32,7 +32,7 @@
 	borrowed bool
 	need     need
 	// draws are the guaranteed blocks a claim draws on, one for each unit.
-	draws   []*promise
+	draws   []*guarantee
 	started time.Time
 	// saved is the time of the last checkpoint, or of the start.
 	saved   time.Time
--- a/internal/place/planner/machine_test.go
+++ b/internal/place/planner/machine_test.go
@@ -71,17 +71,17 @@
 		c.Classes = []primrosespar.ClassTerms{{
 			Class: "batch", Kind: primrosespar.KindGang, Preemptible: true, Concurrency: rapid.SampledFrom([]int{0, 0, 4}).Draw(t, "concurrency"),
 		}, {Class: "proof", Kind: primrosespar.KindGang}}
-		promised := 0
+		guaranteed := 0
 		for _, level := range rapid.SliceOfN(rapid.IntRange(0, 4), 0, 4).Draw(t, "guarantee") {
 			more := demand
 			more[level]++
 			if packer.Fits(p.Whole(), more) < 0 {
 				demand = more
-				promised += 1 << level
+				guaranteed += 1 << level
 				c.Guarantees = append(c.Guarantees, primrosespar.Guarantee{Place: place, Block: 1 << level, Count: 1})
 			}
 		}
-		c.MaxAccelerators = promised + rapid.IntRange(0, p.Total()).Draw(t, "spare")
+		c.MaxAccelerators = guaranteed + rapid.IntRange(0, p.Total()).Draw(t, "spare")
 		view.Contracts = append(view.Contracts, primrosespar.VersionedContract{Contract: c, Version: 1})
 	}
 	return view
--- a/internal/place/planner/planner.go
+++ b/internal/place/planner/planner.go
@@ -70,8 +70,8 @@
 	checkpointed map[primrosespar.JobID]*gang
 	// spare orders the workers for members without accelerators.
 	spare *btree.BTreeG[*worker]
-	// demand counts the unclaimed guaranteed blocks, promised all of them.
-	demand, promised packer.Counts
+	// demand counts the unclaimed guaranteed blocks, guaranteed all of them.
+	demand, guaranteed packer.Counts
 	// whole is the supply with all accelerators alive and free.
 	whole packer.Counts
 	// target is the reservation of the oldest blocked job, oldest the job that
@@ -286,7 +286,7 @@
 	if a.held+a.pending+g.size() > a.contract.MaxAccelerators {
 		return primrosespar.CodeQuotaExceeded
 	}
-	if !g.preemptible() && a.firm+a.promised+g.size() > a.contract.MaxAccelerators {
+	if !g.preemptible() && a.firm+a.guaranteed+g.size() > a.contract.MaxAccelerators {
 		return primrosespar.CodeQuotaExceeded
 	}
 	if p.stalls(g) {
@@ -331,8 +331,8 @@
 	}
 	p.borrowed += sign * g.size()
 	if sign > 0 {
-		g.account.lent[g.job.ID] = g
+		g.account.borrowing[g.job.ID] = g
 	} else {
-		delete(g.account.lent, g.job.ID)
+		delete(g.account.borrowing, g.job.ID)
 	}
 }
--- a/internal/place/planner/restore.go
+++ b/internal/place/planner/restore.go
@@ -18,7 +18,7 @@
 // bindings describes the guaranteed blocks that the gang draws on.
 func (g *gang) bindings() []primrosespar.Binding {
 	var out []primrosespar.Binding
-	seen := map[*promise]int{}
+	seen := map[*guarantee]int{}
 	for _, q := range g.draws {
 		i, known := seen[q]
 		if !known {
@@ -47,7 +47,7 @@
 		return false
 	}
 	for _, b := range bindings {
-		q := p.promiseAt(g.account, b)
+		q := p.guaranteeAt(g.account, b)
 		for range b.Units {
 			q.draws++
 			g.draws = append(g.draws, q)
@@ -56,23 +56,23 @@
 	return true
 }
 
-// promiseAt returns the promise that is bound to the cells of the binding,
+// guaranteeAt returns the guarantee that is bound to the cells of the binding,
 // else binds an unclaimed one.
-func (p *Planner) promiseAt(a *account, b primrosespar.Binding) *promise {
+func (p *Planner) guaranteeAt(a *account, b primrosespar.Binding) *guarantee {
 	level := packer.LevelOf(b.Block)
-	for _, q := range a.promises {
+	for _, q := range a.guarantees {
 		if q.draws > 0 && q.level == level && coversSlice(q.cells, b.Cells[0]) {
 			return q
 		}
 	}
-	for _, q := range a.promises {
+	for _, q := range a.guarantees {
 		if q.draws == 0 && !q.ended && q.level == level {
 			p.bind(q, b.Cells)
 			return q
 		}
 	}
-	q := &promise{account: a, level: level, ended: true}
-	a.promises = append(a.promises, q)
+	q := &guarantee{account: a, level: level, ended: true}
+	a.guarantees = append(a.guarantees, q)
 	p.bind(q, b.Cells)
 	return q
 }
@@ -122,13 +122,13 @@
 		return !strict || p.pack.Packs(p.demand)
 	}
 	d := draws[0]
-	for _, q := range d.gang.account.promises {
+	for _, q := range d.gang.account.guarantees {
 		if q.draws > 0 && coversSlice(q.cells, d.slice) {
 			return p.tryDraw(q, nil, draws, tries, strict)
 		}
 	}
 	last := -1
-	for _, q := range d.gang.account.promises {
+	for _, q := range d.gang.account.guarantees {
 		if q.draws > 0 || q.ended || q.level < d.level || q.level == last {
 			continue
 		}
@@ -147,9 +147,9 @@
 	return !strict && p.rebind(draws[1:], tries, strict)
 }
 
-// tryDraw lets the first draw use the promise and goes on with the others; it
+// tryDraw lets the first draw use the guarantee and goes on with the others; it
 // undoes that if they can't be bound.
-func (p *Planner) tryDraw(q *promise, cells []primrosespar.Slice, draws []draw, tries *int, strict bool) bool {
+func (p *Planner) tryDraw(q *guarantee, cells []primrosespar.Slice, draws []draw, tries *int, strict bool) bool {
 	g := draws[0].gang
 	if cells != nil {
 		p.bind(q, cells)
--- a/internal/place/planner/worker.go
+++ b/internal/place/planner/worker.go
@@ -207,10 +207,10 @@
 	return true
 }
 
-// crowd adds to the victims the borrowed gangs that must leave the workers of
+// evictForSize adds to the victims the borrowed gangs that must leave the workers of
 // the slices for their cores and memory, least lost work first. It reports
 // false if that is not enough.
-func (p *Planner) crowd(g *gang, taken []primrosespar.Slice, victims map[primrosespar.JobID]*gang, now time.Time) bool {
+func (p *Planner) evictForSize(g *gang, taken []primrosespar.Slice, victims map[primrosespar.JobID]*gang, now time.Time) bool {
 	return p.eachWorker(g, taken, func(w *worker, _ int, want need) bool {
 		left := w.left()
 		for id, v := range w.gangs {
