Say what the end of a claim depends on

Cause: the parameter of Finish was named sent and its comment denied what its caller does since an upstream's refusal frees the key. Change: the parameter is mayHaveRun, the comments say both cases. Result: tests of internal/request pass.

--- a/internal/request/claimer/record.go
+++ b/internal/request/claimer/record.go
@@ -64,10 +64,10 @@
 
 // Finish records the outcome of a claim with verdict Run and returns whether
 // the table has it; if not, it is queued. A claim becomes not_run, and thereby
-// free again, only if no byte was sent; an upstream's refusal after that is
-// kept as the first answer.
-func (c *Claimer) Finish(ctx context.Context, claim Claim, answer primrosespar.Answer, sent bool) bool {
-	p := c.ending(claim, answer, sent)
+// free again, only if the call cannot have run: no byte of it was sent, or the
+// upstream itself refused it.
+func (c *Claimer) Finish(ctx context.Context, claim Claim, answer primrosespar.Answer, mayHaveRun bool) bool {
+	p := c.ending(claim, answer, mayHaveRun)
 	if p.record.State != stateNotRun {
 		c.noteAnswer(claim, answer)
 	}
@@ -83,10 +83,10 @@
 }
 
 // ending builds the record of an outcome.
-func (c *Claimer) ending(claim Claim, answer primrosespar.Answer, sent bool) *pending {
+func (c *Claimer) ending(claim Claim, answer primrosespar.Answer, mayHaveRun bool) *pending {
 	rec := record{Attempt: claim.Attempt, Digest: claim.digest, Ended: c.opts.Clock.Now()}
 	switch {
-	case !sent && answer.Ran == primrosespar.RanNot:
+	case !mayHaveRun && answer.Ran == primrosespar.RanNot:
 		rec.State = stateNotRun
 		return &pending{claim: claim, record: rec, direct: true}
 	case answer.Ran == primrosespar.RanUnknown:
--- a/internal/request/minter/minter.go
+++ b/internal/request/minter/minter.go
@@ -193,8 +193,8 @@
 }
 
 // Finish ends a claim with verdict Run. The key becomes free again only if the
-// call did not run and no byte was sent.
-func (m *Minter) Finish(claim Claim, answer primrosespar.Answer, sent bool) {
+// call cannot have run: no byte of it was sent, or the upstream refused it.
+func (m *Minter) Finish(claim Claim, answer primrosespar.Answer, mayHaveRun bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	u := m.find(claim.Minted.Sequence)
@@ -203,7 +203,7 @@
 	}
 	close(u.ended)
 	u.ended = nil
-	if !sent && answer.Ran == primrosespar.RanNot {
+	if !mayHaveRun && answer.Ran == primrosespar.RanNot {
 		return
 	}
 	u.answer = &answer
