--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT_VERSION := v0.12.0
 TOOLS := $(shell go env GOPATH)/bin
 
-.PHONY: build test race lint format tools fuzz bench demo trial docs clean
+.PHONY: build test race lint format tools fuzz bench demo trial clean
 
 build:
 	go build -o bin/ ./cmd/...
