--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -34,6 +34,7 @@
 	Hosts    int           `help:"Entry hosts per place." default:"3"`
 	Load     time.Duration `help:"Time that callers send requests." default:"20s"`
 	Keep     string        `help:"Keep logs and settings in this folder." type:"path"`
+	Each     bool          `help:"Print each request with what it got and why, beside the sums."`
 }
 
 // totals are counted by the stand-ins from what reached them.
@@ -152,6 +153,7 @@
 	}
 	say(s.name, "%d hosts in %d places have the contracts of %d client accounts", len(d.hosts), len(d.settings.Places), len(accounts))
 	l := newLoad(d)
+	l.each = c.Each
 	var wg sync.WaitGroup
 	limit, cancel := context.WithTimeout(ctx, c.Load)
 	defer cancel()
@@ -313,6 +315,9 @@
 	for _, r := range l.requests {
 		n := runs[servicer.Run{Account: r.Account, Key: r.Key}]
 		sum.Requests++
+		if l.each {
+			say(s.name, "%s of %s: %s, %s, %d calls, %d runs, %s", r.Key, r.Account, r.Outcome, r.Code, r.Calls, n, r.Took.Round(time.Millisecond))
+		}
 		reasons[fmt.Sprintf("%s %s: %s", r.Class, r.Outcome, r.Code)]++
 		switch r.Outcome {
 		case outcomeAnswered:
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -50,6 +50,8 @@
 type load struct {
 	deployment *deployment
 	client     *http.Client
+	// each prints every request.
+	each bool
 
 	mu       sync.Mutex
 	requests []*request
--- a/internal/standin/server/platform.go
+++ b/internal/standin/server/platform.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
@@ -130,11 +131,21 @@
 		out = struct {
 			Code    primrosespar.Code `json:"code"`
 			Message string            `json:"message"`
-		}{code, err.Error()}
+		}{code, messageOf(err)}
 	}
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// messageOf returns the message of a failure without the name of its code,
+// which the client adds again.
+func messageOf(err error) string {
+	var failure *primrosespar.Failure
+	if errors.As(err, &failure) {
+		return failure.Message
+	}
+	return err.Error()
+}
+
 // objects adds the routes of the object store.
 func (s *Server) objects() {
 	s.router.PUT("/v1/objects", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
