--- a/internal/standin/keeper/faults.go
+++ b/internal/standin/keeper/faults.go
@@ -131,6 +131,37 @@
 	}
 }
 
+// operation is one kind of call of the store.
+type operation int
+
+const (
+	tableRead operation = iota
+	tableWrite
+	objectRead
+	objectWrite
+)
+
+// enter waits out the slowness, locks the keeper and admits the call. Without
+// an error the caller unlocks.
+func (k *Keeper) enter(ctx context.Context, op operation) error {
+	if err := k.wait(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	outage, limit := k.faults.Outage, k.readLimit
+	if op == objectRead || op == objectWrite {
+		outage = k.faults.ObjectsOutage
+	}
+	if op == tableWrite || op == objectWrite {
+		limit = k.writeLimit
+	}
+	if err := k.admit(ctx, outage, limit); err != nil {
+		k.mu.Unlock()
+		return err
+	}
+	return nil
+}
+
 // admit refuses a call during an outage, from a cut place or over the rate.
 func (k *Keeper) admit(ctx context.Context, outage bool, limit *rate.Limiter) error {
 	if outage {
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -69,14 +69,10 @@
 
 // Get reads rows by key, in the order of the keys.
 func (k *Keeper) Get(ctx context.Context, keys ...string) ([]primrosespar.Row, error) {
-	if err := k.wait(ctx); err != nil {
+	if err := k.enter(ctx, tableRead); err != nil {
 		return nil, err
 	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.admit(ctx, k.faults.Outage, k.readLimit); err != nil {
-		return nil, err
-	}
 	rows := make([]primrosespar.Row, 0, len(keys))
 	for _, key := range keys {
 		row, ok := k.rows.Get(primrosespar.Row{Key: key})
@@ -95,14 +91,10 @@
 	if limit <= 0 {
 		return nil, primrosespar.Fail(primrosespar.CodeOutOfRange, "limit %d is below 1", limit)
 	}
-	if err := k.wait(ctx); err != nil {
+	if err := k.enter(ctx, tableRead); err != nil {
 		return nil, err
 	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.admit(ctx, k.faults.Outage, k.readLimit); err != nil {
-		return nil, err
-	}
 	var rows []primrosespar.Row
 	k.rows.AscendGreaterOrEqual(primrosespar.Row{Key: max(prefix, after)}, func(row primrosespar.Row) bool {
 		if !strings.HasPrefix(row.Key, prefix) {
@@ -125,14 +117,10 @@
 	if err := checkWrites(txn.Writes); err != nil {
 		return nil, err
 	}
-	if err := k.wait(ctx); err != nil {
+	if err := k.enter(ctx, tableWrite); err != nil {
 		return nil, err
 	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.admit(ctx, k.faults.Outage, k.writeLimit); err != nil {
-		return nil, err
-	}
 	if err := k.checkConditions(txn.Conditions); err != nil {
 		return nil, err
 	}
--- a/internal/standin/keeper/objects.go
+++ b/internal/standin/keeper/objects.go
@@ -16,14 +16,10 @@
 
 // Put stores the object.
 func (k *Keeper) Put(ctx context.Context, name string, data []byte) error {
-	if err := k.wait(ctx); err != nil {
+	if err := k.enter(ctx, objectWrite); err != nil {
 		return err
 	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.admit(ctx, k.faults.ObjectsOutage, k.writeLimit); err != nil {
-		return err
-	}
 	k.objects.ReplaceOrInsert(object{name: name, data: bytes.Clone(data)})
 	k.counts.ObjectPuts++
 	return nil
@@ -31,14 +27,10 @@
 
 // Fetch returns the object; a missing one gives CodeNotFound.
 func (k *Keeper) Fetch(ctx context.Context, name string) ([]byte, error) {
-	if err := k.wait(ctx); err != nil {
+	if err := k.enter(ctx, objectRead); err != nil {
 		return nil, err
 	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.admit(ctx, k.faults.ObjectsOutage, k.readLimit); err != nil {
-		return nil, err
-	}
 	k.counts.ObjectReads++
 	found, ok := k.objects.Get(object{name: name})
 	if !ok {
@@ -52,14 +44,10 @@
 	if limit <= 0 {
 		return nil, primrosespar.Fail(primrosespar.CodeOutOfRange, "limit %d is below 1", limit)
 	}
-	if err := k.wait(ctx); err != nil {
+	if err := k.enter(ctx, objectRead); err != nil {
 		return nil, err
 	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.admit(ctx, k.faults.ObjectsOutage, k.readLimit); err != nil {
-		return nil, err
-	}
 	k.counts.ObjectReads++
 	var names []string
 	k.objects.AscendGreaterOrEqual(object{name: max(prefix, after)}, func(o object) bool {
