Keep the lease of an earlier holder after the first look

Cause: the first look at a worker under a new token carries no lease, and its answer set the time of the lapse to zero, so a new holder took all runs of the earlier one for lapsed and started them again. Change: the answer only moves the lapse later. TestNewHolderKeepsRunsOfEarlierOne fails without it.

--- /dev/null
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -0,0 +1,297 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+)
+
+// Names and sizes of the small fleet of the tests.
+const (
+	service   = primrosespar.Service("pool")
+	perRack   = 4
+	leaseTime = 6 * time.Second
+)
+
+// rig drives a Scheduler with two racks of workers of 8 accelerators.
+type rig struct {
+	t       *testing.T
+	s       *scheduler.Scheduler
+	now     time.Time
+	members []primrosespar.Member
+	records map[primrosespar.JobID]scheduler.Record
+}
+
+// newRig returns a rig whose workers have answered a look.
+func newRig(t *testing.T, racks int, opts ...scheduler.Option) *rig {
+	r := &rig{
+		t: t, now: time.Unix(1_000_000, 0), s: scheduler.New(opts...),
+		records: map[primrosespar.JobID]scheduler.Record{},
+	}
+	for i := range racks * perRack {
+		r.members = append(r.members, primrosespar.Member{
+			Worker: primrosespar.Worker(fmt.Sprintf("w%02d", i)), Service: service, Born: time.Unix(1000, 0),
+			Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1)),
+			Place:   "east", Rack: primrosespar.Rack(fmt.Sprintf("r%d", i/perRack)),
+			Capacity: primrosespar.Resources{Millicores: 64000, MemoryMiB: 64000, Accelerators: 8},
+		})
+	}
+	r.s.SetCatalog(testCatalog())
+	r.s.SetMembers(r.members, r.now)
+	return r
+}
+
+// testCatalog has an urgent queue and a plain one, and reserves 16
+// accelerators for one account.
+func testCatalog() *primrosespar.Catalog {
+	return &primrosespar.Catalog{
+		Version: 1,
+		Queues: []primrosespar.QueueTerms{
+			{Queue: "urgent", Service: service, Priority: 0, Attempts: 2, Slack: 1.5, Target: time.Second},
+			{Queue: "plain", Service: service, Priority: 1, Attempts: 2, Slack: 3, Target: time.Second},
+		},
+		Contracts: []primrosespar.Contract{{Account: "nord", Reserved: 16}, {Account: "sud"}},
+	}
+}
+
+// look lets a worker answer with what it holds.
+func (r *rig) look(i int, active []primrosespar.ActiveRun, ended ...primrosespar.EndedRun) {
+	r.s.Report(r.members[i].Worker, primrosespar.WorkerReport{
+		Born: r.members[i].Born, Active: active, Ended: ended,
+	}, r.now, r.now.Add(leaseTime), r.now)
+}
+
+// lookAll lets all workers answer that they hold nothing.
+func (r *rig) lookAll() {
+	for i := range r.members {
+		r.look(i, nil)
+	}
+}
+
+// plan plans and keeps the records.
+func (r *rig) plan() scheduler.Changes {
+	changes := r.s.Plan(r.now)
+	for _, record := range changes.Records {
+		if record.Submission == nil {
+			record.Submission = r.records[record.Job].Submission
+		}
+		r.records[record.Job] = record
+	}
+	return changes
+}
+
+// started answers all starts with success.
+func (r *rig) started(orders []scheduler.Order) {
+	for _, o := range orders {
+		r.s.Started(o, primrosespar.CodeOK, r.now)
+	}
+}
+
+// job returns a job of one step.
+func job(id string, queue primrosespar.Queue, step primrosespar.Step) primrosespar.Submission {
+	if step.Estimate == 0 {
+		step.Estimate = 5 * time.Second
+	}
+	return primrosespar.Submission{
+		ID: primrosespar.JobID(id), Queue: queue, Account: "nord", Spec: "spec", Steps: []primrosespar.Step{step},
+	}
+}
+
+// gpus returns a need of accelerators.
+func gpus(n int) primrosespar.Resources {
+	return primrosespar.Resources{Millicores: 1000, MemoryMiB: 1000, Accelerators: n}
+}
+
+// index returns the number of a worker.
+func (r *rig) index(w primrosespar.Worker) int {
+	for i, m := range r.members {
+		if m.Worker == w {
+			return i
+		}
+	}
+	r.t.Fatalf("unknown worker %s", w)
+	return 0
+}
+
+// TestNewHolderKeepsRunsOfEarlierOne guards against a second run of a task
+// whose first run an earlier holder started: the first look at a worker under
+// a new token must not make its lease look over.
+func TestNewHolderKeepsRunsOfEarlierOne(t *testing.T) {
+	first := newRig(t, 1)
+	first.lookAll()
+	first.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), first.now)
+	starts := first.plan().Starts
+	require.Len(t, starts, 1)
+
+	second := newRig(t, 1)
+	record := first.records["a"]
+	second.s.Restore(*record.Submission, record.Progress, second.now)
+	second.s.SetMembers(second.members, second.now)
+	at := second.index(starts[0].Worker)
+	// The first look carries no lease.
+	second.s.Report(starts[0].Worker, primrosespar.WorkerReport{
+		Born:   second.members[at].Born,
+		Active: []primrosespar.ActiveRun{{Run: starts[0].Run}},
+	}, second.now, time.Time{}, second.now)
+	second.now = second.now.Add(100 * time.Millisecond)
+	require.Empty(t, second.plan().Starts)
+}
+
+// TestLostWorkerWaitsForItsLease guards against two runs of one task at once:
+// a worker that does not answer may go on until its lease has lapsed.
+func TestLostWorkerWaitsForItsLease(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	// What an earlier holder may have started has lapsed by then.
+	r.now = r.now.Add(scheduler.DefaultTakeover)
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	starts := r.plan().Starts
+	require.Len(t, starts, 1)
+	r.started(starts)
+	lapse := r.now.Add(leaseTime)
+	r.s.Silent(starts[0].Worker, lapse)
+	r.now = lapse.Add(-time.Millisecond)
+	require.Empty(t, r.plan().Starts)
+	r.now = lapse.Add(time.Millisecond)
+	again := r.plan().Starts
+	require.Len(t, again, 1)
+	require.NotEqual(t, starts[0].Worker, again[0].Worker)
+	require.Equal(t, starts[0].Run.Number+1, again[0].Run.Number)
+}
+
+// TestEndIsNotedWithItsRecord guards against an acknowledged end that no
+// record has.
+func TestEndIsNotedWithItsRecord(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(1)}), r.now)
+	starts := r.plan().Starts
+	r.started(starts)
+	r.now = r.now.Add(time.Second)
+	r.look(r.index(starts[0].Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: starts[0].Run, End: primrosespar.EndDone})
+	changes := r.plan()
+	require.Equal(t, uint64(1), changes.Noted[starts[0].Worker])
+	require.Len(t, changes.Records, 1)
+	require.Equal(t, primrosespar.JobCompleted, changes.Records[0].Progress.State)
+}
+
+// TestFailedRunsCountOnceAGang guards against attempts that are used up by the
+// members of one run.
+func TestFailedRunsCountOnceAGang(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 2, Need: gpus(4), Gang: true}), r.now)
+	for attempt := 1; attempt <= 2; attempt++ {
+		starts := r.plan().Starts
+		require.Len(t, starts, 2)
+		r.started(starts)
+		r.now = r.now.Add(time.Second)
+		for k, o := range starts {
+			r.look(r.index(o.Worker), nil, primrosespar.EndedRun{
+				Sequence: uint64(10*attempt + k), Run: o.Run, End: primrosespar.EndFailed,
+			})
+		}
+		r.now = r.now.Add(time.Second)
+	}
+	r.plan()
+	require.Equal(t, primrosespar.JobFailed, r.records["a"].Progress.State)
+}
+
+// TestUnansweredStartIsNotMoved guards against two runs of a gang: a start
+// without an answer may be carried out late, so a refusal after it has to be
+// followed by a stop before the task runs elsewhere.
+func TestUnansweredStartIsNotMoved(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	start := r.plan().Starts[0]
+	r.s.Started(start, primrosespar.CodeWorkerLost, r.now)
+	r.now = r.now.Add(time.Second)
+	require.Equal(t, []scheduler.Order{start}, r.plan().Starts)
+	r.s.Started(start, primrosespar.CodeWorkerFull, r.now)
+	r.now = r.now.Add(time.Second)
+	changes := r.plan()
+	require.Empty(t, changes.Starts)
+	require.Len(t, changes.Stops, 1)
+	r.s.Stopped(changes.Stops[0], primrosespar.CodeOK, r.now)
+	r.now = r.now.Add(time.Second)
+	r.look(r.index(start.Worker), nil)
+	require.Len(t, r.plan().Starts, 1)
+}
+
+// TestCancelledJobStartsNothing guards against a start after a cancellation
+// that was decided while the record of the start was being stored.
+func TestCancelledJobStartsNothing(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	start := r.plan().Starts[0]
+	require.True(t, r.s.Cancel("a", r.now))
+	require.False(t, r.s.Wanted(start, r.now))
+	require.Empty(t, r.plan().Stops)
+	require.Equal(t, primrosespar.JobCancelled, r.records["a"].Progress.State)
+}
+
+// TestUrgentWorkReclaimsItsGuarantee guards against a guarantee that borrowed
+// work holds back.
+func TestUrgentWorkReclaimsItsGuarantee(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	for i := range perRack {
+		borrowed := job(fmt.Sprintf("b%d", i), "plain", primrosespar.Step{Count: 1, Need: gpus(8)})
+		borrowed.Account = "sud"
+		r.s.Submit(borrowed, r.now)
+	}
+	r.started(r.plan().Starts)
+	r.now = r.now.Add(time.Second)
+	r.s.Submit(job("u", "urgent", primrosespar.Step{Count: 2, Need: gpus(8), Gang: true, OneRack: true}), r.now)
+	stops := r.plan().Stops
+	require.Len(t, stops, 2)
+	for _, o := range stops {
+		r.s.Stopped(o, primrosespar.CodeOK, r.now)
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.look(r.index(o.Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: o.Run, End: primrosespar.EndStopped})
+	}
+	starts := r.plan().Starts
+	require.Len(t, starts, 2)
+	require.Equal(t, primrosespar.JobID("u"), starts[0].Run.Task.Job)
+}
+
+// TestRecordRestores guards against a record that loses progress.
+func TestRecordRestores(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	two := job("a", "plain", primrosespar.Step{Count: 2, Need: gpus(1)})
+	two.Steps = append(two.Steps, primrosespar.Step{Count: 1, Need: gpus(1), After: []int{0}, Estimate: time.Second})
+	r.s.Submit(two, r.now)
+	starts := r.plan().Starts
+	require.Len(t, starts, 2)
+	r.started(starts)
+	r.now = r.now.Add(time.Second)
+	r.look(r.index(starts[0].Worker), []primrosespar.ActiveRun{{Run: starts[1].Run}},
+		primrosespar.EndedRun{Sequence: 1, Run: starts[0].Run, End: primrosespar.EndDone})
+	r.plan()
+	enc, err := encoder.New()
+	require.NoError(t, err)
+	data, err := enc.Progress(r.records["a"].Progress)
+	require.NoError(t, err)
+	progress, err := enc.ParseProgress(data)
+	require.NoError(t, err)
+	next := newRig(t, 1)
+	next.s.Restore(*r.records["a"].Submission, progress, next.now)
+	next.s.SetMembers(next.members, next.now)
+	next.lookAll()
+	next.now = next.now.Add(time.Second)
+	next.lookAll()
+	again := next.plan().Starts
+	require.Len(t, again, 1, "only the task that did not end runs again, and its successor waits")
+	require.Equal(t, starts[1].Run.Task, again[0].Run.Task)
+	require.Equal(t, starts[1].Run.Number+1, again[0].Run.Number)
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -155,10 +155,9 @@
 		s.reborn(w, r.Born, now)
 	}
 	w.born, w.suspect = r.Born, false
-	if !w.looked {
-		// All that an earlier holder ordered is void from now on.
-		w.looked, w.lapse = true, lapse
-	}
+	// Orders of an earlier holder are void from now on; the lease that it gave
+	// still runs.
+	w.looked = true
 	w.extend(lapse)
 	listed := map[primrosespar.Run]bool{}
 	for _, end := range r.Ended {
