Let the test of a new holder fail without its fix

The other workers had not been looked at, so the wrong second run had nowhere to go and the test passed without the fix. It now fails without it.

--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -135,6 +135,11 @@
 	second.s.Restore(*record.Submission, record.Progress, second.now)
 	second.s.SetMembers(second.members, second.now)
 	at := second.index(starts[0].Worker)
+	for i := range second.members {
+		if i != at {
+			second.look(i, nil)
+		}
+	}
 	// The first look carries no lease.
 	second.s.Report(starts[0].Worker, primrosespar.WorkerReport{
 		Born:   second.members[at].Born,
