Bound each attempt of a commit

Rows without a value are refused by the store, so a cancellation by mail failed too. Ruled out: the election, which left the holder alone because its reads worked. Change: 1.2 s an attempt, then the same transaction again; the mail of a cancellation has a value. TestSilentStoreDoesNotHoldACommitForEver hangs without it.

--- a/internal/fleet/clerk/clerk.go
+++ b/internal/fleet/clerk/clerk.go
@@ -178,7 +178,7 @@
 		return err
 	}
 	_, err = c.parts.Table.Commit(ctx, primrosespar.Txn{
-		Writes: []primrosespar.Write{{Key: primrosespar.MailCancelKey(id)}},
+		Writes: []primrosespar.Write{{Key: primrosespar.MailCancelKey(id), Value: []byte(id)}},
 	})
 	if primrosespar.CodeOf(err) == primrosespar.CodeStoreUnknown {
 		return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the store did not answer").Because(err)
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -36,6 +36,9 @@
 	// maxBytes keeps a transaction below the 1 MB that the store takes, in
 	// base64.
 	maxBytes = 600_000
+	// attemptTime bounds one attempt, because a connection may go silent for
+	// good; a slow store takes most of a second.
+	attemptTime = 1200 * time.Millisecond
 	// firstPause and maxPause bound the wait before a commit is repeated.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -149,7 +152,7 @@
 	pause := firstPause
 	doubt := false
 	for {
-		versions, err := c.table.Commit(ctx, txn)
+		versions, err := c.attempt(ctx, txn)
 		code := primrosespar.CodeOf(err)
 		switch {
 		case err == nil:
@@ -172,6 +175,13 @@
 	}
 }
 
+// attempt makes one attempt within its time.
+func (c *Committer) attempt(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	return c.table.Commit(ctx, txn)
+}
+
 // lost returns the failure of a commit that another holder came before.
 func (c *Committer) lost(next Holder) error {
 	if next.Sequence == 0 {
@@ -185,7 +195,9 @@
 func (c *Committer) settle(ctx context.Context, next Holder) error {
 	pause := firstPause
 	for {
-		seen, err := c.Read(ctx)
+		call, cancel := context.WithTimeout(ctx, attemptTime)
+		seen, err := c.Read(call)
+		cancel()
 		if err == nil {
 			if seen.Incarnation == next.Incarnation && seen.Token == next.Token && seen.Sequence == next.Sequence {
 				c.held = seen
--- /dev/null
+++ b/internal/fleet/committer/committer_test.go
@@ -0,0 +1,115 @@
+package committer_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/committer"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// silentTable leaves the first commits without an answer, before or after they
+// took effect.
+type silentTable struct {
+	*keeper.Keeper
+	silent  int
+	applied bool
+}
+
+// Commit implements primrosespar.Table.
+func (s *silentTable) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	if s.silent == 0 {
+		return s.Keeper.Commit(ctx, txn)
+	}
+	s.silent--
+	if s.applied {
+		if _, err := s.Keeper.Commit(ctx, txn); err != nil {
+			return nil, err
+		}
+	}
+	<-ctx.Done()
+	return nil, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "no answer")
+}
+
+// newCommitter returns a committer of the host.
+func newCommitter(table primrosespar.Table, host primrosespar.Host) *committer.Committer {
+	return committer.New(table, clockwork.NewRealClock(), committer.Identity{
+		Host: host, Incarnation: primrosespar.Incarnation(host) + "-1", Address: netip.MustParseAddrPort("10.0.0.1:1"),
+	})
+}
+
+// write is a write of one row.
+func write(key, value string) []primrosespar.Write {
+	return []primrosespar.Write{{Key: key, Value: []byte(value)}}
+}
+
+// TestSilentStoreDoesNotHoldACommitForEver guards against a commit that waits
+// on a connection that has gone silent for good, whether or not the commit
+// took effect.
+func TestSilentStoreDoesNotHoldACommitForEver(t *testing.T) {
+	for _, applied := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			table := &silentTable{Keeper: keeper.New(keeper.WithClock(clockwork.NewRealClock())), applied: applied}
+			c := newCommitter(table, "a")
+			seen, err := c.Read(ctx)
+			require.NoError(t, err)
+			require.NoError(t, c.Take(ctx, seen))
+			table.silent = 2
+			if applied {
+				table.silent = 1
+			}
+			require.NoError(t, c.Commit(ctx, write("progress/x", "1")))
+			require.NoError(t, c.Commit(ctx, write("progress/x", "2")))
+			rows, err := table.Get(ctx, "progress/x")
+			require.NoError(t, err)
+			require.Equal(t, "2", string(rows[0].Value))
+		})
+	}
+}
+
+// TestEarlierHolderNeverWrites guards against a paused holder that writes
+// after another has taken the lease.
+func TestEarlierHolderNeverWrites(t *testing.T) {
+	ctx := t.Context()
+	table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+	a, b := newCommitter(table, "a"), newCommitter(table, "b")
+	seen, err := a.Read(ctx)
+	require.NoError(t, err)
+	require.NoError(t, a.Take(ctx, seen))
+	require.NoError(t, a.Commit(ctx, write("progress/x", "a")))
+	seen, err = b.Read(ctx)
+	require.NoError(t, err)
+	require.NoError(t, b.Take(ctx, seen))
+	err = a.Commit(ctx, write("progress/x", "late"))
+	require.Equal(t, primrosespar.CodeLeaseLost, primrosespar.CodeOf(err))
+	require.Greater(t, b.Token(), a.Token())
+	rows, err := table.Get(ctx, "progress/x")
+	require.NoError(t, err)
+	require.Equal(t, "a", string(rows[0].Value))
+}
+
+// TestManyWritesAreSplit guards against a commit with more rows than the store
+// takes at once.
+func TestManyWritesAreSplit(t *testing.T) {
+	ctx := t.Context()
+	table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+	c := newCommitter(table, "a")
+	seen, err := c.Read(ctx)
+	require.NoError(t, err)
+	require.NoError(t, c.Take(ctx, seen))
+	var writes []primrosespar.Write
+	for i := range 250 {
+		writes = append(writes, primrosespar.Write{Key: "progress/" + string(rune('A'+i)), Value: []byte("x")})
+	}
+	require.NoError(t, c.Commit(ctx, writes))
+	require.EqualValues(t, 4, table.Counts().Transactions, "one to take the lease and three for the rows")
+}
