Keep runs of a worker that started anew until a report denies them

Cause: a state machine test found a worker over its capacity: a worker had started anew under its name, had already accepted a start, and the next report made the scheduler drop that run with those of the earlier lifetime. Change: such runs stay until a report of the new lifetime does not list them.

--- /dev/null
+++ b/internal/fleet/scheduler/machine_test.go
@@ -0,0 +1,451 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+)
+
+// modelRun is a run at a worker of the model.
+type modelRun struct {
+	gpus    int
+	stopAt  time.Time // zero unless it is being stopped
+	percent float64
+}
+
+// modelWorker behaves as the platform says its workers do.
+type modelWorker struct {
+	member primrosespar.Member
+	token  primrosespar.Token
+	until  time.Time
+	runs   map[primrosespar.Run]*modelRun
+	barred map[primrosespar.TaskName]uint64
+	ends   []primrosespar.EndedRun
+	ended  uint64
+	silent bool
+}
+
+// sentOrder is an order that has left the holder.
+type sentOrder struct {
+	order scheduler.Order
+	start bool
+	token primrosespar.Token
+	until time.Time
+	term  int
+}
+
+// fleetMachine drives the scheduler against model workers. The oracle knows
+// what every worker does and which ends were acknowledged.
+type fleetMachine struct {
+	t       *rapid.T
+	now     time.Time
+	term    int
+	token   primrosespar.Token
+	s       *scheduler.Scheduler
+	workers []*modelWorker
+	stored  map[primrosespar.JobID]scheduler.Record
+	pending []sentOrder // answered or lost by a later action
+	late    []sentOrder // lost, but carried out later
+	done    map[primrosespar.TaskName]bool
+	failed  map[primrosespar.TaskName]int
+	cancels map[primrosespar.JobID]bool
+	jobs    int
+	// held are stored changes whose orders have not left yet.
+	held scheduler.Changes
+}
+
+// Sizes of the model.
+const (
+	modelWorkers = 4
+	modelLease   = 6 * time.Second
+	modelStop    = 500 * time.Millisecond
+)
+
+// newMachine returns a machine with one holder.
+func newMachine(t *rapid.T) *fleetMachine {
+	m := &fleetMachine{
+		t: t, now: time.Unix(1_000_000, 0), stored: map[primrosespar.JobID]scheduler.Record{},
+		done: map[primrosespar.TaskName]bool{}, failed: map[primrosespar.TaskName]int{},
+		cancels: map[primrosespar.JobID]bool{},
+	}
+	members := newRig(&testing.T{}, 1).members
+	for _, member := range members[:modelWorkers] {
+		m.workers = append(m.workers, &modelWorker{
+			member: member, runs: map[primrosespar.Run]*modelRun{}, barred: map[primrosespar.TaskName]uint64{},
+		})
+	}
+	m.elect()
+	return m
+}
+
+// elect starts a new holder from what is stored.
+func (m *fleetMachine) elect() {
+	m.term++
+	m.token++
+	m.held = scheduler.Changes{}
+	m.s = scheduler.New()
+	m.s.SetCatalog(testCatalog())
+	enc, err := encoder.New()
+	require.NoError(m.t, err)
+	for i := 1; i <= m.jobs; i++ {
+		record, ok := m.stored[jobID(i)]
+		if !ok {
+			continue
+		}
+		data, err := enc.Progress(record.Progress)
+		require.NoError(m.t, err)
+		progress, err := enc.ParseProgress(data)
+		require.NoError(m.t, err)
+		m.s.Restore(*record.Submission, progress, m.now)
+	}
+	m.roster()
+}
+
+// jobID names the nth job.
+func jobID(n int) primrosespar.JobID { return primrosespar.JobID(fmt.Sprintf("%04d", n)) }
+
+// roster lets the holder read the workers.
+func (m *fleetMachine) roster() {
+	var members []primrosespar.Member
+	for _, w := range m.workers {
+		members = append(members, w.member)
+	}
+	m.s.SetMembers(members, m.now)
+}
+
+// plan stores what the scheduler decides; the orders leave by sendHeld.
+func (m *fleetMachine) plan() {
+	changes := m.s.Plan(m.now)
+	for _, record := range changes.Records {
+		if record.Submission == nil {
+			record.Submission = m.stored[record.Job].Submission
+		}
+		m.stored[record.Job] = record
+	}
+	m.held.Starts = append(m.held.Starts, changes.Starts...)
+	if m.held.Noted == nil {
+		m.held.Noted = map[primrosespar.Worker]uint64{}
+	}
+	for w, n := range changes.Noted {
+		m.held.Noted[w] = n
+	}
+	for _, o := range changes.Stops {
+		m.pending = append(m.pending, sentOrder{order: o, token: m.token, term: m.term})
+	}
+}
+
+// sendHeld sends the orders whose records are stored and acknowledges ends.
+func (m *fleetMachine) sendHeld() {
+	for _, o := range m.held.Starts {
+		if m.s.Wanted(o, m.now) {
+			m.pending = append(m.pending, sentOrder{order: o, start: true, token: m.token, until: m.now.Add(modelLease), term: m.term})
+		}
+	}
+	for name, n := range m.held.Noted {
+		w := m.find(name)
+		var left []primrosespar.EndedRun
+		for _, e := range w.ends {
+			if e.Sequence > n {
+				left = append(left, e)
+				continue
+			}
+			if e.End == primrosespar.EndDone {
+				m.done[e.Run.Task] = true
+			}
+			if e.End == primrosespar.EndFailed {
+				m.failed[e.Run.Task]++
+			}
+		}
+		w.ends = left
+	}
+	m.held = scheduler.Changes{}
+}
+
+// find returns the worker of the name.
+func (m *fleetMachine) find(name primrosespar.Worker) *modelWorker {
+	for _, w := range m.workers {
+		if w.member.Worker == name {
+			return w
+		}
+	}
+	m.t.Fatalf("no worker %s", name)
+	return nil
+}
+
+// end ends a run at a worker and lists the end.
+func (w *modelWorker) end(run primrosespar.Run, how primrosespar.RunEnd) {
+	delete(w.runs, run)
+	w.barred[run.Task] = max(w.barred[run.Task], run.Number)
+	w.ended++
+	w.ends = append(w.ends, primrosespar.EndedRun{Sequence: w.ended, Run: run, End: how})
+}
+
+// settle lets stops and leases of all workers take effect.
+func (m *fleetMachine) settle() {
+	for _, w := range m.workers {
+		for _, run := range w.sorted() {
+			r := w.runs[run]
+			switch {
+			case !m.now.Before(w.until):
+				w.end(run, primrosespar.EndLapsed)
+			case !r.stopAt.IsZero() && !m.now.Before(r.stopAt):
+				w.end(run, primrosespar.EndStopped)
+			}
+		}
+	}
+}
+
+// sorted returns the runs in a stable order.
+func (w *modelWorker) sorted() []primrosespar.Run {
+	var out []primrosespar.Run
+	for run := range w.runs {
+		out = append(out, run)
+	}
+	for i := range out {
+		for k := i + 1; k < len(out); k++ {
+			if fmt.Sprint(out[k]) < fmt.Sprint(out[i]) {
+				out[i], out[k] = out[k], out[i]
+			}
+		}
+	}
+	return out
+}
+
+// apply carries an order out and returns the worker's answer.
+func (m *fleetMachine) apply(o sentOrder) primrosespar.Code {
+	w := m.find(o.order.Worker)
+	if o.token < w.token {
+		return primrosespar.CodeStaleToken
+	}
+	w.token = o.token
+	run := o.order.Run
+	r := w.runs[run]
+	if !o.start {
+		w.barred[run.Task] = max(w.barred[run.Task], run.Number)
+		if r != nil && r.stopAt.IsZero() {
+			r.stopAt = m.now.Add(modelStop)
+		}
+		return primrosespar.CodeOK
+	}
+	switch {
+	case r != nil:
+		return primrosespar.CodeOK
+	case !m.now.Before(o.until):
+		return primrosespar.CodeWorkerLate
+	}
+	if o.until.After(w.until) {
+		w.until = o.until
+	}
+	if run.Number <= w.barred[run.Task] {
+		return primrosespar.CodeStaleAttempt
+	}
+	need := m.stored[run.Task.Job].Submission.Steps[run.Task.Step].Need.Accelerators
+	m.checkStart(w, o, need)
+	w.runs[run] = &modelRun{gpus: need}
+	return primrosespar.CodeOK
+}
+
+// checkStart is the oracle: it fails on a start that must not happen.
+func (m *fleetMachine) checkStart(w *modelWorker, o sentOrder, need int) {
+	task := o.order.Run.Task
+	for _, other := range m.workers {
+		for run := range other.runs {
+			require.NotEqual(m.t, task, run.Task, "second run %d beside run %d", o.order.Run.Number, run.Number)
+		}
+	}
+	require.False(m.t, m.done[task], "start of %v after its end was acknowledged", task)
+	require.Less(m.t, m.failed[task], 2, "start of %v after its attempts", task)
+	used := need
+	for _, r := range w.runs {
+		used += r.gpus
+	}
+	require.LessOrEqual(m.t, used, 8, "worker %s is over its capacity", w.member.Worker)
+}
+
+// take removes one of the orders.
+func take(t *rapid.T, list *[]sentOrder, label string) (sentOrder, bool) {
+	if len(*list) == 0 {
+		return sentOrder{}, false
+	}
+	i := rapid.IntRange(0, len(*list)-1).Draw(t, label)
+	o := (*list)[i]
+	*list = append((*list)[:i:i], (*list)[i+1:]...)
+	return o, true
+}
+
+// answer tells the holder that sent the order what became of it.
+func (m *fleetMachine) answer(o sentOrder, code primrosespar.Code) {
+	switch {
+	case o.term != m.term:
+	case code == primrosespar.CodeStaleToken:
+	case o.start:
+		m.s.Leased(o.order.Worker, o.until.Add(100*time.Millisecond))
+		m.s.Started(o.order, code, m.now)
+	default:
+		m.s.Stopped(o.order, code, m.now)
+	}
+}
+
+// pick draws a worker.
+func (m *fleetMachine) pick(t *rapid.T) *modelWorker {
+	return m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
+}
+
+// actions are the steps of the machine.
+func (m *fleetMachine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"submit": func(t *rapid.T) {
+			m.jobs++
+			queue := primrosespar.Queue("plain")
+			if rapid.Bool().Draw(t, "urgent") {
+				queue = "urgent"
+			}
+			m.s.Submit(job(string(jobID(m.jobs)), queue, primrosespar.Step{
+				Count: rapid.IntRange(1, 3).Draw(t, "count"), Gang: rapid.Bool().Draw(t, "gang"),
+				Need: gpus(rapid.SampledFrom([]int{2, 4, 8}).Draw(t, "gpus")),
+			}), m.now)
+		},
+		"cancel": func(t *rapid.T) {
+			if m.jobs == 0 {
+				return
+			}
+			m.s.Cancel(jobID(rapid.IntRange(1, m.jobs).Draw(t, "job")), m.now)
+		},
+		"plan": func(*rapid.T) { m.plan() },
+		"send": func(*rapid.T) { m.sendHeld() },
+		"answer": func(t *rapid.T) {
+			if o, ok := take(t, &m.pending, "order"); ok {
+				m.answer(o, m.apply(o))
+			}
+		},
+		"answerAll": func(*rapid.T) {
+			for _, o := range m.pending {
+				m.answer(o, m.apply(o))
+			}
+			m.pending = nil
+		},
+		"refuse": func(t *rapid.T) {
+			if o, ok := take(t, &m.pending, "order"); ok && o.start {
+				m.answer(o, primrosespar.CodeWorkerUnwell)
+			}
+		},
+		"loseAnswer": func(t *rapid.T) {
+			if o, ok := take(t, &m.pending, "order"); ok {
+				m.apply(o)
+				m.answer(o, primrosespar.CodeWorkerLost)
+			}
+		},
+		"loseOrder": func(t *rapid.T) {
+			if o, ok := take(t, &m.pending, "order"); ok {
+				m.late = append(m.late, o)
+				m.answer(o, primrosespar.CodeWorkerLost)
+			}
+		},
+		"applyLate": func(t *rapid.T) {
+			if o, ok := take(t, &m.late, "order"); ok {
+				m.apply(o)
+			}
+		},
+		"look":     func(t *rapid.T) { m.look(m.pick(t)) },
+		"lookAll":  func(*rapid.T) { m.lookAll() },
+		"work":     func(t *rapid.T) { m.work(t) },
+		"wait":     func(t *rapid.T) { m.wait(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond) },
+		"newTerm":  func(*rapid.T) { m.elect() },
+		"silence":  func(t *rapid.T) { m.pick(t).silent = rapid.Bool().Draw(t, "silent") },
+		"restart":  func(t *rapid.T) { m.restart(m.pick(t)) },
+		"announce": func(*rapid.T) { m.roster() },
+	}
+}
+
+// wait lets time pass.
+func (m *fleetMachine) wait(d time.Duration) {
+	m.now = m.now.Add(d)
+	m.settle()
+}
+
+// look lets the holder look at a worker.
+func (m *fleetMachine) look(w *modelWorker) {
+	if w.silent {
+		m.s.Silent(w.member.Worker, time.Time{})
+		return
+	}
+	if m.token < w.token {
+		return
+	}
+	w.token = m.token
+	if until := m.now.Add(modelLease); len(w.runs) > 0 && until.After(w.until) {
+		w.until = until
+	}
+	report := primrosespar.WorkerReport{Born: w.member.Born, Ended: w.ends}
+	for _, run := range w.sorted() {
+		w.runs[run].percent++
+		report.Active = append(report.Active, primrosespar.ActiveRun{Run: run, Percent: w.runs[run].percent})
+	}
+	m.s.Report(w.member.Worker, report, m.now, w.until.Add(100*time.Millisecond), m.now)
+	// The next order leaves later than this answer came.
+	m.now = m.now.Add(time.Millisecond)
+}
+
+// lookAll looks at all workers.
+func (m *fleetMachine) lookAll() {
+	for _, w := range m.workers {
+		m.look(w)
+	}
+}
+
+// work ends one run at a worker.
+func (m *fleetMachine) work(t *rapid.T) {
+	w := m.pick(t)
+	runs := w.sorted()
+	if len(runs) == 0 {
+		return
+	}
+	run := runs[rapid.IntRange(0, len(runs)-1).Draw(t, "run")]
+	how := rapid.SampledFrom([]primrosespar.RunEnd{primrosespar.EndDone, primrosespar.EndDone, primrosespar.EndFailed}).Draw(t, "end")
+	w.end(run, how)
+}
+
+// restart lets a worker start anew under its name.
+func (m *fleetMachine) restart(w *modelWorker) {
+	w.member.Born = w.member.Born.Add(time.Hour)
+	w.runs, w.barred = map[primrosespar.Run]*modelRun{}, map[primrosespar.TaskName]uint64{}
+	w.ends, w.ended, w.token, w.until = nil, 0, 0, time.Time{}
+	// Orders for the earlier lifetime are refused by the new one.
+	m.late = dropFor(m.late, w.member.Worker)
+	for _, o := range m.pending {
+		if o.order.Worker == w.member.Worker {
+			m.answer(o, primrosespar.CodeWorkerReborn)
+		}
+	}
+	m.pending = dropFor(m.pending, w.member.Worker)
+}
+
+// dropFor returns the orders for other workers.
+func dropFor(list []sentOrder, worker primrosespar.Worker) []sentOrder {
+	var out []sentOrder
+	for _, o := range list {
+		if o.order.Worker != worker {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// TestOneRunATask guards against two runs of a task at once, a run after an
+// acknowledged end, runs beyond the attempts and workers over their capacity,
+// whatever orders and answers are lost, late or repeated, whichever workers
+// fall silent or start anew and however often the holder changes.
+func TestOneRunATask(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		m.lookAll()
+		t.Repeat(m.actions())
+	})
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -268,21 +268,20 @@
 	s.strayStops = append(s.strayStops, Order{Worker: w.member.Worker, Run: run})
 }
 
-// reborn drops what ran in the earlier lifetime of a worker. A start without
-// an answer may still reach the new one, so it stays until a stop rules it
-// out.
+// reborn takes note that a worker has started anew. What ran before is gone,
+// but a start may have been answered by the new lifetime already, so the runs
+// stay until a report does not list them. A start without an answer may still
+// reach the new lifetime and is ruled out by a stop.
 func (s *Scheduler) reborn(w *worker, born, now time.Time) {
 	s.log("worker_reborn", nil, w, 0, "")
 	w.born, w.noted, w.looked = born, 0, false
-	for _, m := range w.all() {
+	for _, m := range w.list {
 		if m.unanswered || m.inFlight {
 			// The clock of the new lifetime makes the old lease look long.
 			w.extend(now.Add(s.opts.Takeover))
 			s.stopMember(m)
 			m.unanswered = true
-			continue
 		}
-		s.ended(m, "", "", now)
 	}
 }
 
