Count the lease of a look that is still out

Change: before a worker is given up, the lease of the last order that has left is asked for. Log lines are no longer cut when the buffer is full. TestLeaseOfALookThatIsOutCounts fails without it.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -140,6 +140,14 @@
 	a.member = member
 }
 
+// Lapse returns when the lease of the last order or look that has left has
+// surely ended, whether or not it was answered.
+func (a *Attendant) Lapse() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lapse
+}
+
 // Noted says that the ends up to the sequence are stored.
 func (a *Attendant) Noted(sequence uint64) {
 	a.mu.Lock()
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -146,7 +146,6 @@
 	}
 	c := &Conductor{
 		parts: parts, opts: o, encoder: enc, token: parts.Committer.Token(),
-		core:       scheduler.New(scheduler.WithWall(parts.Wall), scheduler.WithTakeover(o.Takeover)),
 		posts:      make(chan func(), queueLength),
 		done:       make(chan struct{}),
 		retire:     make(chan struct{}),
@@ -155,6 +154,7 @@
 		next:       newBatch(),
 		began:      parts.Clock.Now(),
 	}
+	c.core = scheduler.New(scheduler.WithWall(parts.Wall), scheduler.WithTakeover(o.Takeover), scheduler.WithLapse(c.lapse))
 	return c, nil
 }
 
@@ -292,6 +292,14 @@
 	return a
 }
 
+// lapse returns when the last lease that has left for the worker has ended.
+func (c *Conductor) lapse(worker primrosespar.Worker) time.Time {
+	if a := c.attendants[worker]; a != nil {
+		return a.Lapse()
+	}
+	return time.Time{}
+}
+
 // takeRoster applies a read of the workers.
 func (c *Conductor) takeRoster(members []primrosespar.Member) {
 	for _, worker := range c.core.SetMembers(members, c.parts.Clock.Now()) {
--- a/internal/fleet/scheduler/machine_test.go
+++ b/internal/fleet/scheduler/machine_test.go
@@ -320,6 +320,30 @@
 		},
 		"plan": func(*rapid.T) { m.plan() },
 		"send": func(*rapid.T) { m.sendHeld() },
+		// The usual course of things, so that sequences get far.
+		"cycle": func(*rapid.T) { m.cycle() },
+		"cycleAgain": func(*rapid.T) {
+			m.cycle()
+			m.wait(300 * time.Millisecond)
+			m.cycle()
+		},
+		"cycleAndLose": func(t *rapid.T) {
+			m.plan()
+			m.sendHeld()
+			for len(m.pending) > 0 {
+				o, _ := take(t, &m.pending, "order")
+				switch rapid.IntRange(0, 2).Draw(t, "fate") {
+				case 0:
+					m.answer(o, m.apply(o))
+				case 1:
+					m.apply(o)
+					m.answer(o, primrosespar.CodeWorkerLost)
+				default:
+					m.late = append(m.late, o)
+					m.answer(o, primrosespar.CodeWorkerLost)
+				}
+			}
+		},
 		"answer": func(t *rapid.T) {
 			if o, ok := take(t, &m.pending, "order"); ok {
 				m.answer(o, m.apply(o))
@@ -353,17 +377,39 @@
 				m.apply(o)
 			}
 		},
-		"look":     func(t *rapid.T) { m.look(m.pick(t)) },
-		"lookAll":  func(*rapid.T) { m.lookAll() },
-		"work":     func(t *rapid.T) { m.work(t) },
-		"wait":     func(t *rapid.T) { m.wait(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond) },
-		"newTerm":  func(*rapid.T) { m.elect() },
-		"silence":  func(t *rapid.T) { m.pick(t).silent = rapid.Bool().Draw(t, "silent") },
-		"restart":  func(t *rapid.T) { m.restart(m.pick(t)) },
+		"look":    func(t *rapid.T) { m.look(m.pick(t)) },
+		"lookAll": func(*rapid.T) { m.lookAll() },
+		"work":    func(t *rapid.T) { m.work(t) },
+		"wait":    func(t *rapid.T) { m.wait(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond) },
+		"newTerm": func(t *rapid.T) {
+			if seldom(t) {
+				m.elect()
+			}
+		},
+		"silence": func(t *rapid.T) { m.pick(t).silent = rapid.IntRange(0, 2).Draw(t, "silent") == 0 },
+		"restart": func(t *rapid.T) {
+			if seldom(t) {
+				m.restart(m.pick(t))
+			}
+		},
 		"announce": func(*rapid.T) { m.roster() },
 	}
 }
 
+// seldom is true once in five draws.
+func seldom(t *rapid.T) bool { return rapid.IntRange(0, 4).Draw(t, "seldom") == 0 }
+
+// cycle lets the holder look, decide and have its orders carried out.
+func (m *fleetMachine) cycle() {
+	m.lookAll()
+	m.plan()
+	m.sendHeld()
+	for _, o := range m.pending {
+		m.answer(o, m.apply(o))
+	}
+	m.pending = nil
+}
+
 // wait lets time pass.
 func (m *fleetMachine) wait(d time.Duration) {
 	m.now = m.now.Add(d)
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
 
 // Defaults and bounds of the decisions.
 const (
@@ -57,6 +61,9 @@
 	// Takeover is how long runs of an earlier holder may live on at a worker
 	// that does not answer.
 	Takeover time.Duration
+	// Lapse returns when the lease of the last order to a worker, answered or
+	// not, has surely ended; the zero time if none has left.
+	Lapse func(primrosespar.Worker) time.Time
 }
 
 // Option changes Options.
@@ -68,9 +75,18 @@
 // WithTakeover sets how long runs of an earlier holder may live on.
 func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
 
+// WithLapse sets what knows the leases that have left.
+func WithLapse(lapse func(primrosespar.Worker) time.Time) Option {
+	return func(o *Options) { o.Lapse = lapse }
+}
+
 // collect applies the options to the defaults.
 func collect(opts []Option) Options {
-	o := Options{Wall: func(now time.Time) time.Time { return now }, Takeover: DefaultTakeover}
+	o := Options{
+		Wall:     func(now time.Time) time.Time { return now },
+		Takeover: DefaultTakeover,
+		Lapse:    func(primrosespar.Worker) time.Time { return time.Time{} },
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -300,3 +300,22 @@
 	require.Equal(t, starts[1].Run.Task, again[0].Run.Task)
 	require.Equal(t, starts[1].Run.Number+1, again[0].Run.Number)
 }
+
+// TestLeaseOfALookThatIsOutCounts guards against two runs of a task when the
+// holder is slow: a look that has left renews the lease before its answer is
+// known.
+func TestLeaseOfALookThatIsOutCounts(t *testing.T) {
+	out := time.Time{}
+	r := newRig(t, 1, scheduler.WithLapse(func(primrosespar.Worker) time.Time { return out }))
+	r.lookAll()
+	r.now = r.now.Add(scheduler.DefaultTakeover)
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	starts := r.plan().Starts
+	r.started(starts)
+	r.s.Silent(starts[0].Worker, time.Time{})
+	out = r.now.Add(2 * leaseTime)
+	r.now = r.now.Add(leaseTime + time.Second)
+	require.Empty(t, r.plan().Starts)
+	r.now = out.Add(time.Second)
+	require.Len(t, r.plan().Starts, 1)
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -295,6 +295,11 @@
 		if len(w.members) == 0 || !now.After(w.lapse) {
 			continue
 		}
+		// A look that has left may have renewed the lease though its answer is
+		// still out.
+		if w.extend(s.opts.Lapse(w.member.Worker)); !now.After(w.lapse) {
+			continue
+		}
 		s.log("worker_lost", nil, w, 0, "its lease has lapsed")
 		w.looked = false
 		for _, m := range w.all() {
--- a/internal/record/spooler/spooler.go
+++ b/internal/record/spooler/spooler.go
@@ -86,7 +86,13 @@
 }
 
 // write writes one line; a line that the output refuses counts as dropped.
+// The buffer is flushed between lines only, so that no line is cut in two.
 func (s *Spooler) write(line []byte) {
+	if len(line) > s.out.Available() {
+		if err := s.out.Flush(); err != nil {
+			s.dropped.Add(1)
+		}
+	}
 	if _, err := s.out.Write(line); err != nil {
 		s.dropped.Add(1)
 	}
