Find the workers for the tasks of a wide step once

Cause: each of the 39 tasks of a step looked at all workers again. Change: the candidates of a step are kept during one plan. The first holder is a host with much processor time.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -44,6 +44,9 @@
 	takeTime = 1400 * time.Millisecond
 	// rankDelay keeps successors apart, so that one try succeeds.
 	rankDelay = 200 * time.Millisecond
+	// maxHandicap is how long a host without processor time of its own leaves a
+	// free lease to others; a host with a whole core does not wait.
+	maxHandicap = 800 * time.Millisecond
 	// storeDoubt is how long the store may leave the holder without an answer;
 	// the holder reads it once a second.
 	storeDoubt = 2200 * time.Millisecond
@@ -312,7 +315,7 @@
 		return true
 	}
 	if row.Host == "" {
-		return now.Sub(e.seenAt) >= e.rank()
+		return now.Sub(e.seenAt) >= e.rank()+e.handicap()
 	}
 	return now.Sub(e.seenAt) >= takeTime+e.rank()
 }
@@ -328,6 +331,13 @@
 	return time.Duration(i) * rankDelay
 }
 
+// handicap returns how long this host leaves a free lease to hosts with more
+// processor time; before the first holder there are no successors to go by.
+func (e *Elector) handicap() time.Duration {
+	lack := 1 - e.parts.Self().Weight
+	return time.Duration(max(0, lack) * float64(maxHandicap))
+}
+
 // begin starts the term of this host.
 func (e *Elector) begin(ctx context.Context, terms *conc.WaitGroup) {
 	term, stop := context.WithCancel(ctx)
--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -155,12 +155,18 @@
 
 // fitAnywhere returns places on any workers, in the fullest racks first.
 func (s *Scheduler) fitAnywhere(u *unit, r *ranked, now time.Time) []*worker {
+	if u.size == 1 && u.claims == nil && len(u.avoid) == 0 {
+		if r.open == nil {
+			r.open = s.candidates(u, s.roster, r.terms.Service, now)
+		}
+		return takeOne(r.open, u)
+	}
 	found := s.candidates(u, s.roster, r.terms.Service, now)
 	if sum(found) < u.size {
 		return nil
 	}
 	if u.size == 1 {
-		return packOne(found, u.step.spec.DataRack)
+		return takeOne(found, u)
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		return a.worker.rack.free - b.worker.rack.free
@@ -200,14 +206,18 @@
 	return c.free.Accelerators - c.room*u.step.spec.Need.Accelerators
 }
 
-// packOne picks the worker for a single task: in the rack of its data if there
-// is room, else the one with the fewest free accelerators, in the fullest rack
-// among equals.
-func packOne(found []candidate, data primrosespar.Rack) []*worker {
+// takeOne picks the worker for a single task and takes the room from the
+// candidates: in the rack of its data if there is room, else the one with the
+// fewest free accelerators, in the fullest rack among equals.
+func takeOne(found []candidate, u *unit) []*worker {
 	var best *candidate
 	bestScore := math.MaxInt
+	data := u.step.spec.DataRack
 	for i := range found {
 		c := &found[i]
+		if c.room == 0 {
+			continue
+		}
 		score := c.free.Accelerators*maxRackAccelerators + min(c.worker.rack.free, maxRackAccelerators-1)
 		if data != "" && c.worker.member.Rack == data {
 			score -= math.MaxInt / 4
@@ -219,5 +229,7 @@
 	if best == nil {
 		return nil
 	}
+	best.room--
+	best.free = best.free.Sub(u.step.spec.Occupies())
 	return []*worker{best.worker}
 }
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -25,6 +25,9 @@
 	terms    *primrosespar.QueueTerms
 	rank     int
 	deadline time.Time
+	// open are the workers with room for single tasks of the step; they are
+	// found once for all of its tasks.
+	open []candidate
 }
 
 // Plan decides on everything that changed since the last call and returns
@@ -175,6 +178,7 @@
 // does not fit. Units of a shape that failed before in this plan are not tried
 // unless they may go where the others may not.
 func (s *Scheduler) placeStep(r *ranked, failed map[shape]bool, now time.Time) *unit {
+	r.open = nil
 	for _, u := range r.step.units {
 		if !u.waiting(now) {
 			continue
