Add a stand-in of the users' platform and a fault soak

platform/standin plays the store, the workers and the configuration in the platform's own protocol and judges starts; standin soak runs real hosts against it under seeded faults: kills, stops, pauses, a harmed path to the store, a store that is busy, silent, slow or loses answers, and workers that are silent, late, fail, hang or start anew.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -46,13 +46,17 @@
 
 // fleetCommand runs the scheduler of a fleet on the users' platform.
 type fleetCommand struct {
+	Settings string `help:"Settings file of this host; the platform names it in the environment." type:"path"`
 	LogLevel string `help:"Least level that is logged." enum:"debug,info,warning,error" default:"info"`
 }
 
 // Run serves until SIGTERM or SIGINT and then stops gracefully.
 func (c *fleetCommand) Run(*handler.Env) error {
 	runtime.GOMAXPROCS(1)
-	path := os.Getenv(platform.SettingsVariable)
+	path := c.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/standin/soak.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"primrosespar.example/primrosespar/internal/standin/proxier"
+	"primrosespar.example/primrosespar/platform/standin"
+)
+
+// Times of a soak.
+const (
+	// soakSettle is how long the hosts get to find a holder.
+	soakSettle = 2 * time.Second
+	// soakDrain is how long the jobs get to end once the faults are over.
+	soakDrain = 45 * time.Second
+	// soakStop is how long a host gets to stop.
+	soakStop = 8 * time.Second
+)
+
+// soakCommand runs real hosts against the stand-in of the users' platform.
+type soakCommand struct {
+	Product string        `help:"Program of the hosts." default:"bin/primrosespar" type:"path"`
+	Seed    uint64        `help:"Seed of jobs and faults." default:"1"`
+	Load    time.Duration `help:"How long jobs and faults come." default:"20s"`
+	Hosts   int           `help:"Number of hosts." default:"4"`
+	Workers int           `help:"Number of workers." default:"16"`
+	Rate    float64       `help:"Jobs a second." default:"6"`
+	Keep    string        `help:"Directory for the logs; a temporary one by default." type:"path"`
+	Calm    bool          `help:"Leave the faults out."`
+}
+
+// soakHost is one host with the proxy to its store.
+type soakHost struct {
+	name    string
+	callers string
+	proxy   *proxier.Proxier
+	path    string
+
+	mu    sync.Mutex
+	child *process
+}
+
+// soak is one run.
+type soak struct {
+	soakCommand
+	fleet     *standin.Fleet
+	processes *processes
+	hosts     []*soakHost
+	client    *http.Client
+}
+
+// Run runs the soak and fails if a promise was broken.
+func (c *soakCommand) Run() error {
+	dir := c.Keep
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "soak"); err != nil {
+			return eris.Wrap(err, "soak directory")
+		}
+	} else if err := os.MkdirAll(dir, 0o700); err != nil {
+		return eris.Wrap(err, "soak directory")
+	}
+	fleet, err := standin.New(standin.WithWorkers(c.Workers))
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	s := &soak{
+		soakCommand: *c, fleet: fleet, processes: &processes{dir: dir},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer s.processes.stop(soakStop)
+	for i := range c.Hosts {
+		if err := s.addHost(ctx, i, dir); err != nil {
+			return err
+		}
+	}
+	defer func() {
+		for _, h := range s.hosts {
+			h.proxy.Close()
+		}
+	}()
+	time.Sleep(soakSettle)
+	return s.play(ctx, dir)
+}
+
+// addHost writes the settings of a host and starts it.
+func (s *soak) addHost(ctx context.Context, i int, dir string) error {
+	proxy, err := proxier.New(s.fleet.StoreAddress())
+	if err != nil {
+		return err
+	}
+	ip := fmt.Sprintf("127.0.1.%d", i+1)
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return err
+	}
+	h := &soakHost{name: fmt.Sprintf("host-%d", i), proxy: proxy, callers: fmt.Sprintf("%s:%d", ip, ports)}
+	h.path = filepath.Join(dir, h.name+".toml")
+	text := s.fleet.Settings(standin.HostSettings{
+		Name: h.name, IP: ip, Callers: ports, Readiness: ports + 1, Peers: ports + 2, Store: proxy.Address(),
+	})
+	if err := os.WriteFile(h.path, []byte(text), 0o600); err != nil {
+		return eris.Wrap(err, "settings")
+	}
+	s.hosts = append(s.hosts, h)
+	return s.startHost(ctx, h)
+}
+
+// freePorts returns the first of n consecutive ports that are free now.
+func freePorts(ip string, n int) (int, error) {
+	const tries = 50
+	for range tries {
+		first, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return 0, eris.Wrap(err, "port")
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		held := []net.Listener{first}
+		for k := 1; k < n; k++ {
+			if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port+k)); err == nil {
+				held = append(held, l)
+			}
+		}
+		for _, l := range held {
+			_ = l.Close()
+		}
+		if len(held) == n {
+			return port, nil
+		}
+	}
+	return 0, eris.New("no free ports in a row")
+}
+
+// startHost starts the process of a host and waits until it listens.
+func (s *soak) startHost(ctx context.Context, h *soakHost) error {
+	child, err := s.processes.start(ctx, h.name, s.Product, []string{"fleet", "--settings", h.path}, func(line []byte) bool {
+		return strings.Contains(string(line), "host has started")
+	})
+	h.mu.Lock()
+	h.child = child
+	h.mu.Unlock()
+	return err
+}
+
+// play runs jobs and faults side by side and judges the end.
+func (s *soak) play(ctx context.Context, dir string) error {
+	began := time.Now()
+	load := newSoakLoad(s, rand.New(rand.NewPCG(s.Seed, 1)))
+	var tasks conc.WaitGroup
+	tasks.Go(func() { load.run(ctx, s.Load) })
+	if !s.Calm {
+		tasks.Go(func() { newSoakFaults(s, rand.New(rand.NewPCG(s.Seed, 2))).run(ctx, s.Load) })
+	}
+	tasks.Wait()
+	load.drain(ctx, soakDrain)
+	writes, reads := s.fleet.Store().Calls()
+	broken := s.fleet.Violations()
+	fmt.Printf("seed %d: %d jobs (%d accepted, %d refused, %d ended), %d starts, %d store writes, %d reads, %d promises broken, %s\n",
+		s.Seed, load.total, load.accepted(), load.refused(), load.ended(), s.fleet.Starts(), writes, reads, len(broken),
+		time.Since(began).Round(time.Second))
+	for i, text := range broken {
+		if i == 10 {
+			break
+		}
+		fmt.Println("  broken:", text)
+	}
+	if len(broken) > 0 {
+		fmt.Println("  logs:", dir)
+		return eris.Errorf("seed %d: %d promises broken", s.Seed, len(broken))
+	}
+	if s.Keep == "" {
+		_ = os.RemoveAll(dir)
+	}
+	return nil
+}
+
+// signal sends a signal to the process of the host.
+func (h *soakHost) signal(sig syscall.Signal) {
+	if child := h.running(); child != nil {
+		child.signal(sig)
+	}
+}
+
+// running returns the process of the host, nil while it is being replaced.
+func (h *soakHost) running() *process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.child == nil {
+		return nil
+	}
+	select {
+	case <-h.child.done:
+		return nil
+	default:
+		return h.child
+	}
+}
--- /dev/null
+++ b/cmd/standin/soakfaults.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"primrosespar.example/primrosespar/internal/standin/proxier"
+	"primrosespar.example/primrosespar/platform/standin"
+)
+
+// Bounds of the faults.
+const (
+	faultGap  = 1500 * time.Millisecond
+	faultTime = 4 * time.Second
+)
+
+// soakFaults brings faults about; they overlap and repeat.
+type soakFaults struct {
+	soak   *soak
+	random *rand.Rand
+	tasks  conc.WaitGroup
+}
+
+// newSoakFaults returns faults that have not begun.
+func newSoakFaults(s *soak, random *rand.Rand) *soakFaults {
+	return &soakFaults{soak: s, random: random}
+}
+
+// run brings faults about for the time and then heals all.
+func (f *soakFaults) run(ctx context.Context, d time.Duration) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		f.next(ctx)
+		time.Sleep(time.Duration(f.random.Float64() * float64(faultGap)))
+	}
+	f.tasks.Wait()
+	f.soak.fleet.Store().SetFaults(standin.StoreFaults{})
+	for _, h := range f.soak.hosts {
+		h.proxy.Set(proxier.Pass)
+	}
+	for _, w := range f.soak.fleet.Workers() {
+		w.SetFaults(standin.WorkerFaults{})
+	}
+}
+
+// lasts draws how long a fault lasts.
+func (f *soakFaults) lasts() time.Duration {
+	return time.Duration((0.1 + 0.9*f.random.Float64()) * float64(faultTime))
+}
+
+// next brings one fault about.
+func (f *soakFaults) next(ctx context.Context) {
+	h := f.soak.hosts[f.random.IntN(len(f.soak.hosts))]
+	w := f.soak.fleet.Workers()[f.random.IntN(len(f.soak.fleet.Workers()))]
+	lasts := f.lasts()
+	switch f.random.IntN(9) {
+	case 0:
+		f.restart(ctx, h, syscall.SIGKILL, lasts/4)
+	case 1:
+		f.restart(ctx, h, syscall.SIGTERM, lasts/4)
+	case 2:
+		h.signal(syscall.SIGSTOP)
+		f.later(lasts, func() { h.signal(syscall.SIGCONT) })
+	case 3:
+		h.proxy.Set([]proxier.Mode{proxier.Silent, proxier.Answerless, proxier.Reset, proxier.Delay}[f.random.IntN(4)])
+		f.later(lasts, func() { h.proxy.Set(proxier.Pass) })
+	case 4:
+		f.soak.fleet.Store().SetFaults([]standin.StoreFaults{
+			{Busy: true}, {Silent: true}, {Slow: 300 * time.Millisecond}, {LoseEvery: 3},
+		}[f.random.IntN(4)])
+		f.later(lasts, func() { f.soak.fleet.Store().SetFaults(standin.StoreFaults{}) })
+	case 5:
+		w.SetFaults([]standin.WorkerFaults{
+			{Silent: true}, {Late: 2 * time.Second}, {Fails: true}, {Hangs: true},
+		}[f.random.IntN(4)])
+		f.later(2*lasts, func() { w.SetFaults(standin.WorkerFaults{}) })
+	case 6:
+		w.Restart()
+	case 7:
+		f.soak.fleet.Configure(time.Duration(2+f.random.IntN(3)) * time.Second)
+	case 8:
+		h.signal(syscall.SIGHUP)
+	}
+}
+
+// restart ends a host by the signal and starts it again.
+func (f *soakFaults) restart(ctx context.Context, h *soakHost, sig syscall.Signal, pause time.Duration) {
+	child := h.running()
+	if child == nil {
+		return
+	}
+	child.signal(syscall.SIGCONT)
+	child.signal(sig)
+	f.tasks.Go(func() {
+		<-child.done
+		time.Sleep(pause)
+		if err := f.soak.startHost(ctx, h); err != nil {
+			f.soak.fleet.Violate("%s does not start: %v", h.name, err)
+		}
+	})
+}
+
+// later calls the function once the fault has lasted.
+func (f *soakFaults) later(d time.Duration, heal func()) {
+	f.tasks.Go(func() {
+		time.Sleep(d)
+		heal()
+	})
+}
--- /dev/null
+++ b/internal/standin/proxier/proxier.go
@@ -0,0 +1,168 @@
+// Package proxier is a loopback proxy that harms the connections through it.
+//
+// # Usage
+//
+//	p, err := proxier.New(target)
+//	defer p.Close()
+//	p.Set(proxier.Silent)
+//	address := p.Address()
+package proxier
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+)
+
+// Mode is what the proxy does to what passes.
+type Mode int
+
+// Modes. Silent holds all bytes back, Answerless those of the answers only,
+// Reset breaks connections off and Delay slows them.
+const (
+	Pass Mode = iota
+	Silent
+	Answerless
+	Reset
+	Delay
+)
+
+// Times of the proxy.
+const (
+	delayTime = 150 * time.Millisecond
+	pollTime  = 5 * time.Millisecond
+)
+
+// Proxier forwards connections to one target. It is safe for concurrent use.
+type Proxier struct {
+	target   string
+	listener net.Listener
+	tasks    conc.WaitGroup
+
+	mu     sync.Mutex
+	mode   Mode
+	open   map[net.Conn]bool
+	closed bool
+}
+
+// New starts a proxy on a free port of loopback.
+func New(target netip.AddrPort) (*Proxier, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "proxy")
+	}
+	p := &Proxier{target: target.String(), listener: listener, open: map[net.Conn]bool{}}
+	p.tasks.Go(p.accept)
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxier) Address() netip.AddrPort {
+	return p.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Set changes the mode; Reset also breaks off what is open.
+func (p *Proxier) Set(mode Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	if mode == Reset {
+		for c := range p.open {
+			_ = c.Close()
+		}
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxier) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for c := range p.open {
+		_ = c.Close()
+	}
+	p.mu.Unlock()
+	_ = p.listener.Close()
+	p.tasks.Wait()
+}
+
+// current returns the mode and whether the proxy is closed.
+func (p *Proxier) current() (Mode, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.closed
+}
+
+// accept takes connections until the proxy is closed.
+func (p *Proxier) accept() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if mode, closed := p.current(); closed || mode == Reset {
+			_ = in.Close()
+			continue
+		}
+		out, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.open[in], p.open[out] = true, true
+		p.mu.Unlock()
+		p.tasks.Go(func() { p.pass(in, out, false) })
+		p.tasks.Go(func() { p.pass(out, in, true) })
+	}
+}
+
+// pass copies one direction and closes both ends after it.
+func (p *Proxier) pass(from, to net.Conn, answers bool) {
+	defer func() {
+		_ = from.Close()
+		_ = to.Close()
+		p.mu.Lock()
+		delete(p.open, from)
+		delete(p.open, to)
+		p.mu.Unlock()
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.hold(answers) {
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold waits while bytes are held back; it reports false once the connection
+// has to end. What was held back by a cut is lost with its connection.
+func (p *Proxier) hold(answers bool) bool {
+	held := false
+	for {
+		mode, closed := p.current()
+		switch {
+		case closed, mode == Reset:
+			return false
+		case mode == Silent, mode == Answerless && answers:
+			held = true
+			time.Sleep(pollTime)
+			continue
+		case mode == Delay:
+			time.Sleep(delayTime)
+		}
+		return !held
+	}
+}
