Search for victims without counting the whole fleet again

Change: the room is kept and only the victim's workers are counted again, and a unit without victims is tried again after 100 ms.

--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -79,6 +79,10 @@
 	// tried again once that has changed or at retryAt.
 	blockedAt uint64
 	retryAt   time.Time
+	// reclaimAt is when room may be made for the unit again, mark the search for
+	// victims that has seen it last.
+	reclaimAt time.Time
+	mark      uint64
 	// kept is the rack that later work is kept off for the unit.
 	kept      *rack
 	keptUntil time.Time
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -34,6 +35,10 @@
 		}
 		s.dropClaim(u)
 	}
+	if now.Before(u.reclaimAt) {
+		return false
+	}
+	u.reclaimAt = now.Add(blockedRetry)
 	entitled := s.entitled(u)
 	var best *eviction
 	if u.size == 1 || u.step.spec.OneRack && s.rackHolds(u, r.terms.Service) {
@@ -60,97 +65,92 @@
 	cost    float64
 }
 
+// trial is room on a worker as it would be after an eviction.
+type trial struct {
+	mark uint64
+	free primrosespar.Resources
+	room int
+}
+
 // evict finds the cheapest victims on the workers that make room for the unit.
 func (s *Scheduler) evict(u *unit, r *ranked, workers []*worker, entitled bool, now time.Time) *eviction {
+	s.mark++
+	room := 0
 	var open []*worker
-	free := map[*worker]primrosespar.Resources{}
-	seen := map[*unit]bool{}
 	var victims []victim
 	for _, w := range workers {
 		if !w.usable(u, r.terms.Service, now) {
 			continue
 		}
 		open = append(open, w)
-		free[w] = w.free(u)
+		w.trial = trial{mark: s.mark, free: w.free(u)}
+		w.trial.room = w.room(u, w.trial.free)
+		room += w.trial.room
 		for _, m := range w.list {
 			v := m.unit
-			if seen[v] {
-				continue
-			}
-			seen[v] = true
-			if v.stopping || v.phase != encoder.Placed {
-				// It ends soon by itself; its room counts once it is free.
+			// What is being stopped ends soon by itself; its room counts then.
+			if v.mark == s.mark || v.stopping || v.phase != encoder.Placed {
 				continue
 			}
+			v.mark = s.mark
 			if s.mayEvict(v, entitled) {
 				victims = append(victims, victim{v, v.loss(now)})
 			}
 		}
 	}
-	slices.SortStableFunc(victims, func(a, b victim) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return 0
-	})
-	return choose(u, open, free, victims)
+	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	return s.choose(u, open, room, victims)
 }
 
 // choose takes victims, cheapest first, until the unit fits, and then spares
 // those that were not needed.
-func choose(u *unit, open []*worker, free map[*worker]primrosespar.Resources, victims []victim) *eviction {
+func (s *Scheduler) choose(u *unit, open []*worker, room int, victims []victim) *eviction {
 	taken := 0
-	for taken <= len(victims) {
-		if roomIn(u, open, free) >= u.size {
-			break
-		}
+	for ; room < u.size; taken++ {
 		if taken == len(victims) {
 			return nil
 		}
-		addRoom(free, victims[taken].unit, 1)
-		taken++
+		room += s.tryWithout(u, victims[taken].unit, 1)
 	}
 	e := &eviction{}
 	for i := taken - 1; i >= 0; i-- {
-		addRoom(free, victims[i].unit, -1)
-		if roomIn(u, open, free) >= u.size {
+		change := s.tryWithout(u, victims[i].unit, -1)
+		if room+change >= u.size {
+			room += change
 			continue
 		}
-		addRoom(free, victims[i].unit, 1)
+		s.tryWithout(u, victims[i].unit, 1)
 		e.victims = append(e.victims, victims[i].unit)
 		e.cost += victims[i].cost
 	}
 	for _, w := range open {
-		for range min(w.room(u, free[w]), u.size-len(e.where)) {
+		for range min(w.trial.room, u.size-len(e.where)) {
 			e.where = append(e.where, w)
 		}
 	}
 	return e
 }
 
-// roomIn returns the members of the unit that fit.
-func roomIn(u *unit, open []*worker, free map[*worker]primrosespar.Resources) int {
-	n := 0
-	for _, w := range open {
-		n += w.room(u, free[w])
-	}
-	return n
-}
-
-// addRoom adds or takes back what the victim has on the workers.
-func addRoom(free map[*worker]primrosespar.Resources, v *unit, sign int) {
+// tryWithout takes the victim off the trial or, with -1, puts it back, and
+// returns by how many members the room for the unit changes.
+func (s *Scheduler) tryWithout(u, v *unit, sign int) int {
+	change := 0
+	need := v.step.spec.Occupies()
 	for _, m := range v.members {
-		if r, ok := free[m.worker]; ok {
-			if sign > 0 {
-				free[m.worker] = r.Add(v.step.spec.Occupies())
-			} else {
-				free[m.worker] = r.Sub(v.step.spec.Occupies())
-			}
+		t := &m.worker.trial
+		if t.mark != s.mark {
+			continue
+		}
+		if sign > 0 {
+			t.free = t.free.Add(need)
+		} else {
+			t.free = t.free.Sub(need)
 		}
+		before := t.room
+		t.room = m.worker.room(u, t.free)
+		change += t.room - before
 	}
+	return change
 }
 
 // mayEvict reports whether the unit may give way to an urgent one.
@@ -231,15 +231,16 @@
 		member *member
 		at     time.Time
 	}
-	free := map[*worker]primrosespar.Resources{}
-	var open []*worker
+	s.mark++
+	room := 0
 	var ends []ending
 	for _, w := range workers {
 		if !w.usable(u, service, now) || w.keptFor != nil {
 			continue
 		}
-		open = append(open, w)
-		free[w] = w.free(u)
+		w.trial = trial{mark: s.mark, free: w.free(u)}
+		w.trial.room = w.room(u, w.trial.free)
+		room += w.trial.room
 		for _, m := range w.list {
 			ends = append(ends, ending{m, m.endsAt(now)})
 		}
@@ -247,13 +248,17 @@
 	slices.SortStableFunc(ends, func(a, b ending) int { return a.at.Compare(b.at) })
 	at := now
 	for _, e := range ends {
-		if roomIn(u, open, free) >= u.size {
+		if room >= u.size {
 			return at, true
 		}
-		free[e.member.worker] = free[e.member.worker].Add(e.member.unit.step.spec.Occupies())
+		t := &e.member.worker.trial
+		t.free = t.free.Add(e.member.unit.step.spec.Occupies())
+		before := t.room
+		t.room = e.member.worker.room(u, t.free)
+		room += t.room - before
 		at = e.at
 	}
-	return at, roomIn(u, open, free) >= u.size
+	return at, room >= u.size
 }
 
 // endsAt estimates when the member will end, from its progress if it has made
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -27,6 +27,7 @@
 	list    []*member
 	used    primrosespar.Resources
 	claimed primrosespar.Resources
+	trial   trial
 	// keptFor is the blocked unit that new work must not get in the way of.
 	keptFor *unit
 	// noted is the sequence of the last end that was taken.
