Forget the candidates of a step when a task goes its own way

Change: the candidates are found again after such a task. TestTasksThatAvoidWorkersCountForTheRest fails without it.

--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -77,6 +77,7 @@
 	spec := u.step.spec
 	waited := now.Sub(u.step.readySince)
 	if spec.DataRack != "" && waited < remoteWait {
+		r.open = nil
 		return s.fitRacks(u, r, now, func(k *rack) bool { return k.key.rack == spec.DataRack })
 	}
 	if u.size > 1 && spec.OneRack {
@@ -161,6 +162,8 @@
 		}
 		return takeOne(r.open, u)
 	}
+	// What this unit takes is not taken from the candidates of the step.
+	r.open = nil
 	found := s.candidates(u, s.roster, r.terms.Service, now)
 	if sum(found) < u.size {
 		return nil
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -319,3 +319,31 @@
 	r.now = out.Add(time.Second)
 	require.Len(t, r.plan().Starts, 1)
 }
+
+// TestTasksThatAvoidWorkersCountForTheRest guards against a worker over its
+// capacity or its bound of tasks of a step: a task that may not go everywhere,
+// because it has failed somewhere, takes room that the other tasks of its step
+// were to get.
+func TestTasksThatAvoidWorkersCountForTheRest(t *testing.T) {
+	r := newRig(t, 2)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 4, Need: gpus(8), PerWorker: 1}), r.now)
+	starts := r.plan().Starts
+	require.Len(t, starts, 4)
+	r.started(starts)
+	r.now = r.now.Add(time.Second)
+	// The second task fails and the others are stopped, so that all wait again.
+	for k, o := range starts {
+		end := primrosespar.EndStopped
+		if k == 1 {
+			end = primrosespar.EndFailed
+		}
+		r.look(r.index(o.Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: o.Run, End: end})
+	}
+	r.now = r.now.Add(time.Second)
+	used := map[primrosespar.Worker]int{}
+	for _, o := range r.plan().Starts {
+		used[o.Worker]++
+		require.Equal(t, 1, used[o.Worker], "worker %s", o.Worker)
+	}
+}
