Fill workers with the tasks of a wide step

Cause: the candidates of a step counted room for one task a worker, so twelve tasks of one accelerator went to twelve workers and left no whole one free. Change: room is counted for the whole step. TestWideStepFillsWorkers fails without it.

--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -29,8 +29,14 @@
 
 // room returns how many members of the unit fit the worker.
 func (w *worker) room(u *unit, free primrosespar.Resources) int {
+	return w.roomFor(u, free, u.size)
+}
+
+// roomFor returns how many tasks like those of the unit fit the worker, at
+// most limit.
+func (w *worker) roomFor(u *unit, free primrosespar.Resources, limit int) int {
 	spec := u.step.spec
-	n := free.Fits(spec.Occupies(), u.size)
+	n := free.Fits(spec.Occupies(), limit)
 	if spec.PerWorker > 0 {
 		n = min(n, spec.PerWorker-w.count(u.step))
 	}
@@ -58,13 +64,19 @@
 // candidates returns the workers with room for the unit; those kept for
 // another unit are left out.
 func (s *Scheduler) candidates(u *unit, workers []*worker, service primrosespar.Service, now time.Time) []candidate {
+	return s.candidatesFor(u, workers, service, u.size, now)
+}
+
+// candidatesFor returns the workers with room for up to limit tasks like those
+// of the unit.
+func (s *Scheduler) candidatesFor(u *unit, workers []*worker, service primrosespar.Service, limit int, now time.Time) []candidate {
 	var out []candidate
 	for _, w := range workers {
 		if !w.usable(u, service, now) || w.keptFor != nil && w.keptFor != u {
 			continue
 		}
 		free := w.free(u)
-		if n := w.room(u, free); n > 0 {
+		if n := w.roomFor(u, free, limit); n > 0 {
 			out = append(out, candidate{w, n, free})
 		}
 	}
@@ -158,7 +170,7 @@
 func (s *Scheduler) fitAnywhere(u *unit, r *ranked, now time.Time) []*worker {
 	if u.size == 1 && u.claims == nil && len(u.avoid) == 0 {
 		if r.open == nil {
-			r.open = s.candidates(u, s.roster, r.terms.Service, now)
+			r.open = s.candidatesFor(u, s.roster, r.terms.Service, u.step.spec.Count, now)
 		}
 		return takeOne(r.open, u)
 	}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -347,3 +347,16 @@
 		require.Equal(t, 1, used[o.Worker], "worker %s", o.Worker)
 	}
 }
+
+// TestWideStepFillsWorkers guards against small tasks that are spread over all
+// workers, so that no whole worker stays free for a large shape.
+func TestWideStepFillsWorkers(t *testing.T) {
+	r := newRig(t, 2)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 12, Need: gpus(1)}), r.now)
+	used := map[primrosespar.Worker]int{}
+	for _, o := range r.plan().Starts {
+		used[o.Worker]++
+	}
+	require.Len(t, used, 2, "twelve tasks of one accelerator fit two workers of eight")
+}
