Let late urgent jobs stop nothing and serve lost ones last

Cause: under bursts urgent jobs that could not be in time any more stopped work that was worth more, and those past three times their objective still came first. Change: urgent jobs that are late come after those that are not and stop other work only in their first 4 s, in which the guarantee has to be given.

--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -29,6 +29,9 @@
 	// claimTime bounds how long freed capacity is kept for the unit that it
 	// was freed for.
 	claimTime = 3 * time.Second
+	// reclaimTime is how long room is made for an urgent job that is late; a
+	// guarantee has to be given within about 3 s.
+	reclaimTime = 4 * time.Second
 	// remoteWait is how long a unit waits for the rack with its data.
 	remoteWait = 1200 * time.Millisecond
 	// spreadWait is how long a gang waits for one rack.
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -9,11 +9,15 @@
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
-// Classes of jobs in the order in which they are served. Jobs that can no
-// longer meet their objective come after all that can.
+// Ranks in the order in which jobs are served; the priority is added. Urgent
+// jobs that can no longer meet their objective still come before the rest,
+// because they are small for what they are worth. Jobs that would end after
+// the last time at which they are worth something come last.
 const (
-	rankLate = 100
-	rankLost = 200
+	rankLateUrgent = 1
+	rankPlain      = 2
+	rankLate       = 100
+	rankLost       = 200
 	// lateFactor times the objective is the last time at which a job is still
 	// worth something.
 	lateFactor = 3
@@ -25,6 +29,8 @@
 	terms    *primrosespar.QueueTerms
 	rank     int
 	deadline time.Time
+	// onTime is set while the job can still meet its objective.
+	onTime bool
 	// open are the workers with room for single tasks of the step; they are
 	// found once for all of its tasks.
 	open []candidate
@@ -58,7 +64,7 @@
 		if blocked == nil {
 			continue
 		}
-		if r.terms.Priority == 0 && s.reclaim(blocked, &r, now) {
+		if r.mayReclaim(now) && s.reclaim(blocked, &r, now) {
 			continue
 		}
 		if blocked.size > 1 && kept < maxKept && s.keep(blocked, now) {
@@ -67,6 +73,13 @@
 	}
 }
 
+// mayReclaim reports whether room may be made for the step by stopping other
+// work. A job that is late anyway is worth less than what it would stop, but
+// the guarantee of its account has to be given for some seconds.
+func (r *ranked) mayReclaim(now time.Time) bool {
+	return r.terms.Priority == 0 && (r.onTime || now.Sub(r.step.readySince) < reclaimTime)
+}
+
 // measure brings up to date what a plan looks at often.
 func (s *Scheduler) measure() {
 	for _, racks := range s.racks {
@@ -123,6 +136,9 @@
 			continue
 		}
 		r := ranked{step: st, terms: terms, rank: terms.Priority}
+		if terms.Priority > 0 {
+			r.rank += rankPlain
+		}
 		begin := o.job.seen
 		if o.job.sub.Repeat.Count > 0 {
 			begin = o.due
@@ -130,11 +146,13 @@
 		objective := time.Duration(terms.Slack*float64(o.chain(0))) + terms.Target
 		r.deadline = begin.Add(objective)
 		finish := now.Add(o.chain(st.index))
+		r.onTime = !finish.After(r.deadline)
 		switch {
-		case terms.Priority == 0:
 		case finish.After(begin.Add(lateFactor * objective)):
 			r.rank += rankLost
-		case finish.After(r.deadline):
+		case !r.onTime && terms.Priority == 0:
+			r.rank = rankLateUrgent
+		case !r.onTime:
 			r.rank += rankLate
 		}
 		out = append(out, r)
