Weigh victims by their priority

Cause: work of the first priority is worth more than twice as much a core-second as the rest, but was stopped as soon as the rest.

--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -20,6 +20,10 @@
 	u.claims = nil
 }
 
+// firstPriorityWeight is how much more the work of the first priority after
+// the urgent one counts than that of the others.
+const firstPriorityWeight = 2.5
+
 // victim is a unit that may give way, with the work that would be lost.
 type victim struct {
 	unit *unit
@@ -94,7 +98,7 @@
 			}
 			v.mark = s.mark
 			if s.mayEvict(v, entitled) {
-				victims = append(victims, victim{v, v.loss(now)})
+				victims = append(victims, victim{v, s.price(v, now)})
 			}
 		}
 	}
@@ -164,6 +168,15 @@
 	return entitled && !v.entitled
 }
 
+// price is the loss by stopping the unit, weighed by its priority.
+func (s *Scheduler) price(v *unit, now time.Time) float64 {
+	weight := 1.0
+	if s.terms(v.step.occ.job).Priority <= 1 {
+		weight = firstPriorityWeight
+	}
+	return weight * v.loss(now)
+}
+
 // loss returns the work, in core-seconds, that is lost if the unit stops now.
 func (v *unit) loss(now time.Time) float64 {
 	need := v.step.spec.Need
