Take over sooner from a holder without its store

A host watched the lease row only after 2.2 s without a sign of the store at the holder, and then for 1.4 s more. Change: the holder says when a commit gets no answer, and a host that reaches the store then takes the lease after 600 ms without a change of its row; the holder writes the row every 500 ms, so a silent one is replaced after 900 ms.

--- a/fleetpeer.go
+++ b/fleetpeer.go
@@ -26,6 +26,9 @@
 	Token   Token `json:"token"`
 	// StoreAge is how long ago the store last answered the holder.
 	StoreAge time.Duration `json:"store_age"`
+	// Stuck is set while the store leaves a commit of the holder without an
+	// answer; a host that reaches the store may take over sooner then.
+	Stuck bool `json:"stuck,omitempty"`
 	// CatalogVersion is the newest version known and CatalogAge how long ago
 	// the store confirmed it.
 	CatalogVersion Version       `json:"catalog_version"`
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -39,7 +39,7 @@
 	mailInterval = 2 * time.Second
 	// signInterval bounds the time without a commit, by which other hosts see
 	// that the holder lives.
-	signInterval = time.Second
+	signInterval = 500 * time.Millisecond
 	// tickInterval is the time between two looks at what time has changed.
 	tickInterval = 100 * time.Millisecond
 	// planInterval is the least time between two plans; what comes in meanwhile
--- a/internal/fleet/conductor/serving.go
+++ b/internal/fleet/conductor/serving.go
@@ -12,7 +12,7 @@
 
 // Submit stores a job; nil says that it is stored, also if it was before.
 func (c *Conductor) Submit(ctx context.Context, job primrosespar.Submission) error {
-	if c.stuck() {
+	if c.Stuck() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
 	return c.change(ctx, func(now time.Time) error {
@@ -23,7 +23,7 @@
 
 // Cancel cancels a job; nil says that this is stored.
 func (c *Conductor) Cancel(ctx context.Context, id primrosespar.JobID) error {
-	if c.stuck() {
+	if c.Stuck() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
 	return c.change(ctx, func(now time.Time) error {
@@ -56,9 +56,9 @@
 	return nil
 }
 
-// stuck reports whether the store has left a commit without an answer for
+// Stuck reports whether the store has left a commit without an answer for
 // long; new work would only wait behind it.
-func (c *Conductor) stuck() bool {
+func (c *Conductor) Stuck() bool {
 	since := c.stuckSince.Load()
 	return since > 0 && c.parts.Clock.Since(c.began)-time.Duration(since) > stuckTime
 }
--- a/internal/fleet/daemon/handling.go
+++ b/internal/fleet/daemon/handling.go
@@ -17,8 +17,8 @@
 		return primrosespar.FleetNews{}, nil
 	}
 	news := primrosespar.FleetNews{
-		Leading: true, Token: term.Token(), StoreAge: d.storeAge(), Waiting: term.Waiting(),
-		Hosts: d.elector.Beat(beat),
+		Leading: true, Token: term.Token(), StoreAge: d.storeAge(), Stuck: term.Stuck(),
+		Waiting: term.Waiting(), Hosts: d.elector.Beat(beat),
 	}
 	if catalog := d.follower.Catalog(); catalog != nil {
 		news.CatalogVersion, news.CatalogAge = catalog.Version, d.follower.Age()
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -4,7 +4,7 @@
 // A host beats to the holder. Only when that fails, or the holder says that
 // the store does not answer it, does the host watch the lease row. It takes
 // over once it has seen the row unchanged for some time by its own clock: the
-// holder writes the row at least once a second, so a host that is merely cut
+// holder writes the row several times a second, so a host that is merely cut
 // off from the holder sees the row change and leaves it alone. No clock
 // reading is compared across hosts.
 //
@@ -38,10 +38,14 @@
 	// holder is in doubt.
 	watchInterval = 250 * time.Millisecond
 	// doubtTime is how long the holder may be silent before its row is watched.
-	doubtTime = 700 * time.Millisecond
+	doubtTime = 600 * time.Millisecond
 	// takeTime is how long the row has to stay unchanged; the holder writes it
-	// at least once a second.
-	takeTime = 1400 * time.Millisecond
+	// at least every 500 ms.
+	takeTime = 900 * time.Millisecond
+	// yieldTime is the same while the holder says that the store does not answer
+	// it. It repeats its commit within 400 ms, so that a store that was away for
+	// everybody makes no change of holder.
+	yieldTime = 600 * time.Millisecond
 	// rankDelay keeps successors apart, so that one try succeeds.
 	rankDelay = 200 * time.Millisecond
 	// maxHandicap is how long a host without processor time of its own leaves a
@@ -49,7 +53,7 @@
 	maxHandicap = 800 * time.Millisecond
 	// storeDoubt is how long the store may leave the holder without an answer;
 	// the holder reads it once a second.
-	storeDoubt = 2200 * time.Millisecond
+	storeDoubt = 1500 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = time.Second
 	// hostTime is how long a host without a beat counts as a successor.
@@ -234,7 +238,7 @@
 	case leading:
 		return BeatInterval
 	case !known || holder.Host == "":
-		e.watch(ctx, terms)
+		e.watch(ctx, terms, takeTime)
 		return watchInterval
 	}
 	asked := e.parts.Clock.Now()
@@ -244,15 +248,17 @@
 		e.news, e.heardAt = news, asked
 		e.mu.Unlock()
 		e.parts.Heard(news, asked)
-		if news.StoreAge < storeDoubt {
+		if news.StoreAge < storeDoubt && !news.Stuck {
 			e.unwatch()
 			return BeatInterval
 		}
+		e.watch(ctx, terms, yieldTime)
+		return watchInterval
 	}
 	if err != nil && e.silence() < doubtTime {
 		return watchInterval / 2
 	}
-	e.watch(ctx, terms)
+	e.watch(ctx, terms, takeTime)
 	return watchInterval
 }
 
@@ -271,8 +277,8 @@
 }
 
 // watch reads the lease row and takes the lease if the row is free or has not
-// changed for long.
-func (e *Elector) watch(ctx context.Context, terms *conc.WaitGroup) {
+// changed for the time.
+func (e *Elector) watch(ctx context.Context, terms *conc.WaitGroup, unchanged time.Duration) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := e.parts.Committer.Read(call)
@@ -282,7 +288,7 @@
 		e.unwatch()
 		return
 	}
-	if !e.observe(row) {
+	if !e.observe(row, unchanged) {
 		return
 	}
 	switch err := e.parts.Committer.Take(call, row); primrosespar.CodeOf(err) {
@@ -296,7 +302,7 @@
 }
 
 // observe takes a read of the lease row and reports whether to take the lease.
-func (e *Elector) observe(row committer.Holder) bool {
+func (e *Elector) observe(row committer.Holder, unchanged time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.parts.Clock.Now()
@@ -317,7 +323,7 @@
 	if row.Host == "" {
 		return now.Sub(e.seenAt) >= e.rank()+e.handicap()
 	}
-	return now.Sub(e.seenAt) >= takeTime+e.rank()
+	return now.Sub(e.seenAt) >= unchanged+e.rank()
 }
 
 // rank returns how long this host leaves the lease to others that come first.
