--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -6,7 +6,7 @@
 //	a := attendant.New(fleet, clock, member, token, sink, attendant.WithLease(6*time.Second))
 //	go a.Run(ctx)
 //	a.SetBusy(true)
-//	a.Start(ctx, order)
+//	a.Start(ctx, start)
 //	a.Noted(17)
 //
 // The lease is a time on the worker's clock, which is estimated from its last
@@ -276,18 +276,17 @@
 	}
 }
 
-// Start sends a start order; its result goes to the sink.
-func (a *Attendant) Start(ctx context.Context, run primrosespar.Run, spec, checkpoint string) {
+// Start sends a start order; its result goes to the sink. Address, token and
+// lease are filled in.
+func (a *Attendant) Start(ctx context.Context, start primrosespar.Start) {
 	a.order(ctx, func(ctx context.Context, m primrosespar.Member) (time.Time, error) {
 		a.mu.Lock()
 		until := a.until(a.clock.Now())
 		lapse := a.lapse
 		a.mu.Unlock()
-		return lapse, a.fleet.Start(ctx, primrosespar.Start{
-			Worker: a.worker, Address: m.Address, Token: a.token, Run: run,
-			Spec: spec, Until: until, Checkpoint: checkpoint,
-		})
-	}, run, true)
+		start.Worker, start.Address, start.Token, start.Until = a.worker, m.Address, a.token, until
+		return lapse, a.fleet.Start(ctx, start)
+	}, start.Run, true)
 }
 
 // Stop sends a stop order; its result goes to the sink.
--- a/internal/fleet/conductor/batch.go
+++ b/internal/fleet/conductor/batch.go
@@ -133,7 +133,9 @@
 	for _, start := range b.starts {
 		a := c.attendants[start.Worker]
 		if a != nil && c.core.Wanted(start, now) {
-			a.Start(c.ctx, start.Run, start.Spec, start.Checkpoint)
+			a.Start(c.ctx, primrosespar.Start{
+				Run: start.Run, Spec: start.Spec, Checkpoint: start.Checkpoint, Ticket: start.Ticket,
+			})
 		}
 	}
 	for w, sequence := range b.noted {
--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -15,8 +15,13 @@
 // its rack in a score.
 const maxRackAccelerators = 4096
 
-// usable reports whether the worker may get the unit at all.
+// usable reports whether the worker may get the unit now.
 func (w *worker) usable(u *unit, service primrosespar.Service, now time.Time) bool {
+	return w.fitting(u, service, now) && (!u.step.advised || u.step.approved(w, now))
+}
+
+// fitting reports whether the worker may get the unit but for advice.
+func (w *worker) fitting(u *unit, service primrosespar.Service, now time.Time) bool {
 	spec := u.step.spec
 	if !w.present || !w.looked || w.suspect || w.member.Draining || w.member.Service != service {
 		return false
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -48,6 +48,13 @@
 	left int
 	// readySince is when the step's predecessors were done.
 	readySince time.Time
+	// advised steps start only at workers with a ticket; denied workers never
+	// get one.
+	advised bool
+	asking  bool
+	askAt   time.Time
+	tickets map[primrosespar.Worker]ticket
+	denied  map[primrosespar.Worker]bool
 }
 
 // unit is what starts and ends together: a gang, or one task.
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -56,6 +56,7 @@
 		Run:        primrosespar.Run{Task: m.task(), Number: m.run},
 		Spec:       m.unit.step.occ.job.sub.Spec,
 		Checkpoint: m.unit.checkpoint,
+		Ticket:     m.unit.step.tickets[m.worker.member.Worker].text,
 	}
 }
 
@@ -154,6 +155,9 @@
 	if code == primrosespar.CodeWorkerUnwell {
 		s.quarantine(w, now, "refuses starts")
 	}
+	if code == primrosespar.CodeForbidden {
+		delete(m.unit.step.tickets, w.member.Worker)
+	}
 	m.unit.notBefore = now.Add(backoff)
 	if m.unanswered {
 		// An earlier attempt may still be carried out; a stop rules it out.
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -60,10 +60,14 @@
 	kept := 0
 	failed := map[shape]bool{}
 	for _, r := range s.ranking(now) {
+		r.step.advised = r.terms.Advised
 		blocked := s.placeStep(&r, failed, now)
 		if blocked == nil {
 			continue
 		}
+		if r.terms.Advised {
+			s.ask(blocked, &r, now)
+		}
 		if r.mayReclaim(now) && s.reclaim(blocked, &r, now) {
 			continue
 		}
@@ -207,7 +211,7 @@
 		}
 		where := s.fit(u, r, now)
 		if where == nil {
-			if len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && now.Sub(u.step.readySince) > settledWait {
+			if len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && !u.step.advised && now.Sub(u.step.readySince) > settledWait {
 				failed[form] = true
 			}
 			u.blockedAt, u.retryAt = s.freed, now.Add(blockedRetry)
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -56,6 +56,7 @@
 	events []Event
 	// strayStops are stops of runs that no record names.
 	strayStops []Order
+	questions  []primrosespar.Question
 }
 
 // rackKey names a rack of one service and place.
@@ -96,6 +97,7 @@
 	Run        primrosespar.Run
 	Spec       string
 	Checkpoint string
+	Ticket     string
 }
 
 // Changes are what a caller of Plan has to carry out.
@@ -104,9 +106,10 @@
 	Records []Record
 	Starts  []Order
 	Noted   map[primrosespar.Worker]uint64
-	// Stops may be sent at once.
-	Stops  []Order
-	Events []Event
+	// Stops and Questions may be sent at once.
+	Stops     []Order
+	Questions []primrosespar.Question
+	Events    []Event
 }
 
 // New returns a Scheduler without jobs and workers.
@@ -272,7 +275,7 @@
 
 // collectChanges empties what has gathered since the last call.
 func (s *Scheduler) collectChanges() Changes {
-	c := Changes{Noted: s.noted, Events: s.events}
+	c := Changes{Noted: s.noted, Events: s.events, Questions: s.questions}
 	for _, j := range s.dirty {
 		c.Records = append(c.Records, j.record())
 		j.dirty = false
@@ -285,7 +288,7 @@
 		c.Stops = append(c.Stops, m.order())
 	}
 	c.Stops = append(c.Stops, s.strayStops...)
-	s.dirty, s.starts, s.stops, s.strayStops, s.events = nil, nil, nil, nil, nil
+	s.dirty, s.starts, s.stops, s.strayStops, s.questions, s.events = nil, nil, nil, nil, nil, nil
 	s.noted = map[primrosespar.Worker]uint64{}
 	return c
 }
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -360,3 +360,34 @@
 	}
 	require.Len(t, used, 2, "twelve tasks of one accelerator fit two workers of eight")
 }
+
+// TestAdvisedStepStartsWithTickets guards against starts without the approval
+// of the advice service, or with one that has run out.
+func TestAdvisedStepStartsWithTickets(t *testing.T) {
+	r := newRig(t, 1)
+	catalog := testCatalog()
+	catalog.Queues[1].Advised = true
+	r.s.SetCatalog(catalog)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 2, Need: gpus(8)}), r.now)
+	changes := r.plan()
+	require.Empty(t, changes.Starts)
+	require.Len(t, changes.Questions, 1)
+	require.Len(t, changes.Questions[0].Workers, perRack)
+	advice := primrosespar.Advice{
+		Tickets:  map[primrosespar.Worker]string{"w01": "t1", "w02": "t2"},
+		Validity: 3 * time.Second,
+	}
+	r.s.Advised(changes.Questions[0], advice, true, r.now.Add(-3*time.Second), r.now)
+	r.now = r.now.Add(200 * time.Millisecond)
+	changes = r.plan()
+	require.Empty(t, changes.Starts, "the tickets have run out")
+	require.Len(t, changes.Questions, 1)
+	require.ElementsMatch(t, []primrosespar.Worker{"w01", "w02"}, changes.Questions[0].Workers)
+	r.s.Advised(changes.Questions[0], advice, true, r.now, r.now)
+	starts := r.plan().Starts
+	require.Len(t, starts, 2)
+	for _, o := range starts {
+		require.Equal(t, advice.Tickets[o.Worker], o.Ticket)
+	}
+}
--- a/orders.go
+++ b/orders.go
@@ -29,6 +29,23 @@
 	Spec       string
 	Until      time.Duration
 	Checkpoint string
+	// Ticket is the approval of the advice service, for queues that need one.
+	Ticket string
+}
+
+// Question asks the advice service which workers may run a step.
+type Question struct {
+	Job        JobID
+	Occurrence int
+	Step       int
+	Workers    []Worker
+}
+
+// Advice is the answer: the tickets of the workers that may run the step, and
+// how long they are good. Workers without a ticket may never run it.
+type Advice struct {
+	Tickets  map[Worker]string
+	Validity time.Duration
 }
 
 // Stop is the order to stop one run. Once it is answered, the run never
@@ -51,6 +68,9 @@
 	Start(ctx context.Context, start Start) error
 	// Stop stops a run.
 	Stop(ctx context.Context, stop Stop) error
+	// Advise asks which workers may run a step. The service answers one call of
+	// a host after the other.
+	Advise(ctx context.Context, question Question) (Advice, error)
 }
 
 // Source reads what the operators and the workers publish.
