--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -36,9 +36,13 @@
 	// maxBytes keeps a transaction below the 1 MB that the store takes, in
 	// base64.
 	maxBytes = 600_000
-	// attemptTime bounds one attempt, because a connection may go silent for
-	// good; a slow store takes most of a second.
-	attemptTime = 1200 * time.Millisecond
+	// leastAttempt and mostAttempt bound the time of one attempt, because a
+	// connection may go silent for good. Between them it is attemptFactor times
+	// what the last commit took, and twice that for every second attempt, since
+	// a slow store takes most of a second.
+	leastAttempt  = 500 * time.Millisecond
+	mostAttempt   = 1500 * time.Millisecond
+	attemptFactor = 4
 	// firstPause and maxPause bound the wait before a commit is repeated.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -69,6 +73,8 @@
 	clock    primrosespar.Clock
 	identity Identity
 	held     Holder
+	// took is how long the last commit took.
+	took time.Duration
 }
 
 // New returns a Committer without a lease.
@@ -151,13 +157,15 @@
 	}
 	pause := firstPause
 	doubt := false
-	for {
-		versions, err := c.attempt(ctx, txn)
+	for n := 0; ; n++ {
+		began := c.clock.Now()
+		versions, err := c.attempt(ctx, n, txn)
 		code := primrosespar.CodeOf(err)
 		switch {
 		case err == nil:
 			next.Version = versions[0]
 			c.held = next
+			c.took = c.clock.Since(began)
 			return nil
 		case code == primrosespar.CodeConflict && !doubt:
 			return c.lost(next)
@@ -175,9 +183,18 @@
 	}
 }
 
-// attempt makes one attempt within its time.
-func (c *Committer) attempt(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+// timeout returns the time of the nth attempt.
+func (c *Committer) timeout(n int) time.Duration {
+	d := max(leastAttempt, attemptFactor*c.took)
+	if n%2 == 1 {
+		d *= 2
+	}
+	return min(d, mostAttempt)
+}
+
+// attempt makes the nth attempt within its time.
+func (c *Committer) attempt(ctx context.Context, n int, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(n))
 	defer cancel()
 	return c.table.Commit(ctx, txn)
 }
@@ -194,8 +211,8 @@
 // the lease row.
 func (c *Committer) settle(ctx context.Context, next Holder) error {
 	pause := firstPause
-	for {
-		call, cancel := context.WithTimeout(ctx, attemptTime)
+	for n := 0; ; n++ {
+		call, cancel := context.WithTimeout(ctx, c.timeout(n))
 		seen, err := c.Read(call)
 		cancel()
 		if err == nil {
