Leave a share of the guarantees free for urgent work

Ruled out: processor time of the holder; the times of the takeover. Change: work that is not urgent leaves 0.55 of the guaranteed accelerators free, unless the service is mostly idle or the unit could never leave them. TestUrgentWorkReclaimsItsGuarantee now gets its guarantee after the fleet is full, since the reserve would keep a worker free.

--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -32,6 +32,8 @@
 	// reclaimTime is how long room is made for an urgent job that is late; a
 	// guarantee has to be given within about 3 s.
 	reclaimTime = 4 * time.Second
+	// reserveShare of the guarantees is left free by work that is not urgent.
+	reserveShare = 0.55
 	// remoteWait is how long a unit waits for the rack with its data.
 	remoteWait = 1200 * time.Millisecond
 	// spreadWait is how long a gang waits for one rack.
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -88,9 +88,10 @@
 func (s *Scheduler) measure() {
 	for _, racks := range s.racks {
 		for _, k := range racks {
-			k.free = 0
+			k.free, k.total = 0, 0
 			for _, w := range k.workers {
 				w.keptFor = nil
+				k.total += w.member.Capacity.Accelerators
 				k.free += w.member.Capacity.Accelerators - w.used.Accelerators
 			}
 		}
@@ -209,7 +210,10 @@
 		if u.claims == nil && (failed[form] || u.blockedAt == s.freed && now.Before(u.retryAt)) {
 			return u
 		}
-		where := s.fit(u, r, now)
+		var where []*worker
+		if r.terms.Priority == 0 || s.leavesReserve(u, r) {
+			where = s.fit(u, r, now)
+		}
 		if where == nil {
 			if len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && !u.step.advised && now.Sub(u.step.readySince) > settledWait {
 				failed[form] = true
@@ -222,6 +226,36 @@
 	return nil
 }
 
+// leavesReserve reports whether enough accelerators stay free for the
+// guarantees, so that a burst of urgent work does not have to stop what runs.
+// The reserve does not shrink with the urgent work that runs: where there is
+// some, more is to come. A service that is mostly idle, and a unit that is too
+// large to ever leave the reserve, are not held back.
+func (s *Scheduler) leavesReserve(u *unit, r *ranked) bool {
+	free, total := 0, 0
+	for _, k := range s.racks[r.terms.Service] {
+		free += k.free
+		total += k.total
+	}
+	need := u.size * u.step.spec.Need.Accelerators
+	reserve := int(reserveShare * float64(s.guaranteed()))
+	switch {
+	case free-need >= reserve || need > total-reserve:
+		return true
+	default:
+		return 2*need <= free && 2*(total-free) < total
+	}
+}
+
+// guaranteed returns the accelerators that all accounts are guaranteed.
+func (s *Scheduler) guaranteed() int {
+	n := 0
+	for i := range s.catalog.Contracts {
+		n += s.catalog.Contracts[i].Reserved
+	}
+	return n
+}
+
 // start binds the unit to workers; the order leaves once that is stored.
 func (s *Scheduler) start(u *unit, r *ranked, where []*worker, now time.Time) {
 	j := u.step.occ.job
@@ -231,6 +265,9 @@
 	u.run++
 	u.placedAt, u.workedAt, u.brokenAt = now, now, time.Time{}
 	for i, w := range where {
+		if w.rack != nil {
+			w.rack.free -= u.step.spec.Need.Accelerators
+		}
 		s.attach(&member{unit: u, index: u.first + i, run: u.run, worker: w})
 	}
 	j.begun = true
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -70,8 +70,10 @@
 type rack struct {
 	key     rackKey
 	workers []*worker
-	// free are the accelerators that are not in use, as of the current plan.
-	free int
+	// free are the accelerators that are not in use, as of the current plan, of
+	// total.
+	free  int
+	total int
 }
 
 // Event is one decision for the log.
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -249,12 +249,17 @@
 func TestUrgentWorkReclaimsItsGuarantee(t *testing.T) {
 	r := newRig(t, 1)
 	r.lookAll()
+	// The guarantee is new, so that nothing was left free for it.
+	before := testCatalog()
+	before.Contracts = nil
+	r.s.SetCatalog(before)
 	for i := range perRack {
 		borrowed := job(fmt.Sprintf("b%d", i), "plain", primrosespar.Step{Count: 1, Need: gpus(8)})
 		borrowed.Account = "sud"
 		r.s.Submit(borrowed, r.now)
 	}
 	r.started(r.plan().Starts)
+	r.s.SetCatalog(testCatalog())
 	r.now = r.now.Add(time.Second)
 	r.s.Submit(job("u", "urgent", primrosespar.Step{Count: 2, Need: gpus(8), Gang: true, OneRack: true}), r.now)
 	stops := r.plan().Stops
@@ -391,3 +396,27 @@
 		require.Equal(t, advice.Tickets[o.Worker], o.Ticket)
 	}
 }
+
+// TestPlainWorkLeavesGuaranteesFree guards against bursts of urgent work that
+// have to stop what runs because the rest has taken all that was free.
+func TestPlainWorkLeavesGuaranteesFree(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	for i := range perRack {
+		r.s.Submit(job(fmt.Sprintf("b%d", i), "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	}
+	require.Len(t, r.plan().Starts, perRack-1, "16 of 32 accelerators are guaranteed, and about half of them stay free")
+	r.s.Submit(job("u", "urgent", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	changes := r.plan()
+	require.Len(t, changes.Starts, 1)
+	require.Empty(t, changes.Stops)
+}
+
+// TestIdleServiceHoldsNothingBack guards against a large job that waits for
+// ever though most of the service is idle.
+func TestIdleServiceHoldsNothingBack(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 4, Need: gpus(8), Gang: true}), r.now)
+	require.Len(t, r.plan().Starts, 4)
+}
