Store a submission before its progress

Cause: a batch of more than 90 rows is split, and a holder that ended between the two transactions left progress that its successor could not take over. Change: the submission is written first.

--- a/internal/fleet/conductor/batch.go
+++ b/internal/fleet/conductor/batch.go
@@ -66,18 +66,21 @@
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, primrosespar.Write{Key: primrosespar.ProgressKey(id), Value: progress})
-		switch over := r.Progress.State.Ended() && len(r.Progress.Occurrences) == 0; {
-		case over && r.Submission == nil:
-			// Nobody needs the submission of a job that has ended.
-			out = append(out, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Delete: true})
-		case !over && r.Submission != nil:
+		over := r.Progress.State.Ended() && len(r.Progress.Occurrences) == 0
+		if !over && r.Submission != nil {
+			// The submission comes first: a large batch is split, and progress
+			// without its submission could not be taken over.
 			submission, err := c.encoder.Submission(*r.Submission)
 			if err != nil {
 				return nil, err
 			}
 			out = append(out, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Value: submission})
 		}
+		out = append(out, primrosespar.Write{Key: primrosespar.ProgressKey(id), Value: progress})
+		if over && r.Submission == nil {
+			// Nobody needs the submission of a job that has ended.
+			out = append(out, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Delete: true})
+		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.deletes)) {
 		out = append(out, primrosespar.Write{Key: key, Delete: true})
