--- a/cmd/primrosespar/entry.go
+++ b/cmd/primrosespar/entry.go
@@ -17,8 +17,8 @@
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/daemon"
 	"primrosespar.example/primrosespar/internal/operator/handler"
-	"primrosespar.example/primrosespar/internal/platform/commander"
-	"primrosespar.example/primrosespar/internal/platform/tabler"
+	"primrosespar.example/primrosespar/internal/service/commander"
+	"primrosespar.example/primrosespar/internal/service/tabler"
 )
 
 // entryCommand runs the daemon of an entry host until it is told to stop.
--- a/cmd/standin/soakload.go
+++ b/cmd/standin/soakload.go
@@ -33,9 +33,9 @@
 	tasks  []string
 	// accepted is when the first 2xx came; refusals counts 503 answers and
 	// unknown is set once an answer left the outcome open.
-	accepted  time.Time
-	refusals  int
-	unknown   bool
+	accepted time.Time
+	refusals int
+	unknown  bool
 	// cancelled is set once the caller has asked for a cancellation, answered or
 	// not.
 	cancelled bool
--- a/internal/entry/certifier/certifier_test.go
+++ b/internal/entry/certifier/certifier_test.go
@@ -28,7 +28,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/entry/certifier"
 	"primrosespar.example/primrosespar/internal/member/messenger"
-	"primrosespar.example/primrosespar/internal/platform/tabler"
+	"primrosespar.example/primrosespar/internal/service/tabler"
 )
 
 // authority signs certificates of hosts.
--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -20,7 +20,6 @@
 	"primrosespar.example/primrosespar/internal/place/planner"
 	"primrosespar.example/primrosespar/internal/place/runner"
 	"primrosespar.example/primrosespar/internal/place/submitter"
-	"primrosespar.example/primrosespar/internal/platform/batcher"
 	"primrosespar.example/primrosespar/internal/record/recorder"
 	"primrosespar.example/primrosespar/internal/request/claimer"
 	"primrosespar.example/primrosespar/internal/request/dispatcher"
@@ -28,6 +27,7 @@
 	"primrosespar.example/primrosespar/internal/request/minter"
 	"primrosespar.example/primrosespar/internal/request/retrier"
 	"primrosespar.example/primrosespar/internal/request/router"
+	"primrosespar.example/primrosespar/internal/service/batcher"
 )
 
 // host holds the running parts of one process.
--- a/internal/platform/batcher/batcher_test.go
+++ b/internal/service/batcher/batcher_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/platform/batcher"
+	"primrosespar.example/primrosespar/internal/service/batcher"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
--- a/internal/platform/commander/commander_test.go
+++ b/internal/service/commander/commander_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/platform/commander"
+	"primrosespar.example/primrosespar/internal/service/commander"
 )
 
 // TestDoReportsLostAnswers guards against a bad answer that is taken for the
--- a/internal/platform/tabler/tabler_test.go
+++ b/internal/service/tabler/tabler_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/platform/tabler"
+	"primrosespar.example/primrosespar/internal/service/tabler"
 )
 
 // TestCommitErrors guards against "nothing was sent" where the write may have
--- a/internal/standin/server/platform_test.go
+++ b/internal/standin/server/platform_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/platform/commander"
-	"primrosespar.example/primrosespar/internal/platform/tabler"
+	"primrosespar.example/primrosespar/internal/service/commander"
+	"primrosespar.example/primrosespar/internal/service/tabler"
 	"primrosespar.example/primrosespar/internal/standin/executor"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 	"primrosespar.example/primrosespar/internal/standin/server"
