--- a/imports_test.go
+++ b/imports_test.go
@@ -27,6 +27,7 @@
 		"internal/place/assembler", "internal/place/cleaner", "internal/place/quarantiner",
 		"internal/member/leaser", "internal/member/watcher", "internal/member/divider",
 		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
+		"internal/fleet/scheduler", "internal/fleet/encoder",
 	}
 }
 
@@ -116,22 +117,25 @@
 }
 
 // TestProductDoesNotImportStandin guards against a product that contains the
-// stand-ins of the platform.
+// stand-ins of the platform, and a core that knows the users' platform.
 func TestProductDoesNotImportStandin(t *testing.T) {
 	checked := 0
-	for _, root := range []string{"cmd/primrosespar", "internal"} {
+	for _, root := range []string{"cmd/primrosespar", "internal", "platform"} {
 		require.NoError(t, filepath.WalkDir(root, func(dir string, d fs.DirEntry, err error) error {
 			if err != nil || !d.IsDir() {
 				return err
 			}
-			if dir = path.Clean(filepath.ToSlash(dir)); dir == "internal/standin" {
+			if dir = path.Clean(filepath.ToSlash(dir)); dir == "internal/standin" || dir == "platform/standin" {
 				return fs.SkipDir
 			}
 			for imported, file := range read(t, dir).imports {
 				checked++
-				if strings.HasPrefix(imported, module+"/internal/standin") {
+				if strings.HasPrefix(imported, module+"/internal/standin") || strings.HasPrefix(imported, module+"/platform/standin") {
 					t.Errorf("%s imports %s", file, imported)
 				}
+				if strings.HasPrefix(imported, module+"/platform") && strings.HasPrefix(dir, "internal") {
+					t.Errorf("%s imports the adapter %s", file, imported)
+				}
 			}
 			return nil
 		}))
