Leave a holder that begins its term alone

Change: a holder that answers but does not lead yet gets 2.5 s; taking the lease may take 4 s; a host whose earlier process has the lease takes it at once. TestHolderThatBeginsIsLeftAlone fails without it.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -108,11 +108,10 @@
 	return c.advance(ctx, next, nil)
 }
 
-// Own reports whether the row names this process: a take without an answer may
-// have had effect.
-func (c *Committer) Own(row Holder) bool {
-	return row.Host == c.identity.Host && row.Incarnation == c.identity.Incarnation
-}
+// Own reports whether the row names this host. If it names this process, a
+// take without an answer had effect; if it names an earlier one, that process
+// is gone.
+func (c *Committer) Own(row Holder) bool { return row.Host == c.identity.Host }
 
 // Token returns the token of the lease.
 func (c *Committer) Token() primrosespar.Token { return c.held.Token }
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -48,6 +48,12 @@
 	yieldTime = 600 * time.Millisecond
 	// rankDelay keeps successors apart, so that one try succeeds.
 	rankDelay = 200 * time.Millisecond
+	// beginTime is how long the row may stay unchanged while its holder answers
+	// but does not lead yet: on a slow store it learns late that it has the
+	// lease.
+	beginTime = 2500 * time.Millisecond
+	// takeTimeout bounds the write that takes the lease.
+	takeTimeout = 4 * time.Second
 	// maxHandicap is how long a host without processor time of its own leaves a
 	// free lease to others; a host with a whole core does not wait.
 	maxHandicap = 800 * time.Millisecond
@@ -255,10 +261,14 @@
 		e.watch(ctx, terms, yieldTime)
 		return watchInterval
 	}
-	if err != nil && e.silence() < doubtTime {
+	switch {
+	case err == nil:
+		e.watch(ctx, terms, beginTime)
+	case e.silence() < doubtTime:
 		return watchInterval / 2
+	default:
+		e.watch(ctx, terms, takeTime)
 	}
-	e.watch(ctx, terms, takeTime)
 	return watchInterval
 }
 
@@ -291,7 +301,9 @@
 	if !e.observe(row, unchanged) {
 		return
 	}
-	switch err := e.parts.Committer.Take(call, row); primrosespar.CodeOf(err) {
+	taking, stop := context.WithTimeout(ctx, takeTimeout)
+	defer stop()
+	switch err := e.parts.Committer.Take(taking, row); primrosespar.CodeOf(err) {
 	case primrosespar.CodeOK:
 		e.begin(ctx, terms)
 	case primrosespar.CodeConflict:
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -156,3 +156,15 @@
 		require.False(t, r.led.Load())
 	})
 }
+
+// TestHolderThatBeginsIsLeftAlone guards against one holder after the other on
+// a slow store, where each learns late that it has the lease.
+func TestHolderThatBeginsIsLeftAlone(t *testing.T) {
+	run(t, func(_ context.Context, t *testing.T, r *rig) {
+		r.peers.set(func() (primrosespar.FleetNews, error) { return primrosespar.FleetNews{}, nil })
+		time.Sleep(2 * time.Second)
+		require.False(t, r.led.Load())
+		time.Sleep(2 * time.Second)
+		require.True(t, r.led.Load(), "but not for ever")
+	})
+}
