--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -128,14 +128,14 @@
 func freePorts(ip string, n int) (int, error) {
 	const tries = 50
 	for range tries {
-		first, err := net.Listen("tcp", ip+":0")
+		first, err := listen(ip + ":0")
 		if err != nil {
 			return 0, eris.Wrap(err, "port")
 		}
 		port := first.Addr().(*net.TCPAddr).Port
 		held := []net.Listener{first}
 		for k := 1; k < n; k++ {
-			if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port+k)); err == nil {
+			if l, err := listen(fmt.Sprintf("%s:%d", ip, port+k)); err == nil {
 				held = append(held, l)
 			}
 		}
@@ -149,6 +149,11 @@
 	return 0, eris.New("no free ports in a row")
 }
 
+// listen listens at an address of loopback.
+func listen(address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+}
+
 // startHost starts the process of a host and waits until it listens.
 func (s *soak) startHost(ctx context.Context, h *soakHost) error {
 	child, err := s.processes.start(ctx, h.name, s.Product, []string{"fleet", "--settings", h.path}, func(line []byte) bool {
--- a/internal/fleet/clerk/clerk.go
+++ b/internal/fleet/clerk/clerk.go
@@ -167,8 +167,9 @@
 		return nil
 	case primrosespar.CodeStoreUnknown:
 		return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the store did not answer").Because(err)
+	default:
+		return err
 	}
-	return err
 }
 
 // mailCancel stores the cancellation of a job that is stored.
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -46,8 +46,8 @@
 }
 
 // write is a write of one row.
-func write(key, value string) []primrosespar.Write {
-	return []primrosespar.Write{{Key: key, Value: []byte(value)}}
+func write(value string) []primrosespar.Write {
+	return []primrosespar.Write{{Key: "progress/x", Value: []byte(value)}}
 }
 
 // TestSilentStoreDoesNotHoldACommitForEver guards against a commit that waits
@@ -67,8 +67,8 @@
 			if applied {
 				table.silent = 1
 			}
-			require.NoError(t, c.Commit(ctx, write("progress/x", "1")))
-			require.NoError(t, c.Commit(ctx, write("progress/x", "2")))
+			require.NoError(t, c.Commit(ctx, write("1")))
+			require.NoError(t, c.Commit(ctx, write("2")))
 			rows, err := table.Get(ctx, "progress/x")
 			require.NoError(t, err)
 			require.Equal(t, "2", string(rows[0].Value))
@@ -85,11 +85,11 @@
 	seen, err := a.Read(ctx)
 	require.NoError(t, err)
 	require.NoError(t, a.Take(ctx, seen))
-	require.NoError(t, a.Commit(ctx, write("progress/x", "a")))
+	require.NoError(t, a.Commit(ctx, write("a")))
 	seen, err = b.Read(ctx)
 	require.NoError(t, err)
 	require.NoError(t, b.Take(ctx, seen))
-	err = a.Commit(ctx, write("progress/x", "late"))
+	err = a.Commit(ctx, write("late"))
 	require.Equal(t, primrosespar.CodeLeaseLost, primrosespar.CodeOf(err))
 	require.Greater(t, b.Token(), a.Token())
 	rows, err := table.Get(ctx, "progress/x")
--- a/internal/fleet/scheduler/machine_test.go
+++ b/internal/fleet/scheduler/machine_test.go
@@ -270,11 +270,11 @@
 }
 
 // take removes one of the orders.
-func take(t *rapid.T, list *[]sentOrder, label string) (sentOrder, bool) {
+func take(t *rapid.T, list *[]sentOrder) (sentOrder, bool) {
 	if len(*list) == 0 {
 		return sentOrder{}, false
 	}
-	i := rapid.IntRange(0, len(*list)-1).Draw(t, label)
+	i := rapid.IntRange(0, len(*list)-1).Draw(t, "order")
 	o := (*list)[i]
 	*list = append((*list)[:i:i], (*list)[i+1:]...)
 	return o, true
@@ -331,7 +331,7 @@
 			m.plan()
 			m.sendHeld()
 			for len(m.pending) > 0 {
-				o, _ := take(t, &m.pending, "order")
+				o, _ := take(t, &m.pending)
 				switch rapid.IntRange(0, 2).Draw(t, "fate") {
 				case 0:
 					m.answer(o, m.apply(o))
@@ -345,7 +345,7 @@
 			}
 		},
 		"answer": func(t *rapid.T) {
-			if o, ok := take(t, &m.pending, "order"); ok {
+			if o, ok := take(t, &m.pending); ok {
 				m.answer(o, m.apply(o))
 			}
 		},
@@ -356,24 +356,24 @@
 			m.pending = nil
 		},
 		"refuse": func(t *rapid.T) {
-			if o, ok := take(t, &m.pending, "order"); ok && o.start {
+			if o, ok := take(t, &m.pending); ok && o.start {
 				m.answer(o, primrosespar.CodeWorkerUnwell)
 			}
 		},
 		"loseAnswer": func(t *rapid.T) {
-			if o, ok := take(t, &m.pending, "order"); ok {
+			if o, ok := take(t, &m.pending); ok {
 				m.apply(o)
 				m.answer(o, primrosespar.CodeWorkerLost)
 			}
 		},
 		"loseOrder": func(t *rapid.T) {
-			if o, ok := take(t, &m.pending, "order"); ok {
+			if o, ok := take(t, &m.pending); ok {
 				m.late = append(m.late, o)
 				m.answer(o, primrosespar.CodeWorkerLost)
 			}
 		},
 		"applyLate": func(t *rapid.T) {
-			if o, ok := take(t, &m.late, "order"); ok {
+			if o, ok := take(t, &m.late); ok {
 				m.apply(o)
 			}
 		},
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -228,6 +228,8 @@
 		}
 		u.avoidWorker(m.worker)
 		s.strike(m.worker, j, now)
+	default:
+		// The other ends are no fault of the task.
 	}
 	if u.brokenAt.IsZero() {
 		u.brokenAt = now
--- a/internal/standin/proxier/proxier.go
+++ b/internal/standin/proxier/proxier.go
@@ -9,6 +9,7 @@
 package proxier
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -51,7 +52,7 @@
 
 // New starts a proxy on a free port of loopback.
 func New(target netip.AddrPort) (*Proxier, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy")
 	}
@@ -107,7 +108,7 @@
 			_ = in.Close()
 			continue
 		}
-		out, err := net.Dial("tcp", p.target)
+		out, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", p.target)
 		if err != nil {
 			_ = in.Close()
 			continue
