--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -48,6 +48,10 @@
 type fleetCommand struct {
 	Settings string `help:"Settings file of this host; the platform names it in the environment." type:"path"`
 	LogLevel string `help:"Least level that is logged." enum:"debug,info,warning,error" default:"info"`
+	// MetricsPort is fixed in the deploy file, because the platform draws the
+	// ports of the settings anew.
+	MetricsPort uint16 `help:"Port of the metrics; a free one of the settings by default."`
+	Check       bool   `help:"Check the settings and stop."`
 }
 
 // Run serves until SIGTERM or SIGINT and then stops gracefully.
@@ -61,6 +65,12 @@
 	if err != nil {
 		return err
 	}
+	if c.Check {
+		return nil
+	}
+	if c.MetricsPort > 0 {
+		settings.Metrics = netip.AddrPortFrom(settings.Metrics.Addr(), c.MetricsPort)
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
 	spool := spooler.New(os.Stdout)
 	defer func() { _ = spool.Close() }()
@@ -122,7 +132,9 @@
 	if err != nil {
 		return err
 	}
-	f.log.Info("host has started")
+	f.log.WithFields(logrus.Fields{
+		"callers": f.settings.Callers.String(), "peers": f.settings.Peers.String(), "metrics": f.settings.Metrics.String(),
+	}).Info("host has started")
 	f.await(signals, path)
 	f.stop(ctx, servers)
 	f.log.Info("host has stopped")
