--- a/catalog.go
+++ b/catalog.go
@@ -33,8 +33,6 @@
 	Contracts []Contract
 	// Keys maps the key of a caller to its account.
 	Keys map[string]Account
-	// GuardedServices refuse themselves what does not fit their workers.
-	GuardedServices map[Service]bool
 }
 
 // Terms returns the terms of the queue.
--- a/fleet.go
+++ b/fleet.go
@@ -59,13 +59,8 @@
 	PerWorker int
 	// Checkpointing tasks save their progress and can resume.
 	Checkpointing bool
-	// Copies of the task may run in parallel; the first to finish counts.
-	Copies bool
 	// Lasting tasks run until the job is cancelled.
 	Lasting bool
-	// MaxAway bounds the lasting tasks that the system may make unavailable
-	// at once.
-	MaxAway int
 	// Filler tasks take the processor time that others leave unused, so their
 	// cores do not count against a worker.
 	Filler bool
--- a/fleetpeer.go
+++ b/fleetpeer.go
@@ -49,8 +49,8 @@
 	State(ctx context.Context, to netip.AddrPort, id JobID) (JobState, error)
 	// Cancel cancels a job; nil says that this is stored.
 	Cancel(ctx context.Context, to netip.AddrPort, id JobID) error
-	// Succeed asks a host to take the lease over that the sender gave up.
-	Succeed(ctx context.Context, to netip.AddrPort, token Token) error
+	// Succeed asks a host to take over the lease that the sender gave up.
+	Succeed(ctx context.Context, to netip.AddrPort) error
 }
 
 // FleetHandler answers messages of other hosts.
@@ -59,5 +59,5 @@
 	HandleSubmit(ctx context.Context, job Submission) error
 	HandleState(ctx context.Context, id JobID) (JobState, error)
 	HandleCancel(ctx context.Context, id JobID) error
-	HandleSucceed(ctx context.Context, token Token) error
+	HandleSucceed(ctx context.Context) error
 }
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// SetBusy says whether the worker has runs.
+// SetBusy says whether the worker has to be looked at.
 func (a *Attendant) SetBusy(busy bool) {
 	a.mu.Lock()
 	changed := busy != a.busy
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -291,16 +291,16 @@
 	c.attend()
 }
 
-// attend tells the attendants which workers have runs.
+// attend tells the attendants which workers have to be looked at.
 func (c *Conductor) attend() {
 	busy := map[primrosespar.Worker]bool{}
-	for _, w := range c.core.Watches() {
-		busy[w.Member.Worker] = w.Busy
-		a := c.attendants[w.Member.Worker]
+	for _, member := range c.core.Watched() {
+		busy[member.Worker] = true
+		a := c.attendants[member.Worker]
 		if a == nil {
-			a = c.employ(w.Member)
+			a = c.employ(member)
 		}
-		a.SetMember(w.Member)
+		a.SetMember(member)
 	}
 	for name, a := range c.attendants {
 		a.SetBusy(busy[name])
--- a/internal/fleet/courier/courier.go
+++ b/internal/fleet/courier/courier.go
@@ -66,8 +66,8 @@
 }
 
 // Succeed implements primrosespar.FleetPeers.
-func (c *Courier) Succeed(ctx context.Context, to netip.AddrPort, token primrosespar.Token) error {
-	return c.tell(ctx, to, rpcSucceed, &succession{Token: token})
+func (c *Courier) Succeed(ctx context.Context, to netip.AddrPort) error {
+	return c.tell(ctx, to, rpcSucceed, &succession{})
 }
 
 // State implements primrosespar.FleetPeers.
--- a/internal/fleet/courier/server.go
+++ b/internal/fleet/courier/server.go
@@ -28,10 +28,8 @@
 	Job primrosespar.JobID `json:"job"`
 }
 
-// succession is the message of Succeed.
-type succession struct {
-	Token primrosespar.Token `json:"token"`
-}
+// succession is the message of Succeed, which says nothing but that it came.
+type succession struct{}
 
 // service passes messages to the handler.
 type service struct {
@@ -69,8 +67,8 @@
 }
 
 // succeed serves a handover.
-func (s *service) succeed(ctx context.Context, in *succession) *replier.Reply[struct{}] {
-	return replier.Of(struct{}{}, s.handler.HandleSucceed(ctx, in.Token))
+func (s *service) succeed(ctx context.Context, _ *succession) *replier.Reply[struct{}] {
+	return replier.Of(struct{}{}, s.handler.HandleSucceed(ctx))
 }
 
 // description lists the methods for drpc.
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -202,7 +202,7 @@
 		case <-d.opts.Clock.After(10 * time.Millisecond):
 		}
 	}
-	if err := d.courier.Succeed(ctx, successor, 0); err != nil {
+	if err := d.courier.Succeed(ctx, successor); err != nil {
 		d.opts.Failed("handover", err)
 	}
 }
--- a/internal/fleet/daemon/handling.go
+++ b/internal/fleet/daemon/handling.go
@@ -54,7 +54,7 @@
 }
 
 // HandleSucceed implements primrosespar.FleetHandler.
-func (d *Daemon) HandleSucceed(context.Context, primrosespar.Token) error {
+func (d *Daemon) HandleSucceed(context.Context) error {
 	d.elector.Succeed()
 	return nil
 }
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -114,26 +114,18 @@
 	}
 }
 
-// Watch is a worker that has to be looked at.
-type Watch struct {
-	Member primrosespar.Member
-	// Busy workers have runs whose lease has to be renewed, or have not been
-	// looked at yet.
-	Busy bool
-}
-
-// Watches returns the workers to look at: those with runs, and those that may
-// get work.
-func (s *Scheduler) Watches() []Watch {
-	var out []Watch
+// Watched returns the workers to look at: those with runs, whose lease has to
+// be renewed, and those that have not been looked at yet.
+func (s *Scheduler) Watched() []primrosespar.Member {
+	var out []primrosespar.Member
 	for _, w := range s.roster {
 		if len(w.members) > 0 || !w.looked {
-			out = append(out, Watch{Member: w.member, Busy: true})
+			out = append(out, w.member)
 		}
 	}
 	for _, w := range s.workers {
 		if !w.present && len(w.members) > 0 && w.member.Address.IsValid() {
-			out = append(out, Watch{Member: w.member, Busy: true})
+			out = append(out, w.member)
 		}
 	}
 	return out
