Let reports be on their way in the state machine test

The actions that ask for a report and deliver it later were written but not among the actions, as the linter showed.

--- a/internal/fleet/scheduler/machine_test.go
+++ b/internal/fleet/scheduler/machine_test.go
@@ -421,7 +421,25 @@
 				m.apply(o)
 			}
 		},
-		"look":    func(t *rapid.T) { m.look(m.pick(t)) },
+		"look": func(t *rapid.T) { m.look(m.pick(t)) },
+		"ask": func(t *rapid.T) {
+			if look, ok := m.ask(m.pick(t)); ok {
+				m.looks = append(m.looks, look)
+			}
+		},
+		"askAll": func(*rapid.T) {
+			for _, w := range m.workers {
+				if look, ok := m.ask(w); ok {
+					m.looks = append(m.looks, look)
+				}
+			}
+		},
+		"deliver": func(*rapid.T) {
+			for _, look := range m.looks {
+				m.deliver(look)
+			}
+			m.looks = nil
+		},
 		"lookAll": func(*rapid.T) { m.lookAll() },
 		"work":    func(t *rapid.T) { m.work(t) },
 		"wait":    func(t *rapid.T) { m.wait(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond) },
