Count a failed run once across holders

Change: the record names the runs that failed instead of their number. TestFailureIsCountedOnceAcrossHolders fails without it; the state machine test now checks that a failed job has used up its attempts.

--- a/internal/fleet/encoder/encoder.go
+++ b/internal/fleet/encoder/encoder.go
@@ -41,8 +41,9 @@
 	Phase Phase
 	// Run is the number of the last run, 0 before the first.
 	Run uint64
-	// Failures counts the failed runs.
-	Failures   int
+	// Failed are the numbers of the runs that failed. A later holder may be told
+	// of them again and must not count them twice.
+	Failed     []uint64
 	Checkpoint string
 	// Workers hold the members of the current run, in the order of the tasks.
 	Workers []primrosespar.Worker
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"primrosespar.example/primrosespar"
@@ -63,11 +64,10 @@
 	first int
 	size  int
 
-	phase    encoder.Phase
-	run      uint64
-	failures int
-	// failedRuns are the runs that were counted as failures by this holder.
-	failedRuns map[uint64]bool
+	phase encoder.Phase
+	run   uint64
+	// failed are the runs that failed.
+	failed     []uint64
 	checkpoint string
 	members    []*member
 	stopping   bool
@@ -164,7 +164,7 @@
 
 // restoreUnit takes over the progress of one unit.
 func (s *Scheduler) restoreUnit(u *unit, saved encoder.Unit, now time.Time) {
-	u.phase, u.run, u.failures, u.checkpoint = saved.Phase, saved.Run, saved.Failures, saved.Checkpoint
+	u.phase, u.run, u.failed, u.checkpoint = saved.Phase, saved.Run, saved.Failed, saved.Checkpoint
 	if u.run > 0 {
 		u.step.occ.job.begun = true
 	}
@@ -304,7 +304,7 @@
 
 // progress returns what is stored of a unit.
 func (u *unit) progress() encoder.Unit {
-	p := encoder.Unit{Phase: u.phase, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint}
+	p := encoder.Unit{Phase: u.phase, Run: u.run, Failed: slices.Clone(u.failed), Checkpoint: u.checkpoint}
 	if u.phase == encoder.Done {
 		p.Checkpoint = ""
 	}
--- a/internal/fleet/scheduler/machine_test.go
+++ b/internal/fleet/scheduler/machine_test.go
@@ -68,8 +68,11 @@
 	late    []sentOrder // lost, but carried out later
 	done    map[primrosespar.TaskName]bool
 	failed  map[primrosespar.TaskName]int
-	leases  map[primrosespar.Worker]time.Time
-	jobs    int
+	// failures are the runs that failed at workers, noted or not, by task or, for
+	// a gang, by its first task.
+	failures map[primrosespar.TaskName]map[uint64]bool
+	leases   map[primrosespar.Worker]time.Time
+	jobs     int
 	// held are stored changes whose orders have not left yet.
 	held scheduler.Changes
 }
@@ -86,7 +89,8 @@
 	m := &fleetMachine{
 		t: t, now: time.Unix(1_000_000, 0), stored: map[primrosespar.JobID]scheduler.Record{},
 		done: map[primrosespar.TaskName]bool{}, failed: map[primrosespar.TaskName]int{},
-		leases: map[primrosespar.Worker]time.Time{},
+		failures: map[primrosespar.TaskName]map[uint64]bool{},
+		leases:   map[primrosespar.Worker]time.Time{},
 	}
 	members := newRig(&testing.T{}, 1).members
 	for _, member := range members[:modelWorkers] {
@@ -141,6 +145,9 @@
 			record.Submission = m.stored[record.Job].Submission
 		}
 		m.stored[record.Job] = record
+		if record.Progress.State == primrosespar.JobFailed {
+			m.checkFailed(record.Job)
+		}
 	}
 	m.held.Starts = append(m.held.Starts, changes.Starts...)
 	if m.held.Noted == nil {
@@ -154,6 +161,16 @@
 	}
 }
 
+// checkFailed fails if no task of a failed job has used up its attempts.
+func (m *fleetMachine) checkFailed(id primrosespar.JobID) {
+	for task, runs := range m.failures {
+		if task.Job == id && len(runs) >= 2 {
+			return
+		}
+	}
+	m.t.Fatalf("job %s is shown as failed without cause", id)
+}
+
 // sendHeld sends the orders whose records are stored and acknowledges ends.
 func (m *fleetMachine) sendHeld() {
 	for _, o := range m.held.Starts {
@@ -533,7 +550,18 @@
 	}
 	run := runs[rapid.IntRange(0, len(runs)-1).Draw(t, "run")]
 	how := rapid.SampledFrom([]primrosespar.RunEnd{primrosespar.EndDone, primrosespar.EndDone, primrosespar.EndFailed}).Draw(t, "end")
-	if m.stored[run.Task.Job].Submission.Steps[run.Task.Step].Gang {
+	gang := m.stored[run.Task.Job].Submission.Steps[run.Task.Step].Gang
+	if how == primrosespar.EndFailed {
+		task := run.Task
+		if gang {
+			task.Index = 0
+		}
+		if m.failures[task] == nil {
+			m.failures[task] = map[uint64]bool{}
+		}
+		m.failures[task][run.Number] = true
+	}
+	if gang {
 		m.endGang(run, how)
 		return
 	}
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -242,14 +242,9 @@
 
 // countFailure counts a failed run once, however many members report it.
 func (u *unit) countFailure(run uint64) {
-	if u.failedRuns[run] {
-		return
-	}
-	if u.failedRuns == nil {
-		u.failedRuns = map[uint64]bool{}
+	if !slices.Contains(u.failed, run) {
+		u.failed = append(u.failed, run)
 	}
-	u.failedRuns[run] = true
-	u.failures++
 }
 
 // avoidWorker keeps the next run away from the worker.
@@ -271,7 +266,7 @@
 		return
 	}
 	attempts := s.terms(j).Attempts
-	if !u.step.spec.Lasting && attempts > 0 && u.failures >= attempts {
+	if !u.step.spec.Lasting && attempts > 0 && len(u.failed) >= attempts {
 		u.phase = encoder.Failed
 		s.end(j, primrosespar.JobFailed, now)
 	}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -479,3 +479,27 @@
 	r.now = r.now.Add(time.Second)
 	require.Empty(t, r.plan().Starts)
 }
+
+// TestFailureIsCountedOnceAcrossHolders guards against a job that is shown as
+// failed before its attempts are used up: a new holder is told again of an end
+// that the earlier one has stored but not acknowledged.
+func TestFailureIsCountedOnceAcrossHolders(t *testing.T) {
+	first := newRig(t, 1)
+	first.lookAll()
+	first.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), first.now)
+	start := first.plan().Starts[0]
+	first.started([]scheduler.Order{start})
+	first.now = first.now.Add(time.Second)
+	failed := primrosespar.EndedRun{Sequence: 1, Run: start.Run, End: primrosespar.EndFailed}
+	first.look(first.index(start.Worker), nil, failed)
+	first.plan()
+	second := newRig(t, 1)
+	second.s.Restore(*first.records["a"].Submission, first.records["a"].Progress, second.now)
+	second.s.SetMembers(second.members, second.now)
+	second.lookAll()
+	second.look(second.index(start.Worker), nil, failed)
+	second.now = second.now.Add(time.Second)
+	second.plan()
+	state, _ := second.s.State("a")
+	require.Equal(t, primrosespar.JobActive, state)
+}
