--- /dev/null
+++ b/internal/fleet/clerk/clerk_test.go
@@ -0,0 +1,74 @@
+package clerk_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/clerk"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// peers fails every call with the error.
+type peers struct {
+	primrosespar.FleetPeers
+	err error
+}
+
+// Submit implements primrosespar.FleetPeers.
+func (p peers) Submit(context.Context, netip.AddrPort, primrosespar.Submission) error { return p.err }
+
+// Cancel implements primrosespar.FleetPeers.
+func (p peers) Cancel(context.Context, netip.AddrPort, primrosespar.JobID) error { return p.err }
+
+// State implements primrosespar.FleetPeers.
+func (p peers) State(context.Context, netip.AddrPort, primrosespar.JobID) (primrosespar.JobState, error) {
+	return "", p.err
+}
+
+// newClerk returns a clerk whose holder answers with the error.
+func newClerk(t *testing.T, err error) (*clerk.Clerk, *keeper.Keeper) {
+	clock := clockwork.NewRealClock()
+	table := keeper.New(keeper.WithClock(clock))
+	c, failed := clerk.New(clerk.Parts{
+		Table: table, Peers: peers{err: err}, Clock: clock,
+		Term:    func() clerk.Term { return nil },
+		Holder:  func() (netip.AddrPort, bool) { return netip.MustParseAddrPort("10.0.0.1:1"), true },
+		Catalog: func() *primrosespar.Catalog { return &primrosespar.Catalog{} },
+	})
+	require.NoError(t, failed)
+	return c, table
+}
+
+// TestHolderOutOfReachLeavesTheStore guards against jobs that are refused, or
+// not known, though the host reaches the store.
+func TestHolderOutOfReachLeavesTheStore(t *testing.T) {
+	ctx := t.Context()
+	c, table := newClerk(t, primrosespar.Fail(primrosespar.CodePeerUnavailable, "cut off"))
+	job := primrosespar.Submission{ID: "a", Queue: "q"}
+	_, err := c.State(ctx, "a")
+	require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(err))
+	require.NoError(t, c.Submit(ctx, job))
+	require.NoError(t, c.Submit(ctx, job), "a repetition is the same job")
+	state, err := c.State(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, primrosespar.JobQueued, state)
+	require.NoError(t, c.Cancel(ctx, "a"))
+	require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(c.Cancel(ctx, "b")))
+	rows, err := table.Scan(ctx, primrosespar.MailPrefix(), "", 10)
+	require.NoError(t, err)
+	require.Len(t, rows, 2)
+}
+
+// TestDoubtIsNotARefusal guards against a refusal that says a job never runs
+// though an attempt was not answered and may have been stored.
+func TestDoubtIsNotARefusal(t *testing.T) {
+	c, table := newClerk(t, primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "no answer"))
+	table.SetFaults(keeper.Faults{Outage: true})
+	err := c.Submit(t.Context(), primrosespar.Submission{ID: "a"})
+	require.Equal(t, primrosespar.CodeOutcomeUnknown, primrosespar.CodeOf(err))
+}
