Let the test of a failure across holders fail without its fix

The test now lets that run be denied; with every failure counted it fails, on the code as it is it passes.

--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -498,7 +498,9 @@
 	second.s.SetMembers(second.members, second.now)
 	second.lookAll()
 	second.look(second.index(start.Worker), nil, failed)
+	// The run that the first holder placed next was never started.
 	second.now = second.now.Add(time.Second)
+	second.lookAll()
 	second.plan()
 	state, _ := second.s.State("a")
 	require.Equal(t, primrosespar.JobActive, state)
