Look again at idle workers that did not answer

A worker whose last look had no answer while nothing ran there was never looked at again, so it got no work for the rest of the term; and the gang kept away from the eight workers where it had failed. Change: such workers are looked at until they answer, and a unit that fits nowhere else tries the workers that it avoids again after 5 s. TestSilentIdleWorkerIsLookedAt and TestAvoidedWorkersAreTriedAgain guard this.

--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -26,6 +26,9 @@
 	quarantineStrikes = 2
 	// quarantineShare bounds the part of a service's workers in quarantine.
 	quarantineShare = 0.25
+	// avoidTime is how long after its last start a unit keeps away from workers
+	// where it has failed, if it does not fit elsewhere.
+	avoidTime = 5 * time.Second
 	// claimTime bounds how long freed capacity is kept for the unit that it
 	// was freed for.
 	claimTime = 3 * time.Second
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -218,6 +218,9 @@
 			if len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && !u.step.advised && now.Sub(u.step.readySince) > settledWait {
 				failed[form] = true
 			}
+			if now.Sub(u.workedAt) > avoidTime {
+				u.avoid = nil
+			}
 			u.blockedAt, u.retryAt = s.freed, now.Add(blockedRetry)
 			return u
 		}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -505,3 +505,39 @@
 	state, _ := second.s.State("a")
 	require.Equal(t, primrosespar.JobActive, state)
 }
+
+// TestSilentIdleWorkerIsLookedAt guards against a worker that is lost to the
+// fleet for good because its last look had no answer and nothing runs there.
+func TestSilentIdleWorkerIsLookedAt(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	require.Empty(t, r.s.Watched())
+	r.s.Silent(r.members[2].Worker, r.now)
+	require.Equal(t, []primrosespar.Member{r.members[2]}, r.s.Watched())
+	r.look(2, nil)
+	require.Empty(t, r.s.Watched())
+}
+
+// TestAvoidedWorkersAreTriedAgain guards against a unit that waits for ever
+// because it has failed at every worker.
+func TestAvoidedWorkersAreTriedAgain(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: perRack, Need: gpus(8), Gang: true}), r.now)
+	starts := r.plan().Starts
+	require.Len(t, starts, perRack)
+	r.started(starts)
+	r.now = r.now.Add(time.Second)
+	for k, o := range starts {
+		end := primrosespar.EndBroken
+		if k == 0 {
+			end = primrosespar.EndFailed
+		}
+		r.look(r.index(o.Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: o.Run, End: end})
+	}
+	require.Empty(t, r.plan().Starts)
+	r.now = r.now.Add(6 * time.Second)
+	r.plan()
+	r.now = r.now.Add(time.Second)
+	require.Len(t, r.plan().Starts, perRack)
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -115,11 +115,12 @@
 }
 
 // Watched returns the workers to look at: those with runs, whose lease has to
-// be renewed, and those that have not been looked at yet.
+// be renewed, those that have not been looked at yet, and those that left a look
+// without an answer.
 func (s *Scheduler) Watched() []primrosespar.Member {
 	var out []primrosespar.Member
 	for _, w := range s.roster {
-		if len(w.members) > 0 || !w.looked {
+		if len(w.members) > 0 || !w.looked || w.suspect {
 			out = append(out, w.member)
 		}
 	}
