Judge standing runs by reports only

The holder compared the time of the last progress with its own clock, but a look that is lost is noticed only after 2.9 s and the limit is 2.5 s; a gang counted the time before its last member was there.

A run now stands still if its worker has listed it without progress over 1.5 s, and a gang only from the start of its last member.

--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -76,6 +76,9 @@
 	notBefore time.Time
 	placedAt  time.Time
 	workedAt  time.Time
+	// gatheredAt is when the last member of a run was seen at its worker: a
+	// gang makes no progress before.
+	gatheredAt time.Time
 	// avoid are workers where a run failed.
 	avoid map[primrosespar.Worker]bool
 	// entitled units run within the guarantee of their account.
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -43,6 +43,8 @@
 	settled   time.Time
 	percent   float64
 	percentAt time.Time
+	// seenAt is when the worker last listed the run.
+	seenAt time.Time
 }
 
 // task returns the name of the member's task.
@@ -144,9 +146,8 @@
 	case primrosespar.CodeOK, primrosespar.CodeStaleAttempt:
 		// A stale attempt was there before: the next report says what became
 		// of it.
-		m.phase, m.settled = running, now
-		m.percentAt = now
-		m.unanswered = false
+		m.settled = now
+		m.begin(now)
 	case primrosespar.CodeWorkerLost, primrosespar.CodeWorkerLate:
 		m.unanswered = m.unanswered || code == primrosespar.CodeWorkerLost
 		m.retryAt = now.Add(retryDelay)
@@ -155,6 +156,23 @@
 	}
 }
 
+// begin takes note that the run is at its worker.
+func (m *member) begin(now time.Time) {
+	m.phase, m.unanswered = running, false
+	m.percentAt = now
+	m.unit.gatheredAt = now
+}
+
+// standing reports whether the member has been seen without progress for a
+// while. The time in which its worker did not answer proves nothing.
+func (m *member) standing(now time.Time) bool {
+	since := m.percentAt
+	if m.unit.gatheredAt.After(since) {
+		since = m.unit.gatheredAt
+	}
+	return now.Sub(since) > stallTime && m.seenAt.Sub(since) > stallSeen
+}
+
 // refused handles a start that had no effect.
 func (s *Scheduler) refused(m *member, code primrosespar.Code, now time.Time) {
 	s.log("start_refused", m.unit.step.occ.job, m.worker, m.run, code.String())
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -20,6 +20,9 @@
 	// stallTime is how long a run may stand still before it is moved; tasks
 	// report progress at each look, which is at most 2 s apart.
 	stallTime = 2500 * time.Millisecond
+	// stallSeen is the part of it that reports have to cover: a look that
+	// lists the run again without progress.
+	stallSeen = 1500 * time.Millisecond
 	// quarantineTime is how long a bad worker gets no new work.
 	quarantineTime = 8 * time.Second
 	// quarantineStrikes are the jobs that fail in a row before a quarantine.
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -324,7 +324,7 @@
 	}
 	if u.stalled(now) {
 		for _, m := range u.members {
-			if now.Sub(m.percentAt) > stallTime {
+			if m.standing(now) {
 				u.avoidWorker(m.worker)
 				s.quarantine(m.worker, now, "a run stands still")
 			}
@@ -355,7 +355,7 @@
 		}
 	}
 	for _, m := range u.members {
-		if now.Sub(m.percentAt) > stallTime {
+		if m.standing(now) {
 			return true
 		}
 	}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -257,9 +257,9 @@
 		return
 	}
 	if m.phase != running {
-		m.phase, m.unanswered = running, false
-		m.percentAt = now
+		m.begin(now)
 	}
+	m.seenAt = now
 	if a.Checkpoint != "" && m.run == m.unit.run {
 		m.unit.checkpoint = a.Checkpoint
 	}
