Give up the runs of a replaced worker at once

Cause: a worker that crashed and came back under another id at the same address answers 421 to all calls meant for the one before.

A 421 now ends all runs of that worker and takes it off the roster until it announces a later lifetime. The test fails to build without the change; the claim was not testable before.

--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -395,12 +395,21 @@
 	s.c.post(func() {
 		s.c.core.Silent(worker, lapse)
 		s.c.parts.Decided(scheduler.Event{Kind: "worker_silent", Worker: worker, Detail: err.Error()})
-		if primrosespar.CodeOf(err) == primrosespar.CodeStaleToken {
-			s.c.lost = primrosespar.Fail(primrosespar.CodeLeaseLost, "worker %s has seen a later holder", worker)
-		}
+		s.c.takeRefusal(worker, primrosespar.CodeOf(err))
 	})
 }
 
+// takeRefusal draws what a refusal says of the worker or of the term.
+func (c *Conductor) takeRefusal(worker primrosespar.Worker, code primrosespar.Code) {
+	switch code {
+	case primrosespar.CodeStaleToken:
+		c.lost = primrosespar.Fail(primrosespar.CodeLeaseLost, "worker %s has seen a later holder", worker)
+	case primrosespar.CodeWorkerReborn:
+		c.core.Replaced(worker, c.parts.Clock.Now())
+	default:
+	}
+}
+
 // Answered implements attendant.Sink.
 func (s sink) Answered(worker primrosespar.Worker, run primrosespar.Run, start bool, lapse time.Time, err error) {
 	s.c.post(func() {
@@ -417,8 +426,6 @@
 		} else {
 			s.c.core.Stopped(o, code, now)
 		}
-		if code == primrosespar.CodeStaleToken {
-			s.c.lost = primrosespar.Fail(primrosespar.CodeLeaseLost, "worker %s has seen a later holder", worker)
-		}
+		s.c.takeRefusal(worker, code)
 	})
 }
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -41,6 +41,9 @@
 	racks  map[primrosespar.Service][]*rack
 	// rosters counts the rosters that were taken.
 	rosters uint64
+	// replaced are workers whose address another worker answers at, with the
+	// start of the lifetime that was replaced, while they are still announced.
+	replaced map[primrosespar.Worker]time.Time
 	// freed counts the events by which a unit may fit that did not before.
 	freed uint64
 	// urgent are the accelerators in use by urgent work, by account.
@@ -123,6 +126,8 @@
 		racks:   map[primrosespar.Service][]*rack{},
 		urgent:  map[primrosespar.Account]int{},
 		noted:   map[primrosespar.Worker]uint64{},
+
+		replaced: map[primrosespar.Worker]time.Time{},
 	}
 }
 
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -541,3 +541,33 @@
 	r.now = r.now.Add(time.Second)
 	require.Len(t, r.plan().Starts, perRack)
 }
+
+// TestReplacedWorkerFreesItsRuns guards against work that waits for a lease
+// though another worker answers at the address of the one that held it.
+func TestReplacedWorkerFreesItsRuns(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 2, Need: gpus(4)}), r.now)
+	starts := r.plan().Starts
+	require.Len(t, starts, 2)
+	require.Equal(t, starts[0].Worker, starts[1].Worker)
+	r.s.Started(starts[0], primrosespar.CodeOK, r.now)
+	r.s.Started(starts[1], primrosespar.CodeWorkerLost, r.now)
+	r.now = r.now.Add(100 * time.Millisecond)
+	lost := starts[0].Worker
+	r.s.Replaced(lost, r.now)
+	r.now = r.now.Add(200 * time.Millisecond)
+	again := r.plan().Starts
+	require.Len(t, again, 2)
+	for _, o := range again {
+		require.NotEqual(t, lost, o.Worker)
+		require.Equal(t, uint64(2), o.Run.Number)
+	}
+
+	// Its announcement stays for a while and names no worker to use.
+	r.s.SetMembers(r.members, r.now)
+	require.NotContains(t, r.s.Watched(), r.members[r.index(lost)])
+	r.members[r.index(lost)].Born = r.members[r.index(lost)].Born.Add(time.Minute)
+	r.s.SetMembers(r.members, r.now)
+	require.Contains(t, r.s.Watched(), r.members[r.index(lost)])
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -73,7 +73,12 @@
 	s.roster = s.roster[:0]
 	s.freed++
 	s.rosters++
+	replaced := map[primrosespar.Worker]time.Time{}
 	for _, member := range members {
+		if born, ok := s.replaced[member.Worker]; ok && !member.Born.After(born) {
+			replaced[member.Worker] = born
+			continue
+		}
 		w := s.worker(member.Worker, now)
 		if !w.born.IsZero() && !member.Born.IsZero() && member.Born.After(w.born) {
 			s.reborn(w, member.Born, now)
@@ -82,6 +87,7 @@
 		w.member, w.present = member, true
 		s.roster = append(s.roster, w)
 	}
+	s.replaced = replaced
 	slices.SortFunc(s.roster, func(a, b *worker) int {
 		return strings.Compare(string(a.member.Worker), string(b.member.Worker))
 	})
@@ -318,6 +324,27 @@
 	}
 }
 
+// Replaced takes note that another worker answers at the address of the named
+// one, so that all that ran there is gone and no order can reach it. Its
+// announcement may stay for a while.
+func (s *Scheduler) Replaced(name primrosespar.Worker, now time.Time) {
+	w := s.workers[name]
+	if w == nil {
+		return
+	}
+	s.log("worker_replaced", nil, w, 0, "another worker answers at its address")
+	for _, m := range w.all() {
+		s.ended(m, primrosespar.EndLapsed, "", now)
+	}
+	s.replaced[name] = w.member.Born
+	delete(s.workers, name)
+	if i := slices.Index(s.roster, w); i >= 0 {
+		s.roster = slices.Delete(s.roster, i, i+1)
+		s.groupRacks()
+		s.rosters++
+	}
+}
+
 // strike notes a failure of a job at the worker. Failures of one job alone say
 // nothing of the worker, because the job may never succeed.
 func (s *Scheduler) strike(w *worker, j *job, now time.Time) {
