Do not repeat starts at a worker that does not answer

Cause: each repetition of a start carries a lease, and the holder takes a worker for lost only once the last lease that left has lapsed.

Starts are not repeated while the last look at the worker had no answer, and a start that found no connection, and so had no effect, goes elsewhere at once (it has a code of its own now). The test for the first fails without the change.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -303,7 +303,7 @@
 		case a.orders <- struct{}{}:
 			defer func() { <-a.orders }()
 		case <-ctx.Done():
-			a.sink.Answered(a.worker, run, start, time.Time{}, primrosespar.Fail(primrosespar.CodeWorkerLost, "not sent"))
+			a.sink.Answered(a.worker, run, start, time.Time{}, primrosespar.Fail(primrosespar.CodePeerUnavailable, "not sent"))
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTime)
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -391,7 +391,9 @@
 		case m.stopping && !m.stopped:
 			m.inFlight = true
 			s.stops = append(s.stops, m)
-		case !m.stopping && (m.phase == placed || m.phase == sent):
+		case !m.stopping && (m.phase == placed || m.phase == sent && !w.suspect):
+			// A repetition carries a lease, so that a worker that does not answer
+			// would never be given up.
 			m.inFlight = true
 			m.phase = sent
 			s.starts = append(s.starts, m)
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -571,3 +571,36 @@
 	r.s.SetMembers(r.members, r.now)
 	require.Contains(t, r.s.Watched(), r.members[r.index(lost)])
 }
+
+// TestStartIsNotRepeatedAtASilentWorker guards against a task that is bound to
+// a dead worker for good: each start carries a lease, so repetitions kept the
+// run from lapsing.
+func TestStartIsNotRepeatedAtASilentWorker(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	start := r.plan().Starts[0]
+	r.s.Started(start, primrosespar.CodeWorkerLost, r.now)
+	r.s.Silent(start.Worker, r.now.Add(leaseTime))
+	r.now = r.now.Add(time.Second)
+	require.Empty(t, r.plan().Starts)
+	r.now = r.now.Add(scheduler.DefaultTakeover)
+	again := r.plan().Starts
+	require.Len(t, again, 1)
+	require.NotEqual(t, start.Worker, again[0].Worker)
+}
+
+// TestStartThatNeverLeftGoesElsewhere guards against a wait for the lease of a
+// worker that no start has reached.
+func TestStartThatNeverLeftGoesElsewhere(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	start := r.plan().Starts[0]
+	r.s.Started(start, primrosespar.CodePeerUnavailable, r.now)
+	r.s.Silent(start.Worker, r.now.Add(leaseTime))
+	r.now = r.now.Add(200 * time.Millisecond)
+	again := r.plan().Starts
+	require.Len(t, again, 1)
+	require.NotEqual(t, start.Worker, again[0].Worker)
+}
--- a/orders.go
+++ b/orders.go
@@ -58,9 +58,10 @@
 }
 
 // Fleet sends orders to workers. An order without an answer may be carried out
-// later; its error has CodeWorkerLost. Refusals have CodeStaleToken,
-// CodeStaleAttempt, CodeWorkerLate, CodeWorkerFull, CodeWorkerReborn or
-// CodeWorkerUnwell, and had no effect.
+// later; its error has CodeWorkerLost. An order that has not left has
+// CodePeerUnavailable. Refusals have CodeStaleToken, CodeStaleAttempt,
+// CodeWorkerLate, CodeWorkerFull, CodeWorkerReborn or CodeWorkerUnwell. None of
+// them had an effect.
 type Fleet interface {
 	// Look reads what the worker holds and what has ended there.
 	Look(ctx context.Context, look Look) (WorkerReport, error)
