Carry out waves of upkeep

internal/fleet/maintainer decides, without input or output: it closes the machines that come next to new work, takes them down when nothing runs there or the window presses, counts a machine as down from before its order leaves until a later list shows it up, and reports the wave only once each machine that stays has had its upkeep. What was begun is stored before the order leaves, so that the next holder counts it. Lasting steps keep as many tasks at work as they ask for.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -110,10 +110,14 @@
 	client := platform.New(f.settings, func(entry, why string) {
 		f.log.WithFields(logrus.Fields{"worker": entry, "reason": why}).Warn("entry of a worker was left out")
 	})
+	backend := daemon.Backend{Table: client, Source: client, Fleet: client}
+	if f.settings.HasMachines() {
+		backend.Upkeep = client
+	}
 	d, err := daemon.New(daemon.Settings{
 		Host: f.settings.Host, Peers: f.settings.Peers, Weight: f.settings.Cores,
 		Lease: min(maxLease, f.settings.LongestLease),
-	}, daemon.Backend{Table: client, Source: client, Fleet: client},
+	}, backend,
 		daemon.WithClock(f.clock), daemon.WithLog(f.decided, f.changed, f.failed))
 	if err != nil {
 		return err
--- a/code.go
+++ b/code.go
@@ -99,6 +99,7 @@
 	CodeWorkerFull        Code = 710
 	CodeWorkerReborn      Code = 711
 	CodeWorkerUnwell      Code = 712
+	CodeMachineBusy       Code = 713
 )
 
 // CodeInfo describes one result code.
@@ -202,6 +203,7 @@
 		{CodeWorkerFull, "worker_full", 409, exitRefused, "The worker has no room for the task. Not run."},
 		{CodeWorkerReborn, "worker_reborn", 421, exitConflict, "The worker started again since the order was made. Not run."},
 		{CodeWorkerUnwell, "worker_unwell", 503, exitRefused, "The worker refused the order because it is unhealthy or overloaded. Not run."},
+		{CodeMachineBusy, "machine_busy", 409, exitConflict, "The machine is not up, or is about to leave, so its upkeep cannot begin."},
 	}
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -61,6 +61,9 @@
 	Checkpointing bool
 	// Lasting tasks run until the job is cancelled.
 	Lasting bool
+	// MostAway is how many tasks of a lasting step may be away at once by
+	// decision of the scheduler; 0 is no bound.
+	MostAway int
 	// Filler tasks take the processor time that others leave unused, so their
 	// cores do not count against a worker.
 	Filler bool
--- a/internal/fleet/conductor/batch.go
+++ b/internal/fleet/conductor/batch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/maintainer"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
 
@@ -17,6 +18,9 @@
 	starts  []scheduler.Order
 	noted   map[primrosespar.Worker]uint64
 	replies []func(error)
+	// upkeeps are the waves to store, by number, and upkeepOrders what follows.
+	upkeeps      map[int]maintainer.Record
+	upkeepOrders []maintainer.Order
 }
 
 // newBatch returns an empty batch.
@@ -25,6 +29,7 @@
 		records: map[primrosespar.JobID]scheduler.Record{},
 		deletes: map[string]bool{},
 		noted:   map[primrosespar.Worker]uint64{},
+		upkeeps: map[int]maintainer.Record{},
 	}
 }
 
@@ -54,7 +59,7 @@
 
 // stored reports whether the batch has anything to store.
 func (b *batch) stored() bool {
-	return len(b.records) > 0 || len(b.deletes) > 0 || len(b.replies) > 0
+	return len(b.records) > 0 || len(b.upkeeps) > 0 || len(b.deletes) > 0 || len(b.replies) > 0
 }
 
 // writes returns the rows of the batch.
@@ -82,6 +87,13 @@
 			out = append(out, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Delete: true})
 		}
 	}
+	for _, number := range slices.Sorted(maps.Keys(b.upkeeps)) {
+		w, err := c.upkeepWrite(b.upkeeps[number])
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, w)
+	}
 	for _, key := range slices.Sorted(maps.Keys(b.deletes)) {
 		out = append(out, primrosespar.Write{Key: key, Delete: true})
 	}
@@ -95,7 +107,7 @@
 	}
 	if !c.next.stored() && now.Sub(c.sentAt) < signInterval {
 		c.follow(c.next)
-		c.next.starts, c.next.noted = nil, map[primrosespar.Worker]uint64{}
+		c.next.starts, c.next.upkeepOrders, c.next.noted = nil, nil, map[primrosespar.Worker]uint64{}
 		return
 	}
 	b := c.next
@@ -141,6 +153,9 @@
 			})
 		}
 	}
+	for _, o := range b.upkeepOrders {
+		c.tasks.Go(func() { c.order(o) })
+	}
 	for w, sequence := range b.noted {
 		if a := c.attendants[w]; a != nil {
 			a.Noted(sequence)
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -26,6 +26,7 @@
 	"primrosespar.example/primrosespar/internal/fleet/attendant"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/maintainer"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
 
@@ -66,9 +67,13 @@
 
 // Parts are what a Conductor works with.
 type Parts struct {
-	Table     primrosespar.Table
-	Fleet     primrosespar.Fleet
-	Source    primrosespar.Source
+	Table  primrosespar.Table
+	Fleet  primrosespar.Fleet
+	Source primrosespar.Source
+	// Upkeep is nil where no machines are maintained.
+	Upkeep primrosespar.Upkeep
+	// Host names this host to the provider of the machines.
+	Host      primrosespar.Host
 	Clock     primrosespar.Clock
 	Committer *committer.Committer
 	// Catalog returns the catalog in force.
@@ -100,14 +105,17 @@
 
 // Conductor runs one term of one holder. It is used once.
 type Conductor struct {
-	parts   Parts
-	opts    Options
-	token   primrosespar.Token
-	encoder *encoder.Encoder
-	core    *scheduler.Scheduler
-	posts   chan func()
-	done    chan struct{}
-	retire  chan struct{}
+	parts      Parts
+	opts       Options
+	token      primrosespar.Token
+	encoder    *encoder.Encoder
+	core       *scheduler.Scheduler
+	maintainer *maintainer.Maintainer
+	// maintaining is set while a wave of upkeep is open.
+	maintaining atomic.Bool
+	posts       chan func()
+	done        chan struct{}
+	retire      chan struct{}
 	// advising lets one question out at a time.
 	advising chan struct{}
 	tasks    conc.WaitGroup
@@ -159,6 +167,7 @@
 		shown:      map[primrosespar.JobID]primrosespar.JobState{},
 		next:       newBatch(),
 		began:      parts.Clock.Now(),
+		maintainer: maintainer.New(),
 	}
 	c.core = scheduler.New(scheduler.WithWall(parts.Wall), scheduler.WithTakeover(o.Takeover), scheduler.WithLapse(c.lapse))
 	return c, nil
@@ -183,6 +192,7 @@
 	}
 	c.tasks.Go(func() { c.every(inner, rosterInterval, c.readRoster) })
 	c.tasks.Go(func() { c.every(inner, mailInterval, c.readMail) })
+	c.startUpkeep(inner)
 	err := c.loop(inner)
 	c.settleAll(err)
 	return err
@@ -210,8 +220,9 @@
 			c.plan()
 		case <-tick:
 			tick = c.parts.Clock.After(tickInterval)
+			c.maintain(c.parts.Clock.Now())
 			c.plan()
-			c.upkeep()
+			c.tidy()
 		}
 		if c.lost != nil {
 			return c.lost
@@ -279,8 +290,8 @@
 	c.post(func() { c.core.Advised(question, advice, err == nil, asked, c.parts.Clock.Now()) })
 }
 
-// upkeep does what need not be done at each plan.
-func (c *Conductor) upkeep() {
+// tidy does what need not be done at each plan.
+func (c *Conductor) tidy() {
 	now := c.parts.Clock.Now()
 	for _, id := range c.core.Forget(now.Add(-retention)) {
 		c.next.forget(id)
--- a/internal/fleet/conductor/serving.go
+++ b/internal/fleet/conductor/serving.go
@@ -107,6 +107,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.loadUpkeep(ctx); err != nil {
+		return err
+	}
 	now := c.parts.Clock.Now()
 	jobs := map[primrosespar.JobID]primrosespar.Submission{}
 	for _, row := range submissions {
--- a/internal/fleet/encoder/encoder.go
+++ b/internal/fleet/encoder/encoder.go
@@ -70,6 +70,19 @@
 	Occurrences []Occurrence
 }
 
+// Wave is the progress of one wave of upkeep.
+type Wave struct {
+	_      struct{} `cbor:",toarray"`
+	Number int
+	// Begun are the machines whose order may have left, Over those that are
+	// through.
+	Begun []primrosespar.Machine
+	Over  []primrosespar.Machine
+	// End is when all machines should be through, in Unix milliseconds.
+	End       int64
+	Completed bool
+}
+
 // Encoder encodes and decodes rows. It is safe for concurrent use.
 type Encoder struct {
 	decoder cbor.DecMode
@@ -109,3 +122,16 @@
 	err := e.decoder.Unmarshal(data, &p)
 	return p, eris.Wrap(err, "decode progress")
 }
+
+// Wave encodes the progress of a wave.
+func (e *Encoder) Wave(w Wave) ([]byte, error) {
+	data, err := cbor.Marshal(w)
+	return data, eris.Wrap(err, "encode wave")
+}
+
+// ParseWave decodes the progress of a wave.
+func (e *Encoder) ParseWave(data []byte) (Wave, error) {
+	var w Wave
+	err := e.decoder.Unmarshal(data, &w)
+	return w, eris.Wrap(err, "decode wave")
+}
--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -23,7 +23,7 @@
 // fitting reports whether the worker may get the unit but for advice.
 func (w *worker) fitting(u *unit, service primrosespar.Service, now time.Time) bool {
 	spec := u.step.spec
-	if !w.present || !w.looked || w.suspect || w.member.Draining || w.member.Service != service {
+	if !w.present || !w.looked || w.suspect || w.leaving() || w.member.Service != service {
 		return false
 	}
 	if now.Before(w.quarantine) || u.avoid[w.member.Worker] {
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -245,6 +245,10 @@
 	switch {
 	case free-need >= reserve || need > total-reserve:
 		return true
+	case u.step.spec.Lasting:
+		// A task that has to go on is started while there is room for it twice
+		// over; it gives way if a guarantee is claimed.
+		return 2*need <= free
 	default:
 		return 2*need <= free && 2*(total-free) < total
 	}
@@ -318,7 +322,7 @@
 		s.stopUnit(u, "another member ended")
 		return
 	}
-	if u.step.spec.Checkpointing && u.leaving() {
+	if u.leaving() && s.mayMove(u) {
 		s.stopUnit(u, "its worker is leaving")
 		return
 	}
@@ -333,16 +337,6 @@
 	}
 }
 
-// leaving reports whether a worker of the unit drains.
-func (u *unit) leaving() bool {
-	for _, m := range u.members {
-		if m.worker.member.Draining {
-			return true
-		}
-	}
-	return false
-}
-
 // stalled reports whether all members run at workers that answer and none has
 // made progress for a while.
 func (u *unit) stalled(now time.Time) bool {
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -24,6 +24,10 @@
 // the urgent one counts than that of the others.
 const firstPriorityWeight = 2.5
 
+// lastingLoss is how much work a stop of a lasting task is taken to lose,
+// because it keeps none; it is more than that of most other tasks.
+const lastingLoss = 10 * time.Second
+
 // victim is a unit that may give way, with the work that would be lost.
 type victim struct {
 	unit *unit
@@ -82,6 +86,8 @@
 	room := 0
 	var open []*worker
 	var victims []victim
+	// spared counts the tasks of lasting steps among the victims.
+	spared := map[*step]int{}
 	for _, w := range workers {
 		if !w.usable(u, r.terms.Service, now) {
 			continue
@@ -97,7 +103,10 @@
 				continue
 			}
 			v.mark = s.mark
-			if s.mayEvict(v, entitled) {
+			if s.mayEvict(v, entitled) && v.spare(spared[v.step]) {
+				if v.step.spec.Lasting {
+					spared[v.step] += v.size
+				}
 				victims = append(victims, victim{v, s.price(v, now)})
 			}
 		}
@@ -157,9 +166,10 @@
 	return change
 }
 
-// mayEvict reports whether the unit may give way to an urgent one.
+// mayEvict reports whether the unit may give way to an urgent one. Lasting
+// work has to go on, unless a guarantee is claimed.
 func (s *Scheduler) mayEvict(v *unit, entitled bool) bool {
-	if v.step.spec.Lasting {
+	if v.step.spec.Lasting && !entitled {
 		return false
 	}
 	if s.terms(v.step.occ.job).Priority > 0 {
@@ -182,6 +192,9 @@
 	need := v.step.spec.Need
 	cores := float64(need.Millicores)/1000 + acceleratorCores*float64(need.Accelerators)
 	since := now.Sub(v.placedAt)
+	if v.step.spec.Lasting {
+		since = min(since, lastingLoss)
+	}
 	if v.step.spec.Checkpointing {
 		// A stop saves the work; only the way back is lost.
 		since = min(since, time.Second)
--- /dev/null
+++ b/internal/fleet/scheduler/vacating.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
+)
+
+// fullPercent is the progress of a lasting task that is at work.
+const fullPercent = 100
+
+// SetClosing names the workers that are about to be taken down: they get no
+// new work, and what can go on elsewhere without loss is moved.
+func (s *Scheduler) SetClosing(workers map[primrosespar.Worker]bool) {
+	for name, w := range s.workers {
+		if w.closing != workers[name] {
+			w.closing = workers[name]
+			s.freed++
+		}
+	}
+}
+
+// Vacant reports whether nothing runs on the worker.
+func (s *Scheduler) Vacant(name primrosespar.Worker) bool {
+	w := s.workers[name]
+	return w == nil || len(w.members) == 0
+}
+
+// Bound reports whether the worker has a run that must not be stopped now.
+func (s *Scheduler) Bound(name primrosespar.Worker) bool {
+	w := s.workers[name]
+	if w == nil {
+		return false
+	}
+	for _, m := range w.list {
+		if !s.maySpare(m.unit) {
+			return true
+		}
+	}
+	return false
+}
+
+// Loss is the work in core-seconds that a stop of all runs on the worker would
+// lose.
+func (s *Scheduler) Loss(name primrosespar.Worker, now time.Time) float64 {
+	w := s.workers[name]
+	if w == nil {
+		return 0
+	}
+	total := 0.0
+	for _, m := range w.list {
+		total += m.unit.loss(now)
+	}
+	return total
+}
+
+// Vacate stops what runs on the worker, but for runs that must not be stopped
+// now.
+func (s *Scheduler) Vacate(name primrosespar.Worker) {
+	w := s.workers[name]
+	if w == nil {
+		return
+	}
+	for _, m := range w.all() {
+		if !m.unit.stopping && m.unit.phase == encoder.Placed && s.maySpare(m.unit) {
+			s.stopUnit(m.unit, "its worker is taken down")
+		}
+	}
+}
+
+// leaving reports whether the worker gets no new work because it is about to
+// go.
+func (w *worker) leaving() bool { return w.member.Draining || w.closing }
+
+// leaving reports whether a worker of the unit is about to go.
+func (u *unit) leaving() bool {
+	for _, m := range u.members {
+		if m.worker.leaving() {
+			return true
+		}
+	}
+	return false
+}
+
+// mayMove reports whether the unit loses little or nothing if it is stopped
+// before its worker goes.
+func (s *Scheduler) mayMove(u *unit) bool {
+	return u.step.spec.Checkpointing || u.step.spec.Lasting && s.maySpare(u)
+}
+
+// maySpare reports whether the unit may be away by decision of the scheduler:
+// a lasting step with a bound needs enough other tasks at work. A worker that
+// drains ends its tasks anyway.
+func (s *Scheduler) maySpare(u *unit) bool { return u.spare(0) }
+
+// spare is maySpare with more tasks of the step about to be away.
+func (u *unit) spare(more int) bool {
+	spec := u.step.spec
+	if !spec.Lasting || spec.MostAway == 0 || u.step.occ.job.state.Ended() {
+		return true
+	}
+	if len(u.members) > 0 && u.drained() {
+		return true
+	}
+	away := more
+	for _, other := range u.step.units {
+		if other != u && !other.atWork() {
+			away += other.size
+		}
+	}
+	return away+u.size <= spec.MostAway
+}
+
+// drained reports whether all members are on workers that drain.
+func (u *unit) drained() bool {
+	for _, m := range u.members {
+		if !m.worker.member.Draining {
+			return false
+		}
+	}
+	return true
+}
+
+// atWork reports whether all members of a lasting unit are known to be at work.
+func (u *unit) atWork() bool {
+	if u.stopping || len(u.members) < u.size {
+		return false
+	}
+	for _, m := range u.members {
+		if m.phase != running || m.worker.suspect || m.percent < fullPercent {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -15,6 +15,8 @@
 	member  primrosespar.Member
 	rack    *rack
 	present bool
+	// closing workers get no new work and are about to be taken down.
+	closing bool
 	// looked is set once the worker has answered a look under the token of
 	// this holder, so that older orders have no effect any more.
 	looked  bool
--- a/key.go
+++ b/key.go
@@ -80,3 +80,9 @@
 
 // MailCancelKey is the message that a job is to be cancelled.
 func MailCancelKey(id JobID) string { return MailPrefix() + "cancel-" + string(id) }
+
+// UpkeepPrefix starts the keys of the waves of upkeep.
+func UpkeepPrefix() string { return "fleet_upkeep/" }
+
+// UpkeepKey is the row of the progress of one wave of upkeep.
+func UpkeepKey(wave int) string { return fmt.Sprintf("%s%020d", UpkeepPrefix(), wave) }
--- /dev/null
+++ b/upkeep.go
@@ -0,0 +1,53 @@
+package primrosespar
+
+import (
+	"context"
+	"time"
+)
+
+// Machine names a machine that carries workers, one lifetime after the other.
+type Machine string
+
+// MachineState is one machine of the fleet's provider.
+type MachineState struct {
+	Machine Machine
+	// Worker is the lifetime that the machine carries now.
+	Worker Worker
+	// Up machines carry a worker; the others start, move, are maintained or
+	// leave.
+	Up bool
+}
+
+// Wave is an operator's request that each of its machines is maintained within
+// the window, at most Most of them at once.
+type Wave struct {
+	Number   int
+	Machines []Machine
+	Window   time.Duration
+	Most     int
+}
+
+// Maintenance takes one machine down for its upkeep. Everything that runs on
+// it ends, and a new worker joins later. A repetition has no further effect.
+type Maintenance struct {
+	Machine Machine
+	Wave    int
+	Holder  Host
+	Token   Token
+}
+
+// Upkeep is the provider of the machines and the operator's requests for their
+// upkeep.
+type Upkeep interface {
+	// Waves returns all waves that were requested.
+	Waves(ctx context.Context) ([]Wave, error)
+	// Machines returns all machines.
+	Machines(ctx context.Context) ([]MachineState, error)
+	// Maintain begins an upkeep. It fails with CodeStaleToken if the machine has
+	// seen a later holder, CodeMachineBusy if it is not up, CodeNotFound if it
+	// does not exist or is not in the wave. Any other failure may have had
+	// effect.
+	Maintain(ctx context.Context, m Maintenance) error
+	// ReportWave tells the operator how far a wave is.
+	ReportWave(ctx context.Context, wave int, completed bool) error
+}
