Count waiting jobs only once a new holder knows them

Cause: a holder that had just taken over answered beats before it had read the jobs of the earlier one, with no counts at all, and other hosts told callers that 0 jobs wait. Counts were given at any age, too.

A term counts once the jobs and the mail of earlier holders were read. Until then hosts give the last count of the earlier holder, for at most 3 s after it was made, and then answer that they are starting. The three tests do not build without the change, which adds what they ask for.

--- a/fleetpeer.go
+++ b/fleetpeer.go
@@ -33,7 +33,9 @@
 	// the store confirmed it.
 	CatalogVersion Version       `json:"catalog_version"`
 	CatalogAge     time.Duration `json:"catalog_age"`
-	// Waiting are the jobs without a start, by queue.
+	// Waiting are the jobs without a start, by queue. Counted is false until a
+	// new holder knows them.
+	Counted bool          `json:"counted,omitempty"`
 	Waiting map[Queue]int `json:"waiting,omitempty"`
 	// Hosts are the peers in the order in which they would succeed.
 	Hosts []netip.AddrPort `json:"hosts,omitempty"`
--- a/internal/fleet/clerk/clerk.go
+++ b/internal/fleet/clerk/clerk.go
@@ -30,6 +30,10 @@
 	searchPause = 50 * time.Millisecond
 	// searchTime bounds the search before the store is tried.
 	searchTime = 300 * time.Millisecond
+	// countAge is how old a count of waiting jobs may be. A job has to be seen
+	// 5 s after it was accepted, and a job that the mail carries is counted up
+	// to 2 s late.
+	countAge = 3 * time.Second
 )
 
 // Term is a holder's term at this host.
@@ -37,7 +41,8 @@
 	Submit(ctx context.Context, job primrosespar.Submission) error
 	Cancel(ctx context.Context, id primrosespar.JobID) error
 	State(ctx context.Context, id primrosespar.JobID) (primrosespar.JobState, error)
-	Waiting() map[primrosespar.Queue]int
+	// Waiting returns the jobs without a start; false until they are counted.
+	Waiting() (map[primrosespar.Queue]int, bool)
 }
 
 // Parts are what a Clerk works with.
@@ -49,8 +54,8 @@
 	Term func() Term
 	// Holder returns the address of the holder if it is another host.
 	Holder func() (netip.AddrPort, bool)
-	// News returns what the holder last said.
-	News func() (primrosespar.FleetNews, time.Duration, bool)
+	// Waiting returns what a holder last counted and the age of the count.
+	Waiting func() (map[primrosespar.Queue]int, time.Duration, bool)
 	// Catalog returns the catalog in force.
 	Catalog func() *primrosespar.Catalog
 }
@@ -234,11 +239,13 @@
 // Waiting implements primrosespar.Desk.
 func (c *Clerk) Waiting(_ context.Context, queue primrosespar.Queue) (int, error) {
 	if t := c.parts.Term(); t != nil {
-		return t.Waiting()[queue], nil
+		if waiting, ok := t.Waiting(); ok {
+			return waiting[queue], nil
+		}
 	}
-	news, _, ok := c.parts.News()
-	if !ok {
-		return 0, primrosespar.Fail(primrosespar.CodeStarting, "no holder has been heard of")
+	waiting, age, ok := c.parts.Waiting()
+	if !ok || age > countAge {
+		return 0, primrosespar.Fail(primrosespar.CodeStarting, "no holder has counted the jobs for %s", countAge)
 	}
-	return news.Waiting[queue], nil
+	return waiting[queue], nil
 }
--- a/internal/fleet/clerk/clerk_test.go
+++ b/internal/fleet/clerk/clerk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -72,3 +73,25 @@
 	err := c.Submit(t.Context(), primrosespar.Submission{ID: "a"})
 	require.Equal(t, primrosespar.CodeOutcomeUnknown, primrosespar.CodeOf(err))
 }
+
+// TestOldCountIsNotGiven guards against a queue that is said to be empty by a
+// host that has not heard of its jobs.
+func TestOldCountIsNotGiven(t *testing.T) {
+	age, known := time.Second, false
+	c, err := clerk.New(clerk.Parts{
+		Clock: clockwork.NewRealClock(), Term: func() clerk.Term { return nil },
+		Waiting: func() (map[primrosespar.Queue]int, time.Duration, bool) {
+			return map[primrosespar.Queue]int{"q": 3}, age, known
+		},
+	})
+	require.NoError(t, err)
+	_, err = c.Waiting(t.Context(), "q")
+	require.Equal(t, primrosespar.CodeStarting, primrosespar.CodeOf(err))
+	known = true
+	n, err := c.Waiting(t.Context(), "q")
+	require.NoError(t, err)
+	require.Equal(t, 3, n)
+	age = 4 * time.Second
+	_, err = c.Waiting(t.Context(), "q")
+	require.Equal(t, primrosespar.CodeStarting, primrosespar.CodeOf(err))
+}
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -138,7 +138,9 @@
 	// began, 0 without one.
 	began      time.Time
 	stuckSince atomic.Int64
-	waiting    atomic.Pointer[map[primrosespar.Queue]int]
+	// mailRead is set once the mail of hosts without a holder was read.
+	mailRead bool
+	waiting  atomic.Pointer[map[primrosespar.Queue]int]
 }
 
 // attended is the contact with one worker and what ends it.
@@ -297,8 +299,10 @@
 		c.next.forget(id)
 		delete(c.shown, id)
 	}
-	waiting := c.core.Waiting()
-	c.waiting.Store(&waiting)
+	if c.mailRead {
+		waiting := c.core.Waiting()
+		c.waiting.Store(&waiting)
+	}
 	c.attend()
 }
 
--- /dev/null
+++ b/internal/fleet/conductor/conductor_test.go
@@ -0,0 +1,81 @@
+package conductor_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/committer"
+	"primrosespar.example/primrosespar/internal/fleet/conductor"
+	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// source has a catalog and no workers.
+type source struct{}
+
+// Catalog implements primrosespar.Source.
+func (source) Catalog(context.Context) (*primrosespar.Catalog, error) { return catalog(), nil }
+
+// Members implements primrosespar.Source.
+func (source) Members(context.Context) ([]primrosespar.Member, error) { return nil, nil }
+
+// catalog has one queue.
+func catalog() *primrosespar.Catalog {
+	return &primrosespar.Catalog{Queues: []primrosespar.QueueTerms{{Queue: "q", Service: "pool", Priority: 1}}}
+}
+
+// newTerm returns a conductor that has taken the lease.
+func newTerm(t *testing.T, table primrosespar.Table) *conductor.Conductor {
+	clock := clockwork.NewRealClock()
+	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
+	seen, err := lease.Read(t.Context())
+	require.NoError(t, err)
+	require.NoError(t, lease.Take(t.Context(), seen))
+	c, err := conductor.New(conductor.Parts{
+		Table: table, Source: source{}, Clock: clock, Committer: lease, Catalog: catalog,
+		Wall:    func(now time.Time) time.Time { return now },
+		Decided: func(scheduler.Event) {}, StoreAnswered: func() {}, Failed: func(string, error) {},
+	})
+	require.NoError(t, err)
+	return c
+}
+
+// TestNewHolderDoesNotCountBeforeItKnows guards against a queue that is said to
+// be empty while a new holder still reads the jobs of the earlier one.
+func TestNewHolderDoesNotCountBeforeItKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		ctx, cancel := context.WithCancel(t.Context())
+		first := newTerm(t, table)
+		_, counted := first.Waiting()
+		require.False(t, counted)
+		ended := make(chan error, 2)
+		go func() { ended <- first.Run(ctx) }()
+		require.NoError(t, first.Submit(ctx, primrosespar.Submission{
+			ID: "a", Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}},
+		}))
+		time.Sleep(time.Second)
+		waiting, counted := first.Waiting()
+		require.True(t, counted)
+		require.Equal(t, map[primrosespar.Queue]int{"q": 1}, waiting)
+
+		second := newTerm(t, table)
+		_, counted = second.Waiting()
+		require.False(t, counted)
+		go func() { ended <- second.Run(ctx) }()
+		time.Sleep(time.Second)
+		waiting, counted = second.Waiting()
+		require.True(t, counted)
+		require.Equal(t, map[primrosespar.Queue]int{"q": 1}, waiting)
+		cancel()
+		<-ended
+		<-ended
+	})
+}
--- a/internal/fleet/conductor/serving.go
+++ b/internal/fleet/conductor/serving.go
@@ -48,12 +48,13 @@
 	return state, err
 }
 
-// Waiting returns the jobs without a start, by queue.
-func (c *Conductor) Waiting() map[primrosespar.Queue]int {
+// Waiting returns the jobs without a start, by queue; false before the jobs
+// and the mail of earlier holders were read.
+func (c *Conductor) Waiting() (map[primrosespar.Queue]int, bool) {
 	if w := c.waiting.Load(); w != nil {
-		return *w
+		return *w, true
 	}
-	return nil
+	return nil, false
 }
 
 // Stuck reports whether the store has left a commit without an answer for
@@ -177,9 +178,10 @@
 		return
 	}
 	c.parts.StoreAnswered()
-	if len(rows) > 0 {
-		c.post(func() { c.takeMail(rows) })
-	}
+	c.post(func() {
+		c.takeMail(rows)
+		c.mailRead = true
+	})
 }
 
 // takeMail applies messages and deletes their rows with the same commit.
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -139,7 +139,7 @@
 		follower.WithFailed(func(err error) { d.opts.Failed("catalog", err) }))
 	d.clerk, err = clerk.New(clerk.Parts{
 		Table: backend.Table, Peers: d.courier, Clock: d.opts.Clock,
-		Term: d.current, Holder: d.elector.Holder, News: d.elector.News, Catalog: d.follower.Catalog,
+		Term: d.current, Holder: d.elector.Holder, Waiting: d.elector.Waiting, Catalog: d.follower.Catalog,
 	})
 	return d, err
 }
--- a/internal/fleet/daemon/handling.go
+++ b/internal/fleet/daemon/handling.go
@@ -18,8 +18,9 @@
 	}
 	news := primrosespar.FleetNews{
 		Leading: true, Token: term.Token(), StoreAge: d.storeAge(), Stuck: term.Stuck(),
-		Waiting: term.Waiting(), Hosts: d.elector.Beat(beat),
+		Hosts: d.elector.Beat(beat),
 	}
+	news.Waiting, news.Counted = term.Waiting()
 	if catalog := d.follower.Catalog(); catalog != nil {
 		news.CatalogVersion, news.CatalogAge = catalog.Version, d.follower.Age()
 	}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -102,6 +102,9 @@
 	resigned bool
 	heardAt  time.Time
 	news     primrosespar.FleetNews
+	// waiting is the last count of a holder, asked for at countedAt.
+	waiting   map[primrosespar.Queue]int
+	countedAt time.Time
 	// seenAt is when the version of the lease row was first seen.
 	seenAt  time.Time
 	seen    primrosespar.Version
@@ -129,11 +132,12 @@
 	return e.leading
 }
 
-// News returns the last news of the holder and its age.
-func (e *Elector) News() (primrosespar.FleetNews, time.Duration, bool) {
+// Waiting returns the jobs without a start, by queue, as a holder last counted
+// them, and the age of the count; false if no holder has told of one.
+func (e *Elector) Waiting() (map[primrosespar.Queue]int, time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.news, e.parts.Clock.Since(e.heardAt), !e.heardAt.IsZero()
+	return e.waiting, e.parts.Clock.Since(e.countedAt), !e.countedAt.IsZero()
 }
 
 // Run takes part in the election until the context ends.
@@ -252,6 +256,9 @@
 	if err == nil && news.Leading && news.Token >= holder.Token {
 		e.mu.Lock()
 		e.news, e.heardAt = news, asked
+		if news.Counted {
+			e.waiting, e.countedAt = news.Waiting, asked
+		}
 		e.mu.Unlock()
 		e.parts.Heard(news, asked)
 		if news.StoreAge < storeDoubt && !news.Stuck {
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -45,10 +45,11 @@
 
 // rig is one follower beside a holder that the test plays.
 type rig struct {
-	table  *keeper.Keeper
-	holder *committer.Committer
-	peers  *peers
-	led    atomic.Bool
+	table   *keeper.Keeper
+	holder  *committer.Committer
+	peers   *peers
+	elector *elector.Elector
+	led     atomic.Bool
 }
 
 // newRig takes the lease for the holder and starts the follower.
@@ -74,6 +75,7 @@
 			return ctx.Err()
 		},
 	})
+	r.elector = e
 	go func() { _ = e.Run(ctx) }()
 	time.Sleep(3 * time.Second)
 	require.False(t, r.led.Load(), "a holder that answers keeps its lease")
@@ -168,3 +170,29 @@
 		require.True(t, r.led.Load(), "but not for ever")
 	})
 }
+
+// TestCountOutlivesAHolderThatHasNone guards against a count of waiting jobs
+// that is lost with the first news of a new holder, which still reads them.
+func TestCountOutlivesAHolderThatHasNone(t *testing.T) {
+	run(t, func(_ context.Context, t *testing.T, r *rig) {
+		_, _, known := r.elector.Waiting()
+		require.False(t, known)
+		answer := func(counted bool) func() (primrosespar.FleetNews, error) {
+			return func() (primrosespar.FleetNews, error) {
+				news, err := r.fine()
+				if news.Counted = counted; counted {
+					news.Waiting = map[primrosespar.Queue]int{"q": 2}
+				}
+				return news, err
+			}
+		}
+		r.peers.set(answer(true))
+		time.Sleep(time.Second)
+		r.peers.set(answer(false))
+		time.Sleep(2 * time.Second)
+		waiting, age, known := r.elector.Waiting()
+		require.True(t, known)
+		require.Equal(t, map[primrosespar.Queue]int{"q": 2}, waiting)
+		require.Greater(t, age, time.Second)
+	})
+}
