Keep times to the microsecond on the wire and in rows

Cause: CBOR cuts times to whole seconds by default. The due time of a repeated job was cut on its way to the holder and in its row, and the wall clocks in beats, from which the holder corrects its own, were cut too. Jobs started up to a second early.

--- a/internal/fleet/encoder/encoder.go
+++ b/internal/fleet/encoder/encoder.go
@@ -85,6 +85,7 @@
 
 // Encoder encodes and decodes rows. It is safe for concurrent use.
 type Encoder struct {
+	encoder cbor.EncMode
 	decoder cbor.DecMode
 }
 
@@ -94,12 +95,17 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "row decoder")
 	}
-	return &Encoder{decoder: mode}, nil
+	// The default cuts times to whole seconds.
+	encoder, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		return nil, eris.Wrap(err, "row encoder")
+	}
+	return &Encoder{encoder: encoder, decoder: mode}, nil
 }
 
 // Submission encodes a submitted job.
 func (e *Encoder) Submission(job primrosespar.Submission) ([]byte, error) {
-	data, err := cbor.Marshal(job)
+	data, err := e.encoder.Marshal(job)
 	return data, eris.Wrap(err, "encode submission")
 }
 
@@ -112,7 +118,7 @@
 
 // Progress encodes the progress of a job.
 func (e *Encoder) Progress(p Progress) ([]byte, error) {
-	data, err := cbor.Marshal(p)
+	data, err := e.encoder.Marshal(p)
 	return data, eris.Wrap(err, "encode progress")
 }
 
@@ -125,7 +131,7 @@
 
 // Wave encodes the progress of a wave.
 func (e *Encoder) Wave(w Wave) ([]byte, error) {
-	data, err := cbor.Marshal(w)
+	data, err := e.encoder.Marshal(w)
 	return data, eris.Wrap(err, "encode wave")
 }
 
--- /dev/null
+++ b/internal/fleet/encoder/encoder_test.go
@@ -0,0 +1,27 @@
+package encoder_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
+)
+
+// TestSubmissionKeepsItsTimes guards against the due time of a repeated job
+// that is cut to whole seconds, so that the job starts early.
+func TestSubmissionKeepsItsTimes(t *testing.T) {
+	e, err := encoder.New()
+	require.NoError(t, err)
+	start := time.UnixMilli(1_792_281_980_778)
+	data, err := e.Submission(primrosespar.Submission{
+		ID: "a", Repeat: primrosespar.Repeat{Count: 4, Start: start, Every: 6011 * time.Millisecond},
+	})
+	require.NoError(t, err)
+	job, err := e.ParseSubmission(data)
+	require.NoError(t, err)
+	require.WithinDuration(t, start, job.Repeat.Start, time.Millisecond)
+	require.Equal(t, 6011*time.Millisecond, job.Repeat.Every)
+}
--- a/internal/member/replier/encoding.go
+++ b/internal/member/replier/encoding.go
@@ -34,7 +34,12 @@
 	if data, ok := msg.(Encoded); ok {
 		return data, nil
 	}
-	data, err := cbor.Marshal(msg)
+	// The default cuts times to whole seconds.
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		return nil, eris.Wrap(err, "encoder options")
+	}
+	data, err := mode.Marshal(msg)
 	return data, eris.Wrap(err, "encode message")
 }
 
