Start lasting tasks in room that is kept for gangs

Racks were kept for gangs that could never start, because lasting tasks were taken to end at once; lasting tasks fell to the last rank once their objective was past; and one shape that did not fit within the reserve stopped lasting tasks of the same shape, which are not held back by it.

--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -77,7 +77,9 @@
 func (s *Scheduler) candidatesFor(u *unit, workers []*worker, service primrosespar.Service, limit int, now time.Time) []candidate {
 	var out []candidate
 	for _, w := range workers {
-		if !w.usable(u, service, now) || w.keptFor != nil && w.keptFor != u {
+		// A lasting task would wait for ever for room that is kept for a gang.
+		kept := w.keptFor != nil && w.keptFor != u && !u.step.spec.Lasting
+		if kept || !w.usable(u, service, now) {
 			continue
 		}
 		free := w.free(u)
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -107,6 +107,7 @@
 	label   string
 	data    primrosespar.Rack
 	urgent  bool
+	lasting bool
 }
 
 // shape returns the shape of the unit.
@@ -114,7 +115,7 @@
 	spec := u.step.spec
 	return shape{
 		terms.Service, spec.Occupies(), u.size, spec.OneRack && u.size > 1,
-		spec.Label, spec.DataRack, terms.Priority == 0,
+		spec.Label, spec.DataRack, terms.Priority == 0, spec.Lasting,
 	}
 }
 
@@ -153,6 +154,9 @@
 		finish := now.Add(o.chain(st.index))
 		r.onTime = !finish.After(r.deadline)
 		switch {
+		case st.spec.Lasting:
+			// It earns as long as it is at work, however late it started.
+			r.onTime = true
 		case finish.After(begin.Add(lateFactor * objective)):
 			r.rank += rankLost
 		case !r.onTime && terms.Priority == 0:
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -216,6 +216,13 @@
 	}
 }
 
+// lastingTime is when a lasting task is taken to end. A rack whose gang would
+// wait longer than keepHorizon is not kept for it.
+const (
+	lastingTime = time.Hour
+	keepHorizon = time.Minute
+)
+
 // keep chooses the rack in which a blocked gang will fit soonest and keeps
 // later work off it, so that a stream of small work cannot hold it up for
 // ever. Only gangs that fit one rack are helped: keeping the whole fleet would
@@ -244,7 +251,8 @@
 	var best *rack
 	var bestAt time.Time
 	for _, k := range s.racks[service] {
-		if at, ok := s.fitsAt(u, k.workers, service, now); ok && (best == nil || at.Before(bestAt)) {
+		at, ok := s.fitsAt(u, k.workers, service, now)
+		if ok && at.Sub(now) < keepHorizon && (best == nil || at.Before(bestAt)) {
 			best, bestAt = k, at
 		}
 	}
@@ -294,6 +302,9 @@
 	if u.stopping {
 		return now
 	}
+	if u.step.spec.Lasting {
+		return now.Add(lastingTime)
+	}
 	if m.percent > 0 && m.percent < 100 {
 		spent := m.percentAt.Sub(u.placedAt)
 		return m.percentAt.Add(time.Duration(float64(spent) * (100 - m.percent) / m.percent))
--- a/internal/fleet/scheduler/vacating_test.go
+++ b/internal/fleet/scheduler/vacating_test.go
@@ -106,3 +106,20 @@
 	r.now = r.now.Add(200 * time.Millisecond)
 	require.Empty(t, r.plan().Stops, "one task may be away, no more")
 }
+
+// TestLastingTaskTakesKeptRoom guards against a lasting task that never runs
+// because a gang waits for the rack that has room.
+func TestLastingTaskTakesKeptRoom(t *testing.T) {
+	r := newRig(t, 1)
+	r.lookAll()
+	r.lasting("plain", 3, 0)
+	r.s.Submit(job("gang", "plain", primrosespar.Step{Count: 2, Need: gpus(8), Gang: true, OneRack: true}), r.now)
+	r.s.Submit(job("more", "plain", primrosespar.Step{Count: 1, Need: gpus(1), Lasting: true}), r.now)
+	var starts []scheduler.Order
+	for range 10 {
+		r.now = r.now.Add(time.Second)
+		starts = append(starts, r.plan().Starts...)
+	}
+	require.Len(t, starts, 1)
+	require.Equal(t, primrosespar.JobID("more"), starts[0].Run.Task.Job)
+}
