Take machines down only without bounded lasting tasks

Closing workers kept room free that waiting lasting tasks needed.

A machine is taken down only once no lasting task with a bound is left on it; if they cannot be stopped in time it is left alone for 4 s and another is tried. Closing workers still take lasting tasks that fit nowhere else, and tasks of one bounded step are spread over workers. Guarantees are reclaimed worker by worker where lasting tasks would have to stop.

--- a/internal/fleet/conductor/maintaining.go
+++ b/internal/fleet/conductor/maintaining.go
@@ -72,10 +72,7 @@
 		return
 	}
 	changes := c.maintainer.Plan(c.core, now)
-	c.core.SetClosing(changes.Closing)
-	for _, worker := range changes.Vacate {
-		c.core.Vacate(worker)
-	}
+	c.core.SetClosing(changes.Closing, changes.Vacate)
 	for _, e := range changes.Events {
 		c.parts.Decided(scheduler.Event{
 			Kind: e.Kind, Worker: e.Worker, Detail: fmt.Sprintf("wave %d, machine %s %s", e.Wave, e.Machine, e.Detail),
--- a/internal/fleet/maintainer/maintainer.go
+++ b/internal/fleet/maintainer/maintainer.go
@@ -83,7 +83,8 @@
 type Fleet interface {
 	// Vacant reports whether nothing runs on the worker.
 	Vacant(worker primrosespar.Worker) bool
-	// Bound reports whether the worker has a run that must not be stopped now.
+	// Bound reports whether the worker has lasting tasks of a step that bounds
+	// how many may be away.
 	Bound(worker primrosespar.Worker) bool
 	// Loss is the work in core-seconds that a stop of all runs would lose.
 	Loss(worker primrosespar.Worker, now time.Time) float64
@@ -135,10 +136,10 @@
 
 // Changes are what a caller of Plan has to carry out.
 type Changes struct {
-	// Closing are the workers that get no new work; Vacate those whose runs
-	// have to stop now.
+	// Closing are the workers that get no new work but lasting tasks that fit
+	// nowhere else; Vacate those of them whose runs have to stop now.
 	Closing map[primrosespar.Worker]bool
-	Vacate  []primrosespar.Worker
+	Vacate  map[primrosespar.Worker]bool
 	// Records are stored before Orders are sent and Reports with Completed are
 	// made.
 	Records []Record
@@ -239,7 +240,7 @@
 
 // Plan decides on everything that changed since the last call.
 func (m *Maintainer) Plan(fleet Fleet, now time.Time) Changes {
-	c := Changes{Closing: map[primrosespar.Worker]bool{}}
+	c := Changes{Closing: map[primrosespar.Worker]bool{}, Vacate: map[primrosespar.Worker]bool{}}
 	for _, number := range slices.Sorted(maps.Keys(m.waves)) {
 		w := m.waves[number]
 		if w.reported {
@@ -305,16 +306,21 @@
 			v.phase, v.since, v.vacating = closing, now, time.Time{}
 		}
 		c.Closing[worker] = true
+		vacated := !v.vacating.IsZero() && now.Sub(v.vacating) > vacateTime
 		switch {
-		case away >= w.most || fleet.Bound(worker):
-		case fleet.Vacant(worker), !v.vacating.IsZero() && now.Sub(v.vacating) > vacateTime:
+		case away >= w.most:
+		case vacated && fleet.Bound(worker):
+			// Room that is kept free here is missing elsewhere.
+			v.phase, v.since, v.retryAt = pending, now, now.Add(deferTime)
+			c.log("upkeep_deferred", w, v, worker, "it has lasting tasks that must not stop now")
+		case vacated, fleet.Vacant(worker):
 			v.phase, v.since, changed = ordered, now, true
 			away++
-		case now.Sub(v.since) >= patience:
+		case !v.vacating.IsZero(), now.Sub(v.since) >= patience:
 			if v.vacating.IsZero() {
 				v.vacating = now
 			}
-			c.Vacate = append(c.Vacate, worker)
+			c.Vacate[worker] = true
 		}
 	}
 	return changed
@@ -349,7 +355,7 @@
 			continue
 		}
 		worker := m.machines[v.machine].Worker
-		c.Closing[worker] = true
+		c.Closing[worker], c.Vacate[worker] = true, true
 		if v.inFlight || now.Before(v.retryAt) {
 			continue
 		}
--- a/internal/fleet/maintainer/maintainer_test.go
+++ b/internal/fleet/maintainer/maintainer_test.go
@@ -101,24 +101,28 @@
 	require.Empty(t, changes.Vacate)
 	// A fourth of the window, less the round itself.
 	changes = r.step(8 * time.Second)
-	require.Equal(t, []primrosespar.Worker{"w-c"}, changes.Vacate)
+	require.Equal(t, map[primrosespar.Worker]bool{"w-c": true}, changes.Vacate)
 	delete(r.fleet.busy, "w-c")
 	changes = r.step(500 * time.Millisecond)
 	require.Equal(t, []maintainer.Order{{Wave: 7, Machine: "c"}}, changes.Orders)
 }
 
-// TestBoundMachinesAreSpared guards against a lasting task that is stopped
-// while too many of its step are away.
-func TestBoundMachinesAreSpared(t *testing.T) {
-	r := newRig(4, time.Second)
+// TestBoundMachinesAreDeferred guards against lasting tasks that end with their
+// machine while too many of their step are away, and against a machine that is
+// kept free for long though it cannot be taken down.
+func TestBoundMachinesAreDeferred(t *testing.T) {
+	r := newRig(1, 8*time.Second)
 	for _, s := range r.machines {
 		r.fleet.busy[s.Worker], r.fleet.bound[s.Worker] = 5, true
 	}
-	for range 5 {
-		changes := r.step(time.Second)
-		require.Empty(t, changes.Orders)
-		require.Empty(t, changes.Vacate)
-	}
+	require.Len(t, r.step(0).Vacate, 1)
+	changes := r.step(time.Second)
+	require.Len(t, changes.Vacate, 1)
+	require.Empty(t, changes.Orders)
+	changes = r.step(time.Second)
+	require.Empty(t, changes.Orders)
+	require.Empty(t, changes.Vacate)
+	require.Len(t, r.step(100*time.Millisecond).Vacate, 1, "another machine is tried")
 }
 
 // TestWaveIsCompletedOnce guards against a wave that is said to be completed
--- a/internal/fleet/maintainer/options.go
+++ b/internal/fleet/maintainer/options.go
@@ -13,6 +13,9 @@
 	vacateTime = 1500 * time.Millisecond
 	// retryDelay is the wait after an order that had no effect.
 	retryDelay = 500 * time.Millisecond
+	// deferTime is how long a machine is left alone whose lasting tasks could not
+	// be stopped: the others of their step take a few seconds to be at work.
+	deferTime = 4 * time.Second
 	// listAge is how old the list of machines may be for a new order.
 	listAge = 3 * time.Second
 )
--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -23,7 +23,7 @@
 // fitting reports whether the worker may get the unit but for advice.
 func (w *worker) fitting(u *unit, service primrosespar.Service, now time.Time) bool {
 	spec := u.step.spec
-	if !w.present || !w.looked || w.suspect || w.leaving() || w.member.Service != service {
+	if !w.present || !w.looked || w.suspect || !w.open(spec.Lasting) || w.member.Service != service {
 		return false
 	}
 	if now.Before(w.quarantine) || u.avoid[w.member.Worker] {
@@ -228,6 +228,12 @@
 	return c.free.Accelerators - c.room*u.step.spec.Need.Accelerators
 }
 
+// crowded reports whether the worker has as many tasks of a lasting step as may
+// be away at once: with more of them it could not be cleared.
+func (w *worker) crowded(st *step) bool {
+	return st.spec.Lasting && st.spec.MostAway > 0 && w.count(st) >= st.spec.MostAway
+}
+
 // takeOne picks the worker for a single task and takes the room from the
 // candidates: in the rack of its data if there is room, else the one with the
 // fewest free accelerators, in the fullest rack among equals.
@@ -241,6 +247,9 @@
 			continue
 		}
 		score := c.free.Accelerators*maxRackAccelerators + min(c.worker.rack.free, maxRackAccelerators-1)
+		if c.worker.closing || c.worker.crowded(u.step) {
+			score += math.MaxInt / 8
+		}
 		if data != "" && c.worker.member.Rack == data {
 			score -= math.MaxInt / 4
 		}
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -112,7 +113,96 @@
 		}
 	}
 	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
-	return s.choose(u, open, room, victims)
+	e := s.choose(u, open, room, victims)
+	if e != nil && !e.lasting() {
+		return e
+	}
+	if other := s.evictByWorker(u, open, entitled, now); other != nil && (e == nil || other.cost < e.cost) {
+		return other
+	}
+	return e
+}
+
+// lasting reports whether a victim is lasting work.
+func (e *eviction) lasting() bool {
+	return slices.ContainsFunc(e.victims, func(v *unit) bool { return v.step.spec.Lasting })
+}
+
+// evictByWorker clears the workers that cost least, one after the other, until
+// the unit fits. Where lasting steps bound how many of their tasks may be away,
+// the cheapest victims of all workers together may clear none of them.
+func (s *Scheduler) evictByWorker(u *unit, open []*worker, entitled bool, now time.Time) *eviction {
+	s.mark++
+	e := &eviction{}
+	room := 0
+	for _, w := range open {
+		w.trial = trial{mark: s.mark, free: w.free(u)}
+		w.trial.room = w.room(u, w.trial.free)
+		room += w.trial.room
+	}
+	spared := map[*step]int{}
+	for room < u.size {
+		var best []victim
+		bestCost := math.Inf(1)
+		for _, w := range open {
+			if found, cost := s.clear(u, w, spared, entitled, now); found != nil && cost < bestCost {
+				best, bestCost = found, cost
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		for _, v := range best {
+			v.unit.mark = s.mark
+			room += s.tryWithout(u, v.unit, 1)
+			e.victims = append(e.victims, v.unit)
+			e.cost += v.cost
+			if v.unit.step.spec.Lasting {
+				spared[v.unit.step] += v.unit.size
+			}
+		}
+	}
+	for _, w := range open {
+		for range min(w.trial.room, u.size-len(e.where)) {
+			e.where = append(e.where, w)
+		}
+	}
+	return e
+}
+
+// clear finds the cheapest victims on one worker that make room for one more
+// member of the unit, and their cost for each member that then fits.
+func (s *Scheduler) clear(u *unit, w *worker, spared map[*step]int, entitled bool, now time.Time) ([]victim, float64) {
+	var found []victim
+	for _, m := range w.list {
+		v := m.unit
+		if v.mark != s.mark && !v.stopping && v.phase == encoder.Placed && s.mayEvict(v, entitled) {
+			found = append(found, victim{v, s.price(v, now)})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	free, cost := w.trial.free, 0.0
+	taken := found[:0]
+	more := map[*step]int{}
+	for _, v := range found {
+		st := v.unit.step
+		if !v.unit.spare(spared[st] + more[st]) {
+			continue
+		}
+		if st.spec.Lasting {
+			more[st] += v.unit.size
+		}
+		for _, m := range v.unit.members {
+			if m.worker == w {
+				free = free.Add(st.spec.Occupies())
+			}
+		}
+		taken, cost = append(taken, v), cost+v.cost
+		if gain := w.room(u, free) - w.trial.room; gain > 0 {
+			return taken, cost / float64(gain)
+		}
+	}
+	return nil, 0
 }
 
 // choose takes victims, cheapest first, until the unit fits, and then spares
--- a/internal/fleet/scheduler/vacating.go
+++ b/internal/fleet/scheduler/vacating.go
@@ -10,14 +10,18 @@
 // fullPercent is the progress of a lasting task that is at work.
 const fullPercent = 100
 
-// SetClosing names the workers that are about to be taken down: they get no
-// new work, and what can go on elsewhere without loss is moved.
-func (s *Scheduler) SetClosing(workers map[primrosespar.Worker]bool) {
+// SetClosing names the workers that are to be taken down and get no new work
+// but lasting tasks that fit nowhere else, and those among them whose runs have
+// to stop now. What can go on elsewhere without loss is moved off all of them.
+func (s *Scheduler) SetClosing(closing, vacate map[primrosespar.Worker]bool) {
 	for name, w := range s.workers {
-		if w.closing != workers[name] {
-			w.closing = workers[name]
+		if w.closing != closing[name] || w.vacating != vacate[name] {
+			w.closing, w.vacating = closing[name], vacate[name]
 			s.freed++
 		}
+		if w.vacating {
+			s.vacate(w)
+		}
 	}
 }
 
@@ -27,14 +31,16 @@
 	return w == nil || len(w.members) == 0
 }
 
-// Bound reports whether the worker has a run that must not be stopped now.
+// Bound reports whether the worker has lasting tasks of a step that bounds how
+// many may be away. Its loss would end them all at once.
 func (s *Scheduler) Bound(name primrosespar.Worker) bool {
 	w := s.workers[name]
 	if w == nil {
 		return false
 	}
 	for _, m := range w.list {
-		if !s.maySpare(m.unit) {
+		spec := m.unit.step.spec
+		if spec.Lasting && spec.MostAway > 0 && !m.unit.step.occ.job.state.Ended() {
 			return true
 		}
 	}
@@ -55,13 +61,9 @@
 	return total
 }
 
-// Vacate stops what runs on the worker, but for runs that must not be stopped
+// vacate stops what runs on the worker, but for runs that must not be stopped
 // now.
-func (s *Scheduler) Vacate(name primrosespar.Worker) {
-	w := s.workers[name]
-	if w == nil {
-		return
-	}
+func (s *Scheduler) vacate(w *worker) {
 	for _, m := range w.all() {
 		if !m.unit.stopping && m.unit.phase == encoder.Placed && s.maySpare(m.unit) {
 			s.stopUnit(m.unit, "its worker is taken down")
@@ -69,10 +71,14 @@
 	}
 }
 
-// leaving reports whether the worker gets no new work because it is about to
-// go.
+// leaving reports whether the worker is about to go.
 func (w *worker) leaving() bool { return w.member.Draining || w.closing }
 
+// open reports whether the worker takes new work, as far as its own end goes.
+func (w *worker) open(lasting bool) bool {
+	return !w.leaving() || lasting && !w.member.Draining && !w.vacating
+}
+
 // leaving reports whether a worker of the unit is about to go.
 func (u *unit) leaving() bool {
 	for _, m := range u.members {
@@ -86,7 +92,11 @@
 // mayMove reports whether the unit loses little or nothing if it is stopped
 // before its worker goes.
 func (s *Scheduler) mayMove(u *unit) bool {
-	return u.step.spec.Checkpointing || u.step.spec.Lasting && s.maySpare(u)
+	if u.step.spec.Lasting {
+		// It is away for a moment; a closing worker may still be left alone.
+		return u.drained()
+	}
+	return u.step.spec.Checkpointing
 }
 
 // maySpare reports whether the unit may be away by decision of the scheduler:
--- a/internal/fleet/scheduler/vacating_test.go
+++ b/internal/fleet/scheduler/vacating_test.go
@@ -45,13 +45,13 @@
 	for _, m := range r.members[1:] {
 		names[m.Worker] = true
 	}
-	r.s.SetClosing(names)
+	r.s.SetClosing(names, nil)
 	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 2, Need: gpus(8)}), r.now)
 	starts := r.plan().Starts
 	require.Len(t, starts, 1)
 	require.Equal(t, r.members[0].Worker, starts[0].Worker)
 	require.False(t, r.s.Vacant(starts[0].Worker))
-	r.s.SetClosing(nil)
+	r.s.SetClosing(nil, nil)
 	r.now = r.now.Add(time.Second)
 	require.Len(t, r.plan().Starts, 1)
 }
@@ -62,8 +62,11 @@
 	r := newRig(t, 1)
 	r.lookAll()
 	starts := r.lasting("plain", 3, 1)
-	r.s.SetClosing(closing(starts[0].Worker, starts[1].Worker))
+	leaving := closing(starts[0].Worker, starts[1].Worker)
+	r.s.SetClosing(leaving, nil)
 	r.now = r.now.Add(time.Second)
+	require.Empty(t, r.plan().Stops, "they may go on until their turn comes")
+	r.s.SetClosing(leaving, leaving)
 	stops := r.plan().Stops
 	require.Len(t, stops, 1)
 	moved := 0
@@ -71,7 +74,7 @@
 		moved = 1
 	}
 	require.True(t, r.s.Bound(starts[1-moved].Worker))
-	r.s.Vacate(starts[1-moved].Worker)
+	r.s.SetClosing(leaving, leaving)
 	r.s.Stopped(stops[0], primrosespar.CodeOK, r.now)
 	r.now = r.now.Add(time.Second)
 	r.look(r.index(stops[0].Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: stops[0].Run, End: primrosespar.EndStopped})
@@ -82,9 +85,11 @@
 	require.Len(t, next, 1)
 	r.started(next)
 	r.now = r.now.Add(time.Second)
+	r.s.SetClosing(leaving, leaving)
 	require.Empty(t, r.plan().Stops, "the moved task is not at work yet")
 	r.atWork(next)
 	r.atWork([]scheduler.Order{starts[1-moved], starts[2]})
+	r.s.SetClosing(leaving, leaving)
 	r.now = r.now.Add(time.Second)
 	stops = r.plan().Stops
 	require.Len(t, stops, 1)
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -15,8 +15,10 @@
 	member  primrosespar.Member
 	rack    *rack
 	present bool
-	// closing workers get no new work and are about to be taken down.
-	closing bool
+	// closing workers are to be taken down and get no new work but lasting tasks
+	// that fit nowhere else; vacating ones get none.
+	closing  bool
+	vacating bool
 	// looked is set once the worker has answered a look under the token of
 	// this holder, so that older orders have no effect any more.
 	looked  bool
