Soak waves of upkeep, repeated jobs and replaced workers

The soak asks for waves of upkeep and judges the cap and the report, hands in repeated jobs and judges that none starts early, and lets another worker answer at the address of one.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -171,11 +171,13 @@
 	load := newSoakLoad(s, rand.New(rand.NewPCG(s.Seed, 1)))
 	var tasks conc.WaitGroup
 	tasks.Go(func() { load.run(ctx, s.Load) })
+	faults := newSoakFaults(s, rand.New(rand.NewPCG(s.Seed, 2)))
 	if !s.Calm {
-		tasks.Go(func() { newSoakFaults(s, rand.New(rand.NewPCG(s.Seed, 2))).run(ctx, s.Load) })
+		tasks.Go(func() { faults.run(ctx, s.Load) })
 	}
 	tasks.Wait()
 	load.drain(ctx, soakDrain)
+	faults.judge(soakDrain)
 	writes, reads := s.fleet.Store().Calls()
 	broken := s.fleet.Violations()
 	fmt.Printf("seed %d: %d jobs (%d accepted, %d refused, %d ended), %d starts, %d store writes, %d reads, %d promises broken, %s\n",
--- a/cmd/standin/soakfaults.go
+++ b/cmd/standin/soakfaults.go
@@ -16,6 +16,8 @@
 const (
 	faultGap  = 1500 * time.Millisecond
 	faultTime = 4 * time.Second
+	// waveTime is the window of a wave of upkeep.
+	waveTime = 8 * time.Second
 )
 
 // soakFaults brings faults about; they overlap and repeat.
@@ -23,6 +25,7 @@
 	soak   *soak
 	random *rand.Rand
 	tasks  conc.WaitGroup
+	waves  int
 }
 
 // newSoakFaults returns faults that have not begun.
@@ -47,6 +50,21 @@
 	}
 }
 
+// judge checks that the operator was told of each wave, once the faults are
+// over.
+func (f *soakFaults) judge(limit time.Duration) {
+	end := time.Now().Add(limit)
+	for wave := 1; wave <= f.waves; wave++ {
+		for !f.soak.fleet.Provider().Completed(wave) {
+			if time.Now().After(end) {
+				f.soak.fleet.Violate("wave %d is not completed %v after the faults", wave, limit)
+				break
+			}
+			time.Sleep(soakPoll)
+		}
+	}
+}
+
 // lasts draws how long a fault lasts.
 func (f *soakFaults) lasts() time.Duration {
 	return time.Duration((0.1 + 0.9*f.random.Float64()) * float64(faultTime))
@@ -57,7 +75,7 @@
 	h := f.soak.hosts[f.random.IntN(len(f.soak.hosts))]
 	w := f.soak.fleet.Workers()[f.random.IntN(len(f.soak.fleet.Workers()))]
 	lasts := f.lasts()
-	switch f.random.IntN(9) {
+	switch f.random.IntN(11) {
 	case 0:
 		f.restart(ctx, h, syscall.SIGKILL, lasts/4)
 	case 1:
@@ -84,6 +102,11 @@
 		f.soak.fleet.Configure(time.Duration(2+f.random.IntN(3)) * time.Second)
 	case 8:
 		h.signal(syscall.SIGHUP)
+	case 9:
+		f.waves++
+		f.soak.fleet.Provider().StartWave(f.waves, 1+f.random.IntN(3), 1+f.random.IntN(2), waveTime)
+	case 10:
+		w.Replace()
 	}
 }
 
--- a/cmd/standin/soakload.go
+++ b/cmd/standin/soakload.go
@@ -23,6 +23,10 @@
 	// soakVisible is how long after its acceptance a job may be unknown.
 	soakVisible = 3 * time.Second
 	soakPoll    = 300 * time.Millisecond
+	// soakSoon bounds when a repeated job is first due, soakEvery is the time to
+	// the second.
+	soakSoon  = 2 * time.Second
+	soakEvery = 1100 * time.Millisecond
 )
 
 // soakJob is one job as its caller knows it.
@@ -98,7 +102,11 @@
 	for i := range count {
 		j.tasks = append(j.tasks, fmt.Sprintf("%s.0.0.%d", j.id, i))
 	}
-	data, err := json.Marshal(map[string]any{"spec": fmt.Sprintf("ms=%d end=%s", 200+l.random.IntN(2500), end), "steps": steps})
+	body := map[string]any{"spec": fmt.Sprintf("ms=%d end=%s", 200+l.random.IntN(2500), end), "steps": steps}
+	if l.random.IntN(6) == 0 {
+		l.repeat(j, body)
+	}
+	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
@@ -109,6 +117,17 @@
 	return j
 }
 
+// repeat makes the job run twice, from a time soon.
+func (l *soakLoad) repeat(j *soakJob, body map[string]any) {
+	start := time.Now().Add(time.Duration(l.random.Float64() * float64(soakSoon))).Truncate(time.Millisecond)
+	body["repeatCount"], body["startAtMs"], body["intervalMs"] = 2, start.UnixMilli(), soakEvery.Milliseconds()
+	l.soak.fleet.Due(j.id, start, soakEvery)
+	for _, task := range j.tasks {
+		again := strings.Replace(task, j.id+".0.", j.id+".1.", 1)
+		j.tasks = append(j.tasks, again)
+	}
+}
+
 // call makes one call and returns its status, 0 without an answer.
 func (l *soakLoad) call(ctx context.Context, method, path, body string, host int) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, soakTimeout)
