Stop gangs that do not gather before their workers give them up

Cause: a member whose start has no answer keeps the others waiting, which takes their room until the workers end them as alone after 3 to 4 s.

A gang that has not gathered after 0.6 of that time is stopped and keeps away from the workers that did not answer. The time is read from the platform's settings. The test fails to build without the option.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -116,7 +116,7 @@
 	}
 	d, err := daemon.New(daemon.Settings{
 		Host: f.settings.Host, Peers: f.settings.Peers, Weight: f.settings.Cores,
-		Lease: min(maxLease, f.settings.LongestLease),
+		Lease: min(maxLease, f.settings.LongestLease), GangTimeout: f.settings.GangTimeout,
 	}, backend,
 		daemon.WithClock(f.clock), daemon.WithLog(f.decided, f.changed, f.failed))
 	if err != nil {
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -90,8 +90,9 @@
 
 // Options configure a Conductor.
 type Options struct {
-	Lease    time.Duration
-	Takeover time.Duration
+	Lease       time.Duration
+	Takeover    time.Duration
+	GangTimeout time.Duration
 }
 
 // Option changes Options.
@@ -103,6 +104,16 @@
 // WithTakeover sets how long runs of an earlier holder may live on.
 func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
 
+// WithGangTimeout sets how long a member of a gang waits for the others; 0 is
+// the default.
+func WithGangTimeout(timeout time.Duration) Option {
+	return func(o *Options) {
+		if timeout > 0 {
+			o.GangTimeout = timeout
+		}
+	}
+}
+
 // Conductor runs one term of one holder. It is used once.
 type Conductor struct {
 	parts      Parts
@@ -151,7 +162,7 @@
 
 // New returns a Conductor for the term of the committer's lease.
 func New(parts Parts, opts ...Option) (*Conductor, error) {
-	o := Options{Lease: attendant.DefaultLease, Takeover: scheduler.DefaultTakeover}
+	o := Options{Lease: attendant.DefaultLease, Takeover: scheduler.DefaultTakeover, GangTimeout: scheduler.DefaultGangTimeout}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -171,7 +182,8 @@
 		began:      parts.Clock.Now(),
 		maintainer: maintainer.New(),
 	}
-	c.core = scheduler.New(scheduler.WithWall(parts.Wall), scheduler.WithTakeover(o.Takeover), scheduler.WithLapse(c.lapse))
+	c.core = scheduler.New(scheduler.WithWall(parts.Wall), scheduler.WithTakeover(o.Takeover),
+		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLapse(c.lapse))
 	return c, nil
 }
 
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -61,6 +61,9 @@
 	Weight float64
 	// Lease is how long a worker goes on without a renewal.
 	Lease time.Duration
+	// GangTimeout is how long a member of a gang waits for the others; 0 is the
+	// default.
+	GangTimeout time.Duration
 }
 
 // Backend are the platform's services.
@@ -231,7 +234,7 @@
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock,
 		Upkeep: d.backend.Upkeep, Host: d.settings.Host, Committer: d.committer, Catalog: d.follower.Catalog, Wall: d.wall,
 		Decided: d.opts.Decided, StoreAnswered: d.storeAnswered, Failed: d.opts.Failed,
-	}, conductor.WithLease(d.settings.Lease),
+	}, conductor.WithLease(d.settings.Lease), conductor.WithGangTimeout(d.settings.GangTimeout),
 		conductor.WithTakeover(time.Duration(float64(d.settings.Lease)/workerClockRate)+takeoverMargin))
 	if err != nil {
 		return err
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -76,6 +76,8 @@
 	notBefore time.Time
 	placedAt  time.Time
 	workedAt  time.Time
+	// leftAt is when the first start of the run left.
+	leftAt time.Time
 	// gatheredAt is when the last member of a run was seen at its worker: a
 	// gang makes no progress before.
 	gatheredAt time.Time
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -299,6 +299,9 @@
 	}
 	if !m.stopping {
 		m.left = true
+		if m.unit.leftAt.IsZero() {
+			m.unit.leftAt = now
+		}
 		return true
 	}
 	m.inFlight = false
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -58,6 +58,12 @@
 	// keepTime is how long a rack stays kept for a blocked gang before the
 	// choice is made again.
 	keepTime = 500 * time.Millisecond
+	// DefaultGangTimeout is how long a member waits for the others of its gang
+	// where the platform does not say.
+	DefaultGangTimeout = 3 * time.Second
+	// gatherShare of the gang timeout is when a gang that has not gathered is
+	// stopped; the rest is left for the stop.
+	gatherShare = 0.6
 	// tendInterval is the time between two checks of what runs.
 	tendInterval = 100 * time.Millisecond
 	// acceleratorCores is the worth of an accelerator in cores when lost work
@@ -72,6 +78,8 @@
 	// Takeover is how long runs of an earlier holder may live on at a worker
 	// that does not answer.
 	Takeover time.Duration
+	// GangTimeout is how long a member waits at its worker for the others.
+	GangTimeout time.Duration
 	// Lapse returns when the lease of the last order to a worker, answered or
 	// not, has surely ended; the zero time if none has left.
 	Lapse func(primrosespar.Worker) time.Time
@@ -86,6 +94,11 @@
 // WithTakeover sets how long runs of an earlier holder may live on.
 func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
 
+// WithGangTimeout sets how long a member waits at its worker for the others.
+func WithGangTimeout(timeout time.Duration) Option {
+	return func(o *Options) { o.GangTimeout = timeout }
+}
+
 // WithLapse sets what knows the leases that have left.
 func WithLapse(lapse func(primrosespar.Worker) time.Time) Option {
 	return func(o *Options) { o.Lapse = lapse }
@@ -94,9 +107,10 @@
 // collect applies the options to the defaults.
 func collect(opts []Option) Options {
 	o := Options{
-		Wall:     func(now time.Time) time.Time { return now },
-		Takeover: DefaultTakeover,
-		Lapse:    func(primrosespar.Worker) time.Time { return time.Time{} },
+		Wall:        func(now time.Time) time.Time { return now },
+		Takeover:    DefaultTakeover,
+		GangTimeout: DefaultGangTimeout,
+		Lapse:       func(primrosespar.Worker) time.Time { return time.Time{} },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -274,7 +274,7 @@
 	u.entitled = r.terms.Priority == 0 && s.entitled(u)
 	u.phase = encoder.Placed
 	u.run++
-	u.placedAt, u.workedAt, u.brokenAt = now, now, time.Time{}
+	u.placedAt, u.workedAt, u.brokenAt, u.leftAt = now, now, time.Time{}, time.Time{}
 	for i, w := range where {
 		if w.rack != nil {
 			w.rack.free -= u.step.spec.Need.Accelerators
@@ -330,6 +330,15 @@
 		s.stopUnit(u, "its worker is leaving")
 		return
 	}
+	if s.scattered(u, now) {
+		for _, m := range u.members {
+			if m.phase != running {
+				u.avoidWorker(m.worker)
+			}
+		}
+		s.stopUnit(u, "its members did not gather")
+		return
+	}
 	if u.stalled(now) {
 		for _, m := range u.members {
 			if m.standing(now) {
@@ -341,6 +350,21 @@
 	}
 }
 
+// scattered reports whether members of a gang have waited for the others so
+// long that their workers are about to give them up.
+func (s *Scheduler) scattered(u *unit, now time.Time) bool {
+	gather := time.Duration(gatherShare * float64(s.opts.GangTimeout))
+	if u.size < 2 || u.leftAt.IsZero() || now.Sub(u.leftAt) < gather {
+		return false
+	}
+	for _, m := range u.members {
+		if m.phase != running {
+			return true
+		}
+	}
+	return false
+}
+
 // stalled reports whether all members run at workers that answer and none has
 // made progress for a while.
 func (u *unit) stalled(now time.Time) bool {
--- a/internal/fleet/scheduler/progress_test.go
+++ b/internal/fleet/scheduler/progress_test.go
@@ -68,3 +68,25 @@
 	r.look(r.index(starts[0].Worker), listed(starts[0], 0))
 	require.Empty(t, r.plan().Stops)
 }
+
+// TestGangThatDoesNotGatherIsStopped guards against members that wait for the
+// others until their worker gives them up, which takes room for nothing.
+func TestGangThatDoesNotGatherIsStopped(t *testing.T) {
+	r := newRig(t, 1, scheduler.WithGangTimeout(3*time.Second))
+	r.lookAll()
+	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 2, Need: gpus(8), Gang: true}), r.now)
+	starts := r.plan().Starts
+	require.Len(t, starts, 2)
+	for _, o := range starts {
+		require.True(t, r.s.Wanted(o, r.now))
+	}
+	r.s.Started(starts[0], primrosespar.CodeOK, r.now)
+	r.s.Started(starts[1], primrosespar.CodeWorkerLost, r.now)
+	r.now = r.now.Add(1500 * time.Millisecond)
+	require.Empty(t, r.plan().Stops)
+	r.now = r.now.Add(500 * time.Millisecond)
+	require.Len(t, r.plan().Stops, 1, "the other has a start that is out")
+	r.s.Started(starts[1], primrosespar.CodeWorkerLost, r.now)
+	r.now = r.now.Add(500 * time.Millisecond)
+	require.Len(t, r.plan().Stops, 1)
+}
