Ask for advice on full workers if room may be made there

The scheduler asked about workers with room only, and room is made on workers with a ticket only; and questions were put in no order.

An urgent step asks about full workers too, after those with room, and urgent questions come first. The test fails without the change.

--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -48,9 +48,6 @@
 	planInterval = 15 * time.Millisecond
 	// readTimeout bounds a read of the store.
 	readTimeout = 1500 * time.Millisecond
-	// adviceTimeout bounds a question to the advice service, which takes its
-	// time for each worker.
-	adviceTimeout = 3 * time.Second
 	// stuckTime is how long a commit may take before new work is refused.
 	stuckTime = 700 * time.Millisecond
 	// retention is how long an ended job can be asked for; the platform asks
@@ -127,10 +124,12 @@
 	posts       chan func()
 	done        chan struct{}
 	retire      chan struct{}
-	// advising lets one question out at a time.
-	advising chan struct{}
-	tasks    conc.WaitGroup
-	ctx      context.Context
+	tasks       conc.WaitGroup
+	ctx         context.Context
+
+	// questions wait for the advice service; asking is set while one is out.
+	questions []primrosespar.Question
+	asking    bool
 
 	attendants map[primrosespar.Worker]*attended
 	// shown are the stored states of jobs; callers see nothing else.
@@ -175,7 +174,6 @@
 		posts:      make(chan func(), queueLength),
 		done:       make(chan struct{}),
 		retire:     make(chan struct{}),
-		advising:   make(chan struct{}, 1),
 		attendants: map[primrosespar.Worker]*attended{},
 		shown:      map[primrosespar.JobID]primrosespar.JobState{},
 		next:       newBatch(),
@@ -279,31 +277,12 @@
 			a.Stop(c.ctx, stop.Run)
 		}
 	}
-	for _, question := range changes.Questions {
-		c.tasks.Go(func() { c.advise(question) })
-	}
+	c.questions = append(c.questions, changes.Questions...)
+	c.askNext()
 	c.next.add(changes)
 	c.flush(now)
 }
 
-// advise puts one question to the advice service, one after the other.
-func (c *Conductor) advise(question primrosespar.Question) {
-	select {
-	case c.advising <- struct{}{}:
-		defer func() { <-c.advising }()
-	case <-c.ctx.Done():
-		return
-	}
-	ctx, cancel := context.WithTimeout(c.ctx, adviceTimeout)
-	defer cancel()
-	asked := c.parts.Clock.Now()
-	advice, err := c.parts.Fleet.Advise(ctx, question)
-	if err != nil {
-		c.parts.Failed("advice", err)
-	}
-	c.post(func() { c.core.Advised(question, advice, err == nil, asked, c.parts.Clock.Now()) })
-}
-
 // tidy does what need not be done at each plan.
 func (c *Conductor) tidy() {
 	now := c.parts.Clock.Now()
--- a/internal/fleet/scheduler/advising.go
+++ b/internal/fleet/scheduler/advising.go
@@ -38,29 +38,39 @@
 	if st.asking || now.Before(st.askAt) {
 		return
 	}
-	var open []*worker
+	// Room may be made on workers that are full, but only with a ticket.
+	reclaim := r.mayReclaim(now)
+	var open, full []*worker
 	for _, w := range s.roster {
 		if st.denied[w.member.Worker] || st.approved(w, now) || !w.fitting(u, r.terms.Service, now) {
 			continue
 		}
-		if w.room(u, w.free(u)) > 0 {
+		switch {
+		case w.room(u, w.free(u)) > 0:
 			open = append(open, w)
+		case reclaim && w.room(u, w.member.Capacity) > 0:
+			full = append(full, w)
 		}
 	}
-	if len(open) == 0 {
+	if len(open)+len(full) == 0 {
 		return
 	}
 	data := st.spec.DataRack
-	slices.SortStableFunc(open, func(a, b *worker) int {
-		near := func(w *worker) int {
-			if data != "" && w.member.Rack == data {
-				return 0
+	for _, list := range [][]*worker{open, full} {
+		slices.SortStableFunc(list, func(a, b *worker) int {
+			near := func(w *worker) int {
+				if data != "" && w.member.Rack == data {
+					return 0
+				}
+				return 1
 			}
-			return 1
-		}
-		return cmp.Or(near(a)-near(b), b.rack.free-a.rack.free)
-	})
-	q := primrosespar.Question{Job: st.occ.job.sub.ID, Occurrence: st.occ.index, Step: st.index}
+			return cmp.Or(near(a)-near(b), b.rack.free-a.rack.free)
+		})
+	}
+	open = append(open, full...)
+	q := primrosespar.Question{
+		Job: st.occ.job.sub.ID, Occurrence: st.occ.index, Step: st.index, Urgent: r.terms.Priority == 0,
+	}
 	for _, w := range open[:min(len(open), questionSize)] {
 		q.Workers = append(q.Workers, w.member.Worker)
 	}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -604,3 +604,31 @@
 	require.Len(t, again, 1)
 	require.NotEqual(t, start.Worker, again[0].Worker)
 }
+
+// TestUrgentAdvisedStepAsksAboutFullWorkers guards against a guarantee that is
+// not given because the advice service was asked about idle workers only.
+func TestUrgentAdvisedStepAsksAboutFullWorkers(t *testing.T) {
+	r := newRig(t, 1)
+	catalog := testCatalog()
+	catalog.Queues[0].Advised = true
+	r.s.SetCatalog(catalog)
+	r.lookAll()
+	r.s.Submit(job("p", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	r.started(r.plan().Starts)
+	for i := range r.members[1:] {
+		r.s.Submit(job(fmt.Sprintf("l%d", i), "plain", primrosespar.Step{Count: 1, Need: gpus(8), Lasting: true}), r.now)
+	}
+	r.started(r.plan().Starts)
+	r.s.Submit(job("u", "urgent", primrosespar.Step{Count: 2, Need: gpus(8)}), r.now)
+	questions := r.plan().Questions
+	require.Len(t, questions, 1)
+	require.True(t, questions[0].Urgent)
+	require.Len(t, questions[0].Workers, perRack)
+	tickets := map[primrosespar.Worker]string{}
+	for _, w := range questions[0].Workers {
+		tickets[w] = "t"
+	}
+	r.s.Advised(questions[0], primrosespar.Advice{Tickets: tickets, Validity: 3 * time.Second}, true, r.now, r.now)
+	r.now = r.now.Add(200 * time.Millisecond)
+	require.NotEmpty(t, r.plan().Stops)
+}
