Ask for advice on what is needed, for the step that comes first

One question is out at a time, for the step that comes first then; it names workers that were approved before first and stops at three times the room that is needed, by the share that the service has approved so far.

These stay open: with four of five workers denied, one service for two of three queues is what binds.

--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -127,10 +127,6 @@
 	tasks       conc.WaitGroup
 	ctx         context.Context
 
-	// questions wait for the advice service; asking is set while one is out.
-	questions []primrosespar.Question
-	asking    bool
-
 	attendants map[primrosespar.Worker]*attended
 	// shown are the stored states of jobs; callers see nothing else.
 	shown  map[primrosespar.JobID]primrosespar.JobState
@@ -277,8 +273,9 @@
 			a.Stop(c.ctx, stop.Run)
 		}
 	}
-	c.questions = append(c.questions, changes.Questions...)
-	c.askNext()
+	for _, question := range changes.Questions {
+		c.tasks.Go(func() { c.advise(question) })
+	}
 	c.next.add(changes)
 	c.flush(now)
 }
--- a/internal/fleet/scheduler/advising.go
+++ b/internal/fleet/scheduler/advising.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
 // Bounds of the questions to the advice service.
@@ -14,6 +15,12 @@
 	questionSize = 30
 	// ticketMargin is the life that a ticket needs to be used for a start.
 	ticketMargin = 500 * time.Millisecond
+	// approvalPrior is the number of workers of which one is taken to be approved
+	// before the service has answered.
+	approvalPrior = 4
+	// adviceSurplus is how much more room than is needed a question asks for,
+	// because others take some of it before the answer.
+	adviceSurplus = 3
 	// adviceRetry is the wait after a question without an answer.
 	adviceRetry = 500 * time.Millisecond
 )
@@ -31,61 +38,106 @@
 	return ok && t.born.Equal(w.born) && now.Add(ticketMargin).Before(t.until)
 }
 
-// ask puts a question for workers that might run the unit. One question of a
-// step is out at a time.
+// ask puts a question for workers that might run the unit, unless it waits for
+// something else than tickets. One question is out at a time, so that the next
+// is for the step that comes first then, and it names no more workers than are
+// needed: the service takes its time for each and answers one question after
+// the other.
 func (s *Scheduler) ask(u *unit, r *ranked, now time.Time) {
 	st := u.step
-	if st.asking || now.Before(st.askAt) {
+	if s.asking || now.Before(st.askAt) || r.terms.Priority > 0 && !s.leavesReserve(u, r) {
 		return
 	}
-	// Room may be made on workers that are full, but only with a ticket.
+	q := primrosespar.Question{Job: st.occ.job.sub.ID, Occurrence: st.occ.index, Step: st.index}
+	need := adviceSurplus * float64(st.waitingTasks())
+	for _, c := range s.askable(u, r, now) {
+		if need <= 0 || len(q.Workers) == questionSize {
+			break
+		}
+		q.Workers = append(q.Workers, c.worker.member.Worker)
+		if st.granted(c.worker) {
+			need -= float64(c.room)
+		} else {
+			need -= float64(c.room) * s.approval()
+		}
+	}
+	if len(q.Workers) == 0 {
+		return
+	}
+	s.asking = true
+	s.questions = append(s.questions, q)
+}
+
+// askable returns the workers to ask about, in order: those that were approved
+// before and those in the rack of the data first, and those with room before
+// those where it would have to be made. Room may be made only with a ticket.
+func (s *Scheduler) askable(u *unit, r *ranked, now time.Time) []candidate {
+	st := u.step
 	reclaim := r.mayReclaim(now)
-	var open, full []*worker
+	var open, full []candidate
 	for _, w := range s.roster {
 		if st.denied[w.member.Worker] || st.approved(w, now) || !w.fitting(u, r.terms.Service, now) {
 			continue
 		}
-		switch {
-		case w.room(u, w.free(u)) > 0:
-			open = append(open, w)
-		case reclaim && w.room(u, w.member.Capacity) > 0:
-			full = append(full, w)
+		limit := len(st.units) * u.size
+		if n := w.roomFor(u, w.free(u), limit); n > 0 {
+			open = append(open, candidate{worker: w, room: n})
+		} else if n := w.roomFor(u, w.member.Capacity, limit); reclaim && n > 0 {
+			full = append(full, candidate{worker: w, room: n})
 		}
 	}
-	if len(open)+len(full) == 0 {
-		return
-	}
-	data := st.spec.DataRack
-	for _, list := range [][]*worker{open, full} {
-		slices.SortStableFunc(list, func(a, b *worker) int {
-			near := func(w *worker) int {
-				if data != "" && w.member.Rack == data {
-					return 0
-				}
-				return 1
-			}
-			return cmp.Or(near(a)-near(b), b.rack.free-a.rack.free)
+	for _, list := range [][]candidate{open, full} {
+		slices.SortStableFunc(list, func(a, b candidate) int {
+			return cmp.Or(st.distance(a.worker)-st.distance(b.worker), b.worker.rack.free-a.worker.rack.free)
 		})
 	}
-	open = append(open, full...)
-	q := primrosespar.Question{
-		Job: st.occ.job.sub.ID, Occurrence: st.occ.index, Step: st.index, Urgent: r.terms.Priority == 0,
+	return append(open, full...)
+}
+
+// distance ranks the workers to ask about.
+func (st *step) distance(w *worker) int {
+	n := 0
+	if !st.granted(w) {
+		n += 2
 	}
-	for _, w := range open[:min(len(open), questionSize)] {
-		q.Workers = append(q.Workers, w.member.Worker)
+	if st.spec.DataRack != "" && w.member.Rack != st.spec.DataRack {
+		n++
 	}
-	st.asking = true
-	s.questions = append(s.questions, q)
+	return n
+}
+
+// granted reports whether the worker has had a ticket for the step in this
+// lifetime; the policy does not change, so it gets another.
+func (st *step) granted(w *worker) bool {
+	t, ok := st.tickets[w.member.Worker]
+	return ok && t.born.Equal(w.born)
+}
+
+// waitingTasks returns the tasks of the step that have no worker.
+func (st *step) waitingTasks() int {
+	n := 0
+	for _, u := range st.units {
+		if u.phase == encoder.Waiting {
+			n += u.size
+		}
+	}
+	return n
+}
+
+// approval is the share of the workers that the advice service has approved
+// so far.
+func (s *Scheduler) approval() float64 {
+	return float64(s.granted+1) / float64(s.asked+approvalPrior)
 }
 
 // Advised takes the answer to a question that was put at the time; without an
 // answer the question is put again later.
 func (s *Scheduler) Advised(q primrosespar.Question, advice primrosespar.Advice, answered bool, asked, now time.Time) {
+	s.asking = false
 	st := s.stepOf(q)
 	if st == nil {
 		return
 	}
-	st.asking = false
 	if !answered {
 		st.askAt = now.Add(adviceRetry)
 		return
@@ -97,6 +149,12 @@
 	for _, name := range q.Workers {
 		text, ok := advice.Tickets[name]
 		w := s.workers[name]
+		if w == nil || !st.granted(w) {
+			s.asked++
+			if ok {
+				s.granted++
+			}
+		}
 		switch {
 		case !ok:
 			st.denied[name] = true
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -60,6 +60,12 @@
 	// strayStops are stops of runs that no record names.
 	strayStops []Order
 	questions  []primrosespar.Question
+	// asking is set while a question is out.
+	asking bool
+	// asked and granted count the workers that the advice service was asked
+	// about for the first time, and those that it approved.
+	asked   int
+	granted int
 }
 
 // rackKey names a rack of one service and place.
--- a/orders.go
+++ b/orders.go
@@ -39,8 +39,6 @@
 	Occurrence int
 	Step       int
 	Workers    []Worker
-	// Urgent questions are put before the others.
-	Urgent bool
 }
 
 // Advice is the answer: the tickets of the workers that may run the step, and
