Hold tasks that fill a worker up beside tasks that serve users

Tasks with a target for their users' response times share workers with tasks that take what is left, and nothing kept the one from the other. They are placed apart while there is room. Where they share a worker it is looked at every half second; a tail above 0.85 of its target holds the filling tasks up at once, and they come back in steps of a quarter once the tails were low for a while, which doubles each time. Orders on pace are repeated while a tail stays high, because an earlier one may be carried out late.

--- a/fleet.go
+++ b/fleet.go
@@ -64,6 +64,11 @@
 	// MostAway is how many tasks of a lasting step may be away at once by
 	// decision of the scheduler; 0 is no bound.
 	MostAway int
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string
+	// Target is the tail of the response times that a lasting task keeps below
+	// for its own users; 0 if it serves nobody.
+	Target time.Duration
 	// Filler tasks take the processor time that others leave unused, so their
 	// cores do not count against a worker.
 	Filler bool
@@ -166,6 +171,9 @@
 	Run        Run
 	Checkpoint string
 	Percent    float64
+	// Tail is the tail of the response times over the last half second, of a
+	// task that serves users.
+	Tail time.Duration
 }
 
 // EndedRun is a run that ended at a worker. Sequence numbers the ends of one
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -32,6 +32,9 @@
 	// lookWait is how long a look waits for an end; the platform takes at most
 	// 2 s.
 	lookWait = 2 * time.Second
+	// sharedWait is the same while tasks of different kinds share the worker:
+	// the tail that they report covers half a second.
+	sharedWait = 500 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait.
 	answerTime = 900 * time.Millisecond
 	// orderTime bounds a start or stop.
@@ -56,6 +59,8 @@
 	Silent(worker primrosespar.Worker, lapse time.Time, err error)
 	// Answered takes the result of an order.
 	Answered(worker primrosespar.Worker, run primrosespar.Run, start bool, lapse time.Time, err error)
+	// Paced takes the result of an order on pace.
+	Paced(worker primrosespar.Worker, run primrosespar.Run, percent int, err error)
 }
 
 // Options configure an Attendant.
@@ -84,6 +89,7 @@
 	mu      sync.Mutex
 	member  primrosespar.Member
 	busy    bool
+	shared  bool
 	looked  bool
 	suspect bool
 	noted   uint64
@@ -133,6 +139,14 @@
 	}
 }
 
+// SetShared says whether the worker has to be looked at often, because tasks
+// that fill it may disturb others.
+func (a *Attendant) SetShared(shared bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shared = shared
+}
+
 // SetMember takes a new announcement of the worker.
 func (a *Attendant) SetMember(member primrosespar.Member) {
 	a.mu.Lock()
@@ -215,6 +229,9 @@
 		return l
 	}
 	l.Wait = lookWait
+	if a.shared {
+		l.Wait = sharedWait
+	}
 	l.Until = a.until(now)
 	return l
 }
@@ -296,6 +313,21 @@
 	}, run, false)
 }
 
+// Pace sets how fast a run works; its result goes to the sink.
+func (a *Attendant) Pace(ctx context.Context, run primrosespar.Run, percent int) {
+	a.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, orderTime)
+		defer cancel()
+		a.mu.Lock()
+		member := a.member
+		a.mu.Unlock()
+		err := a.fleet.Pace(ctx, primrosespar.Pace{
+			Worker: a.worker, Address: member.Address, Token: a.token, Run: run, Percent: percent,
+		})
+		a.sink.Paced(a.worker, run, percent, err)
+	})
+}
+
 // order sends one order on a goroutine of its own.
 func (a *Attendant) order(ctx context.Context, send func(context.Context, primrosespar.Member) (time.Time, error), run primrosespar.Run, start bool) {
 	a.tasks.Go(func() {
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -273,6 +273,14 @@
 			a.Stop(c.ctx, stop.Run)
 		}
 	}
+	for _, pace := range changes.Paces {
+		a := c.attendants[pace.Worker]
+		if a == nil {
+			c.core.Paced(pace, primrosespar.CodePeerUnavailable, now)
+			continue
+		}
+		a.Pace(c.ctx, pace.Run, pace.Percent)
+	}
 	for _, question := range changes.Questions {
 		c.tasks.Go(func() { c.advise(question) })
 	}
@@ -307,6 +315,7 @@
 	}
 	for name, a := range c.attendants {
 		a.SetBusy(busy[name])
+		a.SetShared(c.core.Shared(name))
 	}
 }
 
@@ -402,6 +411,19 @@
 	})
 }
 
+// Paced implements attendant.Sink.
+func (s sink) Paced(worker primrosespar.Worker, run primrosespar.Run, percent int, err error) {
+	s.c.post(func() {
+		code := primrosespar.CodeOK
+		if err != nil {
+			code = primrosespar.CodeOf(err)
+			s.c.parts.Decided(scheduler.Event{Kind: "order_failed", Job: run.Task.Job, Worker: worker, Run: run.Number, Detail: err.Error()})
+		}
+		s.c.core.Paced(scheduler.Pace{Worker: worker, Run: run, Percent: percent}, code, s.c.parts.Clock.Now())
+		s.c.takeRefusal(worker, code)
+	})
+}
+
 // takeRefusal draws what a refusal says of the worker or of the term.
 func (c *Conductor) takeRefusal(worker primrosespar.Worker, code primrosespar.Code) {
 	switch code {
--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -247,6 +247,9 @@
 			continue
 		}
 		score := c.free.Accelerators*maxRackAccelerators + min(c.worker.rack.free, maxRackAccelerators-1)
+		if c.worker.disturbs(u.step) {
+			score += math.MaxInt / 16
+		}
 		if c.worker.closing || c.worker.crowded(u.step) {
 			score += math.MaxInt / 8
 		}
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -45,6 +45,13 @@
 	percentAt time.Time
 	// seenAt is when the worker last listed the run.
 	seenAt time.Time
+	// tail is what the run last reported of its users' response times.
+	tail time.Duration
+	// paced is the share in percent at which the run works, pacing is set while
+	// an order to change it is out.
+	paced   int
+	pacing  bool
+	pacedAt time.Time
 }
 
 // task returns the name of the member's task.
@@ -158,6 +165,11 @@
 
 // begin takes note that the run is at its worker.
 func (m *member) begin(now time.Time) {
+	m.paced = fullPercent
+	if m.phase == restored {
+		// An earlier holder may have slowed it down.
+		m.paced = unknownPace
+	}
 	m.phase, m.unanswered = running, false
 	m.percentAt = now
 	m.unit.gatheredAt = now
@@ -166,6 +178,9 @@
 // standing reports whether the member has been seen without progress for a
 // while. The time in which its worker did not answer proves nothing.
 func (m *member) standing(now time.Time) bool {
+	if m.unit.step.spec.Filler && m.paced < fullPercent {
+		return false
+	}
 	since := m.percentAt
 	if m.unit.gatheredAt.After(since) {
 		since = m.unit.gatheredAt
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -43,6 +43,7 @@
 		s.tended = now
 		s.lapsed(now)
 		s.tend(now)
+		s.share(now)
 		for _, j := range slices.Clone(s.live) {
 			s.due(j, now)
 		}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -60,6 +60,7 @@
 	// strayStops are stops of runs that no record names.
 	strayStops []Order
 	questions  []primrosespar.Question
+	paces      []Pace
 	// asking is set while a question is out.
 	asking bool
 	// asked and granted count the workers that the advice service was asked
@@ -111,14 +112,22 @@
 	Ticket     string
 }
 
+// Pace is an order to let a run work at a share of its speed.
+type Pace struct {
+	Worker  primrosespar.Worker
+	Run     primrosespar.Run
+	Percent int
+}
+
 // Changes are what a caller of Plan has to carry out.
 type Changes struct {
 	// Records are stored before Starts are sent and Noted is acknowledged.
 	Records []Record
 	Starts  []Order
 	Noted   map[primrosespar.Worker]uint64
-	// Stops and Questions may be sent at once.
+	// Stops, Paces and Questions may be sent at once.
 	Stops     []Order
+	Paces     []Pace
 	Questions []primrosespar.Question
 	Events    []Event
 }
@@ -288,7 +297,7 @@
 
 // collectChanges empties what has gathered since the last call.
 func (s *Scheduler) collectChanges() Changes {
-	c := Changes{Noted: s.noted, Events: s.events, Questions: s.questions}
+	c := Changes{Noted: s.noted, Events: s.events, Questions: s.questions, Paces: s.paces}
 	for _, j := range s.dirty {
 		c.Records = append(c.Records, j.record())
 		j.dirty = false
@@ -301,7 +310,7 @@
 		c.Stops = append(c.Stops, m.order())
 	}
 	c.Stops = append(c.Stops, s.strayStops...)
-	s.dirty, s.starts, s.stops, s.strayStops, s.questions, s.events = nil, nil, nil, nil, nil, nil
+	s.dirty, s.starts, s.stops, s.strayStops, s.questions, s.paces, s.events = nil, nil, nil, nil, nil, nil, nil
 	s.noted = map[primrosespar.Worker]uint64{}
 	return c
 }
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -38,6 +38,7 @@
 	noted      uint64
 	strikes    map[primrosespar.JobID]bool
 	quarantine time.Time
+	sharing    sharing
 }
 
 // worker returns the worker, known or new. Without a look, what an earlier
@@ -270,6 +271,7 @@
 		m.begin(now)
 	}
 	m.seenAt = now
+	m.tail = a.Tail
 	if a.Checkpoint != "" && m.run == m.unit.run {
 		m.unit.checkpoint = a.Checkpoint
 	}
--- a/orders.go
+++ b/orders.go
@@ -57,6 +57,15 @@
 	Run     Run
 }
 
+// Pace lets a run work at a share of its speed.
+type Pace struct {
+	Worker  Worker
+	Address netip.AddrPort
+	Token   Token
+	Run     Run
+	Percent int
+}
+
 // Fleet sends orders to workers. An order without an answer may be carried out
 // later; its error has CodeWorkerLost. An order that has not left has
 // CodePeerUnavailable. Refusals have CodeStaleToken, CodeStaleAttempt,
@@ -69,6 +78,8 @@
 	Start(ctx context.Context, start Start) error
 	// Stop stops a run.
 	Stop(ctx context.Context, stop Stop) error
+	// Pace sets how fast a run works; it starts at full speed.
+	Pace(ctx context.Context, pace Pace) error
 	// Advise asks which workers may run a step. The service answers one call of
 	// a host after the other.
 	Advise(ctx context.Context, question Question) (Advice, error)
