--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -40,6 +40,13 @@
 	reclaimTime = 4 * time.Second
 	// reserveShare of the guarantees is left free by work that is not urgent.
 	reserveShare = 0.55
+	// reserveMost bounds the reserve by a share of the service, which may have
+	// lost workers or be too small for its guarantees.
+	reserveMost = 0.35
+	// idleShare of a service in use holds nothing back: work has to be started
+	// while less than half of the service is in use, and the platform does not
+	// count quite as the scheduler does.
+	idleShare = 0.6
 	// remoteWait is how long a unit waits for the rack with its data.
 	remoteWait = 1200 * time.Millisecond
 	// spreadWait is how long a gang waits for one rack.
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -246,7 +246,7 @@
 		total += k.total
 	}
 	need := u.size * u.step.spec.Need.Accelerators
-	reserve := int(reserveShare * float64(s.guaranteed()))
+	reserve := int(min(reserveShare*float64(s.guaranteed()), reserveMost*float64(total)))
 	switch {
 	case free-need >= reserve || need > total-reserve:
 		return true
@@ -255,7 +255,7 @@
 		// over; it gives way if a guarantee is claimed.
 		return 2*need <= free
 	default:
-		return 2*need <= free && 2*(total-free) < total
+		return 2*need <= free && float64(total-free) < idleShare*float64(total)
 	}
 }
 
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -654,3 +654,17 @@
 	require.Len(t, questions, 1)
 	require.Equal(t, first, questions[0].Workers[0], "a worker that was approved is approved again")
 }
+
+// TestSmallServiceHoldsLittleBack guards against work that never starts because
+// the guarantees were made for more workers than are left.
+func TestSmallServiceHoldsLittleBack(t *testing.T) {
+	r := newRig(t, 2)
+	catalog := testCatalog()
+	catalog.Contracts[0].Reserved = 8 * 2 * perRack
+	r.s.SetCatalog(catalog)
+	r.lookAll()
+	for i := range 2 * perRack {
+		r.s.Submit(job(fmt.Sprintf("p%d", i), "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	}
+	require.Len(t, r.plan().Starts, 5)
+}
