Show the fleet and explain jobs on the command line

`fleet status` shows what a host knows, and at the holder the workers, accelerators, waiting jobs and guarantees; `fleet explain JOB` says where each step stands and what its first waiting task waits for, such as the reserve, tickets, room or its turn. Both ask the metrics address; `fleet` alone still runs the daemon.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -22,6 +22,7 @@
 	"primrosespar.example/primrosespar/internal/entry/meter"
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+	"primrosespar.example/primrosespar/internal/fleet/viewer"
 	"primrosespar.example/primrosespar/internal/operator/handler"
 	"primrosespar.example/primrosespar/internal/record/spooler"
 	"primrosespar.example/primrosespar/platform"
@@ -44,6 +45,12 @@
 	idleTime   = 60 * time.Second
 )
 
+// fleetCommands are the commands for a fleet; without another, the daemon runs.
+type fleetCommands struct {
+	Run fleetCommand `cmd:"" default:"withargs" help:"Run the scheduler of a fleet (default)."`
+	handler.FleetCommands
+}
+
 // fleetCommand runs the scheduler of a fleet on the users' platform.
 type fleetCommand struct {
 	Settings string `help:"Settings file of this host; the platform names it in the environment." type:"path"`
@@ -183,12 +190,13 @@
 	return router
 }
 
-// metrics serves counters and histograms.
+// metrics serves counters, histograms and what the host knows of the fleet.
 func (f *fleet) metrics() http.Handler {
 	router := httprouter.New()
 	router.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		f.meter.Write(w)
 	})
+	viewer.New(f.daemon).Register(router)
 	return router
 }
 
--- a/cmd/primrosespar/main.go
+++ b/cmd/primrosespar/main.go
@@ -22,8 +22,8 @@
 // cli is the command line.
 type cli struct {
 	handler.Commands
-	Entry entryCommand `cmd:"" help:"Run the daemon of an entry host."`
-	Fleet fleetCommand `cmd:"" help:"Run the scheduler of a fleet on the users' platform."`
+	Entry entryCommand  `cmd:"" help:"Run the daemon of an entry host."`
+	Fleet fleetCommands `cmd:"" help:"Run and ask the scheduler of a fleet on the users' platform."`
 }
 
 func main() {
--- a/code.go
+++ b/code.go
@@ -201,7 +201,7 @@
 		{CodeWorkerLost, "worker_lost", 0, exitOK, "The worker failed or its lease lapsed."},
 		{CodeWorkerLate, "worker_late", 409, exitConflict, "The order reached the worker after the end of the lease that it carried. Not run."},
 		{CodeWorkerFull, "worker_full", 409, exitRefused, "The worker has no room for the task. Not run."},
-		{CodeWorkerReborn, "worker_reborn", 421, exitConflict, "The worker started again since the order was made. Not run."},
+		{CodeWorkerReborn, "worker_reborn", 421, exitConflict, "Another worker answers at the address of the one that the order was for. Not run."},
 		{CodeWorkerUnwell, "worker_unwell", 503, exitRefused, "The worker refused the order because it is unhealthy or overloaded. Not run."},
 		{CodeMachineBusy, "machine_busy", 409, exitConflict, "The machine is not up, or is about to leave, so its upkeep cannot begin."},
 	}
--- a/internal/fleet/conductor/conductor_test.go
+++ b/internal/fleet/conductor/conductor_test.go
@@ -75,7 +75,7 @@
 		require.True(t, counted)
 		require.Equal(t, map[primrosespar.Queue]int{"q": 1}, waiting)
 		cancel()
-		<-ended
-		<-ended
+		require.Error(t, <-ended)
+		require.Error(t, <-ended)
 	})
 }
--- a/internal/fleet/conductor/serving.go
+++ b/internal/fleet/conductor/serving.go
@@ -57,6 +57,30 @@
 	return nil, false
 }
 
+// View returns what the term schedules, for operators.
+func (c *Conductor) View(ctx context.Context) (primrosespar.FleetState, error) {
+	var view primrosespar.FleetState
+	err := c.inLoop(ctx, func(reply func(error)) {
+		view = c.core.View(c.parts.Clock.Now())
+		reply(nil)
+	})
+	return view, err
+}
+
+// Explain returns where a job stands and what it waits for.
+func (c *Conductor) Explain(ctx context.Context, id primrosespar.JobID) (primrosespar.JobView, error) {
+	var view primrosespar.JobView
+	err := c.inLoop(ctx, func(reply func(error)) {
+		var known bool
+		if view, known = c.core.Explain(id, c.parts.Clock.Now()); !known {
+			reply(primrosespar.Fail(primrosespar.CodeNotFound, "job %s", id))
+			return
+		}
+		reply(nil)
+	})
+	return view, err
+}
+
 // Stuck reports whether the store has left a commit without an answer for
 // long; new work would only wait behind it.
 func (c *Conductor) Stuck() bool {
--- a/internal/fleet/daemon/handling.go
+++ b/internal/fleet/daemon/handling.go
@@ -74,3 +74,35 @@
 func (d *Daemon) catalogChanged(version primrosespar.Version, age time.Duration) {
 	d.opts.Changed("catalog", fmt.Sprintf("version %d, read %v ago", version, age))
 }
+
+var _ primrosespar.FleetViewer = (*Daemon)(nil)
+
+// Status implements primrosespar.FleetViewer.
+func (d *Daemon) Status(ctx context.Context) primrosespar.FleetStatus {
+	status := primrosespar.FleetStatus{Host: d.settings.Host, Ready: d.Ready()}
+	status.Holder, status.Token = d.elector.Held()
+	if catalog := d.follower.Catalog(); catalog != nil {
+		status.CatalogVersion, status.CatalogAge = catalog.Version, d.follower.Age()
+	}
+	term := d.term.Load()
+	if term == nil {
+		return status
+	}
+	status.Holder, status.Token = d.settings.Host, term.Token()
+	if state, err := term.View(ctx); err == nil {
+		status.State = &state
+	} else {
+		d.opts.Failed("status", err)
+	}
+	return status
+}
+
+// Explain implements primrosespar.FleetViewer.
+func (d *Daemon) Explain(ctx context.Context, id primrosespar.JobID) (primrosespar.JobView, error) {
+	term := d.term.Load()
+	if term == nil {
+		holder, _ := d.elector.Held()
+		return primrosespar.JobView{}, primrosespar.Fail(primrosespar.CodeNotHolder, "host %s schedules the fleet", holder)
+	}
+	return term.Explain(ctx, id)
+}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -125,6 +125,14 @@
 	return e.holder.Address, e.known && !e.leading && e.holder.Host != ""
 }
 
+// Held returns the other host that was last seen to hold the lease, and its
+// token.
+func (e *Elector) Held() (primrosespar.Host, primrosespar.Token) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holder.Host, e.holder.Token
+}
+
 // Leading reports whether this host runs a term.
 func (e *Elector) Leading() bool {
 	e.mu.Lock()
--- a/internal/fleet/scheduler/fitting.go
+++ b/internal/fleet/scheduler/fitting.go
@@ -29,7 +29,7 @@
 	if now.Before(w.quarantine) || u.avoid[w.member.Worker] {
 		return false
 	}
-	return spec.Label == "" || slices.Contains(w.member.Labels, spec.Label)
+	return u.step.allows(w)
 }
 
 // room returns how many members of the unit fit the worker.
--- /dev/null
+++ b/internal/fleet/viewer/viewer_test.go
@@ -0,0 +1,64 @@
+package viewer_test
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/viewer"
+	"primrosespar.example/primrosespar/internal/operator/caller"
+	"primrosespar.example/primrosespar/internal/operator/printer"
+)
+
+// fleet answers as the holder or another host.
+type fleet struct{ holds bool }
+
+// Status implements primrosespar.FleetViewer.
+func (f fleet) Status(context.Context) primrosespar.FleetStatus {
+	s := primrosespar.FleetStatus{Host: "b", Ready: true, Holder: "a", Token: 3, CatalogVersion: 7, CatalogAge: time.Second}
+	if f.holds {
+		s.State = &primrosespar.FleetState{Workers: 4, Waiting: map[primrosespar.Queue]int{"q": 2}}
+	}
+	return s
+}
+
+// Explain implements primrosespar.FleetViewer.
+func (f fleet) Explain(_ context.Context, id primrosespar.JobID) (primrosespar.JobView, error) {
+	if !f.holds {
+		return primrosespar.JobView{}, primrosespar.Fail(primrosespar.CodeNotHolder, "host a schedules the fleet")
+	}
+	return primrosespar.JobView{Job: id, State: primrosespar.JobQueued, Steps: []primrosespar.StepView{{Tasks: 1, Reason: "no room"}}}, nil
+}
+
+// TestOperatorsSeeTheFleet guards against answers that the commands do not
+// understand, and against a host that answers for the holder.
+func TestOperatorsSeeTheFleet(t *testing.T) {
+	for _, holds := range []bool{false, true} {
+		router := httprouter.New()
+		viewer.New(fleet{holds: holds}).Register(router)
+		server := httptest.NewServer(router)
+		t.Cleanup(server.Close)
+		client := caller.New(caller.WithServer(server.URL))
+		status, err := client.Fleet(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, fleet{holds: holds}.Status(t.Context()), status)
+		view, err := client.FleetJob(t.Context(), "a1")
+		if !holds {
+			require.Equal(t, primrosespar.CodeNotHolder, primrosespar.CodeOf(err))
+			require.ErrorContains(t, err, "host a schedules the fleet")
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "no room", view.Steps[0].Reason)
+		var out bytes.Buffer
+		require.NoError(t, printer.New(&out, printer.Tables).FleetJob(view))
+		require.NoError(t, printer.New(&out, printer.Tables).Fleet(status))
+		require.Contains(t, out.String(), "no room")
+	}
+}
--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -262,6 +262,18 @@
 	return answer, err
 }
 
+// Fleet reads what a host knows of the fleet.
+func (c *Caller) Fleet(ctx context.Context) (answer primrosespar.FleetStatus, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/fleet"}, &answer)
+	return answer, err
+}
+
+// FleetJob asks the holder of the fleet lease for a job.
+func (c *Caller) FleetJob(ctx context.Context, id primrosespar.JobID) (answer primrosespar.JobView, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/fleet/jobs/" + url.PathEscape(string(id))}, &answer)
+	return answer, err
+}
+
 // Incidents reads the report of a period.
 func (c *Caller) Incidents(ctx context.Context, from, to time.Time) (answer IncidentAnswer, err error) {
 	query := url.Values{}
