Take the bounds on configuration and keys from the settings

Both bounds were constants.

The follower reads at a third of the bound and takes a confirmation for fresh for 0.63 of it, as before at 3 s. Where the platform says that the bound on keys is strict, a host that cannot confirm its configuration for that long is not ready and answers callers that it is starting. The tests do not build without the options.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -124,6 +124,7 @@
 	d, err := daemon.New(daemon.Settings{
 		Host: f.settings.Host, Peers: f.settings.Peers, Weight: f.settings.Cores,
 		Lease: min(maxLease, f.settings.LongestLease), GangTimeout: f.settings.GangTimeout,
+		ConfigBound: f.settings.ConfigBound, KeyBound: f.settings.KeyBound,
 	}, backend,
 		daemon.WithClock(f.clock), daemon.WithLog(f.decided, f.changed, f.failed))
 	if err != nil {
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -64,6 +64,11 @@
 	// GangTimeout is how long a member of a gang waits for the others; 0 is the
 	// default.
 	GangTimeout time.Duration
+	// ConfigBound is the time within which a change of the catalog has to be in
+	// force; 0 is the default.
+	ConfigBound time.Duration
+	// KeyBound is how old the catalog may be for callers; 0 is no bound.
+	KeyBound time.Duration
 }
 
 // Backend are the platform's services.
@@ -136,13 +141,14 @@
 		Self: d.self, Lead: d.lead, Heard: d.heard, Changed: d.holderChanged, Failed: d.opts.Failed,
 	})
 	d.follower = follower.New(backend.Source, d.opts.Clock,
+		follower.WithBound(settings.ConfigBound), follower.WithLimit(settings.KeyBound),
 		follower.WithHolding(d.elector.Leading),
 		follower.WithAnswered(d.storeAnswered),
 		follower.WithChanged(d.catalogChanged),
 		follower.WithFailed(func(err error) { d.opts.Failed("catalog", err) }))
 	d.clerk, err = clerk.New(clerk.Parts{
 		Table: backend.Table, Peers: d.courier, Clock: d.opts.Clock,
-		Term: d.current, Holder: d.elector.Holder, Waiting: d.elector.Waiting, Catalog: d.follower.Catalog,
+		Term: d.current, Holder: d.elector.Holder, Waiting: d.elector.Waiting, Catalog: d.follower.Usable,
 	})
 	return d, err
 }
@@ -179,7 +185,7 @@
 
 // Ready reports whether the host can serve callers.
 func (d *Daemon) Ready() bool {
-	if d.draining.Load() || d.follower.Catalog() == nil {
+	if d.draining.Load() || d.follower.Usable() == nil {
 		return false
 	}
 	d.mu.Lock()
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -20,11 +20,16 @@
 
 // Times of the follower.
 const (
-	// readInterval is the time between two reads of the holder.
-	readInterval = time.Second
-	// freshTime is how old a confirmation by the holder may be. A change has to
-	// be in force 3 s after it is stored, and a read takes a part of that.
-	freshTime = 1900 * time.Millisecond
+	// DefaultBound is the time within which a change has to be in force, where
+	// the platform does not say.
+	DefaultBound = 3 * time.Second
+	// readShare of the bound is the time between two reads of the holder.
+	readShare = 1.0 / 3
+	// freshShare of the bound is how old a confirmation by the holder may be; the
+	// read that follows takes a part of the rest.
+	freshShare = 0.63
+	// limitMargin is left of the limit for the call that is being answered.
+	limitMargin = 500 * time.Millisecond
 	// stepInterval is the time between two checks.
 	stepInterval = 200 * time.Millisecond
 	// readTimeout bounds a read.
@@ -33,6 +38,11 @@
 
 // Options configure a Follower.
 type Options struct {
+	// Bound is the time within which a change has to be in force.
+	Bound time.Duration
+	// Limit is how old a catalog may be that callers are served by; 0 is no
+	// limit.
+	Limit time.Duration
 	// Holding says whether this host is the one that reads for the others.
 	Holding func() bool
 	// Answered is called after each read, Changed takes each new version and
@@ -50,6 +60,20 @@
 	return func(o *Options) { o.Changed = changed }
 }
 
+// WithBound sets the time within which a change has to be in force; 0 is the
+// default.
+func WithBound(bound time.Duration) Option {
+	return func(o *Options) {
+		if bound > 0 {
+			o.Bound = bound
+		}
+	}
+}
+
+// WithLimit sets how old a catalog may be that callers are served by; 0 is no
+// limit.
+func WithLimit(limit time.Duration) Option { return func(o *Options) { o.Limit = limit } }
+
 // WithHolding sets what says whether this host reads for the others.
 func WithHolding(holding func() bool) Option { return func(o *Options) { o.Holding = holding } }
 
@@ -75,6 +99,7 @@
 // New returns a Follower without a catalog.
 func New(source primrosespar.Source, clock primrosespar.Clock, opts ...Option) *Follower {
 	f := &Follower{source: source, clock: clock, wake: make(chan struct{}, 1), opts: Options{
+		Bound:    DefaultBound,
 		Holding:  func() bool { return false },
 		Answered: func() {},
 		Changed:  func(primrosespar.Version, time.Duration) {},
@@ -93,6 +118,15 @@
 	return f.catalog
 }
 
+// Usable returns the newest catalog if callers may be served by it: keys may
+// have been taken away since it was confirmed.
+func (f *Follower) Usable() *primrosespar.Catalog {
+	if f.opts.Limit > 0 && f.Age() > f.opts.Limit-limitMargin {
+		return nil
+	}
+	return f.Catalog()
+}
+
 // Age returns how long ago the version was confirmed.
 func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
@@ -134,10 +168,11 @@
 
 // due reports whether the store has to be read.
 func (f *Follower) due() bool {
-	limit := freshTime
+	share := freshShare
 	if f.opts.Holding() {
-		limit = readInterval
+		share = readShare
 	}
+	limit := time.Duration(share * float64(f.opts.Bound))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.catalog == nil || f.wanted > f.catalog.Version || f.clock.Since(f.confirmed) > limit
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -43,12 +43,12 @@
 }
 
 // run runs the body beside a follower that has version 5.
-func run(t *testing.T, body func(t *testing.T, s *source, f *follower.Follower)) {
+func run(t *testing.T, body func(t *testing.T, s *source, f *follower.Follower), opts ...follower.Option) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		s := &source{version: 5}
-		f := follower.New(s, clockwork.NewRealClock())
+		f := follower.New(s, clockwork.NewRealClock(), opts...)
 		go f.Run(ctx)
 		time.Sleep(time.Second)
 		require.EqualValues(t, 5, f.Catalog().Version)
@@ -100,3 +100,32 @@
 		require.EqualValues(t, 6, f.Catalog().Version)
 	})
 }
+
+// TestShorterBoundIsKept guards against a change that is in force too late on a
+// platform that asks for less than the usual 3 s.
+func TestShorterBoundIsKept(t *testing.T) {
+	const bound = 1500 * time.Millisecond
+	run(t, func(t *testing.T, s *source, f *follower.Follower) {
+		f.Confirm(5, time.Now())
+		s.set(6, false)
+		time.Sleep(bound)
+		require.EqualValues(t, 6, f.Catalog().Version)
+	}, follower.WithBound(bound))
+}
+
+// TestOldCatalogIsNotUsed guards against a key that works at a host which is
+// cut off, where the platform forbids that.
+func TestOldCatalogIsNotUsed(t *testing.T) {
+	const limit = 5 * time.Second
+	run(t, func(t *testing.T, s *source, f *follower.Follower) {
+		s.set(6, true)
+		time.Sleep(2 * time.Second)
+		require.NotNil(t, f.Usable())
+		time.Sleep(limit - 2*time.Second)
+		require.Nil(t, f.Usable())
+		require.NotNil(t, f.Catalog())
+		s.set(6, false)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 6, f.Usable().Version)
+	}, follower.WithLimit(limit))
+}
