--- a/internal/fleet/courier/server.go
+++ b/internal/fleet/courier/server.go
@@ -5,7 +5,6 @@
 	"net"
 
 	"github.com/rotisserie/eris"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -39,7 +38,7 @@
 // Serve answers peers on the listener until the context ends.
 func Serve(ctx context.Context, listener net.Listener, handler primrosespar.FleetHandler) error {
 	mux := drpcmux.New()
-	if err := mux.Register(&service{handler: handler}, description{}); err != nil {
+	if err := mux.Register(&service{handler: handler}, methods()); err != nil {
 		return eris.Wrap(err, "register fleet service")
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.ManagerOptions()})
@@ -71,25 +70,13 @@
 	return replier.Of(struct{}{}, s.handler.HandleSucceed(ctx))
 }
 
-// description lists the methods for drpc.
-type description struct{}
-
-// NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 5 }
-
-// Method implements drpc.Description.
-func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	switch n {
-	case 0:
-		return rpcBeat, replier.Encoding{}, replier.Receive((*service).beat), replier.Typed((*service).beat), true
-	case 1:
-		return rpcSubmit, replier.Encoding{}, replier.Receive((*service).submit), replier.Typed((*service).submit), true
-	case 2:
-		return rpcState, replier.Encoding{}, replier.Receive((*service).state), replier.Typed((*service).state), true
-	case 3:
-		return rpcCancel, replier.Encoding{}, replier.Receive((*service).cancel), replier.Typed((*service).cancel), true
-	case 4:
-		return rpcSucceed, replier.Encoding{}, replier.Receive((*service).succeed), replier.Typed((*service).succeed), true
+// methods describe the service for drpc.
+func methods() replier.Methods {
+	return replier.Methods{
+		replier.Handle(rpcBeat, (*service).beat),
+		replier.Handle(rpcSubmit, (*service).submit),
+		replier.Handle(rpcState, (*service).state),
+		replier.Handle(rpcCancel, (*service).cancel),
+		replier.Handle(rpcSucceed, (*service).succeed),
 	}
-	return "", nil, nil, nil, false
 }
--- a/internal/fleet/scheduler/progress_test.go
+++ b/internal/fleet/scheduler/progress_test.go
@@ -20,9 +20,7 @@
 func TestStandingRunIsMoved(t *testing.T) {
 	r := newRig(t, 1)
 	r.lookAll()
-	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(1)}), r.now)
-	start := r.plan().Starts[0]
-	r.started([]scheduler.Order{start})
+	start := r.begin(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(1)}))[0]
 	for _, percent := range []float64{10, 10} {
 		r.now = r.now.Add(2 * time.Second)
 		r.look(r.index(start.Worker), listed(start, percent))
@@ -37,9 +35,7 @@
 func TestUnseenRunIsNotTakenForStanding(t *testing.T) {
 	r := newRig(t, 1)
 	r.lookAll()
-	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(1)}), r.now)
-	start := r.plan().Starts[0]
-	r.started([]scheduler.Order{start})
+	start := r.begin(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(1)}))[0]
 	r.now = r.now.Add(2 * time.Second)
 	r.look(r.index(start.Worker), listed(start, 10))
 	r.now = r.now.Add(2800 * time.Millisecond)
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// begin hands a job in and lets its starts succeed.
+func (r *rig) begin(sub primrosespar.Submission) []scheduler.Order {
+	r.s.Submit(sub, r.now)
+	starts := r.plan().Starts
+	r.started(starts)
+	return starts
+}
+
 // job returns a job of one step.
 func job(id string, queue primrosespar.Queue, step primrosespar.Step) primrosespar.Submission {
 	if step.Estimate == 0 {
@@ -156,10 +164,8 @@
 	r.lookAll()
 	// What an earlier holder may have started has lapsed by then.
 	r.now = r.now.Add(scheduler.DefaultTakeover)
-	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
-	starts := r.plan().Starts
+	starts := r.begin(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}))
 	require.Len(t, starts, 1)
-	r.started(starts)
 	lapse := r.now.Add(leaseTime)
 	r.s.Silent(starts[0].Worker, lapse)
 	r.now = lapse.Add(-time.Millisecond)
@@ -176,9 +182,7 @@
 func TestEndIsNotedWithItsRecord(t *testing.T) {
 	r := newRig(t, 1)
 	r.lookAll()
-	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(1)}), r.now)
-	starts := r.plan().Starts
-	r.started(starts)
+	starts := r.begin(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(1)}))
 	r.now = r.now.Add(time.Second)
 	r.look(r.index(starts[0].Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: starts[0].Run, End: primrosespar.EndDone})
 	changes := r.plan()
@@ -314,9 +318,7 @@
 	r := newRig(t, 1, scheduler.WithLapse(func(primrosespar.Worker) time.Time { return out }))
 	r.lookAll()
 	r.now = r.now.Add(scheduler.DefaultTakeover)
-	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
-	starts := r.plan().Starts
-	r.started(starts)
+	starts := r.begin(job("a", "plain", primrosespar.Step{Count: 1, Need: gpus(8)}))
 	r.s.Silent(starts[0].Worker, time.Time{})
 	out = r.now.Add(2 * leaseTime)
 	r.now = r.now.Add(leaseTime + time.Second)
@@ -332,10 +334,8 @@
 func TestTasksThatAvoidWorkersCountForTheRest(t *testing.T) {
 	r := newRig(t, 2)
 	r.lookAll()
-	r.s.Submit(job("a", "plain", primrosespar.Step{Count: 4, Need: gpus(8), PerWorker: 1}), r.now)
-	starts := r.plan().Starts
+	starts := r.begin(job("a", "plain", primrosespar.Step{Count: 4, Need: gpus(8), PerWorker: 1}))
 	require.Len(t, starts, 4)
-	r.started(starts)
 	r.now = r.now.Add(time.Second)
 	// The second task fails and the others are stopped, so that all wait again.
 	for k, o := range starts {
@@ -523,10 +523,8 @@
 func TestAvoidedWorkersAreTriedAgain(t *testing.T) {
 	r := newRig(t, 1)
 	r.lookAll()
-	r.s.Submit(job("a", "plain", primrosespar.Step{Count: perRack, Need: gpus(8), Gang: true}), r.now)
-	starts := r.plan().Starts
+	starts := r.begin(job("a", "plain", primrosespar.Step{Count: perRack, Need: gpus(8), Gang: true}))
 	require.Len(t, starts, perRack)
-	r.started(starts)
 	r.now = r.now.Add(time.Second)
 	for k, o := range starts {
 		end := primrosespar.EndBroken
--- a/internal/fleet/scheduler/sharing_test.go
+++ b/internal/fleet/scheduler/sharing_test.go
@@ -28,10 +28,8 @@
 	r.s.SetMembers(r.members, r.now)
 	r.look(0, nil)
 	r.s.Submit(job("serves", "plain", primrosespar.Step{Count: 1, Need: gpus(1), Lasting: true, Image: "a", Target: tailTarget}), r.now)
-	r.s.Submit(job("fills", "plain", primrosespar.Step{Count: 1, Need: gpus(1), Filler: true, Image: "b"}), r.now)
-	starts := r.plan().Starts
+	starts := r.begin(job("fills", "plain", primrosespar.Step{Count: 1, Need: gpus(1), Filler: true, Image: "b"}))
 	require.Len(t, starts, 2)
-	r.started(starts)
 	r.serves, r.fills = starts[0], starts[1]
 	if r.serves.Run.Task.Job != "serves" {
 		r.serves, r.fills = r.fills, r.serves
--- a/internal/fleet/scheduler/vacating_test.go
+++ b/internal/fleet/scheduler/vacating_test.go
@@ -12,10 +12,8 @@
 
 // lasting submits a lasting job of one task a worker and lets it work.
 func (r *rig) lasting(queue primrosespar.Queue, count, mostAway int) []scheduler.Order {
-	r.s.Submit(job("last", queue, primrosespar.Step{Count: count, Need: gpus(8), Lasting: true, MostAway: mostAway}), r.now)
-	starts := r.plan().Starts
+	starts := r.begin(job("last", queue, primrosespar.Step{Count: count, Need: gpus(8), Lasting: true, MostAway: mostAway}))
 	require.Len(r.t, starts, count)
-	r.started(starts)
 	r.atWork(starts)
 	return starts
 }
--- a/internal/member/messenger/server.go
+++ b/internal/member/messenger/server.go
@@ -6,7 +6,6 @@
 	"net"
 
 	"github.com/rotisserie/eris"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -40,7 +39,7 @@
 func Serve(ctx context.Context, listener net.Listener, handler primrosespar.PeerHandler, opts ...Option) error {
 	o := collect(opts)
 	mux := drpcmux.New()
-	if err := mux.Register(&service{handler: handler, clock: o.Clock}, description{}); err != nil {
+	if err := mux.Register(&service{handler: handler, clock: o.Clock}, methods()); err != nil {
 		return eris.Wrap(err, "register peer service")
 	}
 	if o.TLS != nil {
@@ -69,21 +68,11 @@
 	return replier.Of(struct{}{}, s.handler.HandleNotify(ctx, in.Place, in.Job))
 }
 
-// description lists the methods for drpc.
-type description struct{}
-
-// NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 3 }
-
-// Method implements drpc.Description.
-func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	switch n {
-	case 0:
-		return rpcBeat, replier.Encoding{}, replier.Receive((*service).beat), replier.Typed((*service).beat), true
-	case 1:
-		return rpcExecute, replier.Encoding{}, replier.Receive((*service).execute), replier.Typed((*service).execute), true
-	case 2:
-		return rpcNotify, replier.Encoding{}, replier.Receive((*service).notify), replier.Typed((*service).notify), true
+// methods describe the service for drpc.
+func methods() replier.Methods {
+	return replier.Methods{
+		replier.Handle(rpcBeat, (*service).beat),
+		replier.Handle(rpcExecute, (*service).execute),
+		replier.Handle(rpcNotify, (*service).notify),
 	}
-	return "", nil, nil, nil, false
 }
--- a/internal/member/replier/encoding.go
+++ b/internal/member/replier/encoding.go
@@ -1,6 +1,6 @@
 // Package replier carries messages and replies with result codes over drpc.
-// Messages are CBOR, and a drpc.Description is written by hand with Receive
-// and Typed, so no generator is needed.
+// Messages are CBOR, and a service is described by the list of its methods, so
+// no generator is needed.
 //
 // # Usage
 //
@@ -8,7 +8,7 @@
 //		return replier.Of(s.handler.HandleBeat(ctx, *in))
 //	}
 //
-//	return rpcBeat, replier.Encoding{}, replier.Receive((*service).beat), replier.Typed((*service).beat), true
+//	mux.Register(&service{}, replier.Methods{replier.Handle(rpcBeat, (*service).beat)})
 package replier
 
 import (
--- a/internal/member/replier/reply.go
+++ b/internal/member/replier/reply.go
@@ -39,21 +39,42 @@
 	return &primrosespar.Failure{Code: r.Code, Message: r.Message, Ran: r.Ran}
 }
 
-// Receive adapts a method to the receiver that drpc calls.
-func Receive[S, In, Out any](method func(S, context.Context, *In) *Out) drpc.Receiver {
-	return func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		s, okService := srv.(S)
-		msg, okMessage := in.(*In)
-		if !okService || !okMessage {
-			return nil, eris.New("unexpected type of service or message")
-		}
-		return method(s, ctx, msg), nil
+// Method is one method of a service, as drpc takes it.
+type Method struct {
+	name     string
+	receiver drpc.Receiver
+	// typed has the shape that drpc inspects: it returns an error.
+	typed any
+}
+
+// Handle returns the method with its name on the wire.
+func Handle[S, In, Out any](name string, method func(S, context.Context, *In) *Out) Method {
+	return Method{
+		name: name,
+		receiver: func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			s, okService := srv.(S)
+			msg, okMessage := in.(*In)
+			if !okService || !okMessage {
+				return nil, eris.New("unexpected type of service or message")
+			}
+			return method(s, ctx, msg), nil
+		},
+		typed: func(s S, ctx context.Context, in *In) (*Out, error) {
+			return method(s, ctx, in), nil
+		},
 	}
 }
 
-// Typed gives the method the shape that drpc inspects: it returns an error.
-func Typed[S, In, Out any](method func(S, context.Context, *In) *Out) any {
-	return func(s S, ctx context.Context, in *In) (*Out, error) {
-		return method(s, ctx, in), nil
+// Methods describe a service for drpc.
+type Methods []Method
+
+// NumMethods implements drpc.Description.
+func (m Methods) NumMethods() int { return len(m) }
+
+// Method implements drpc.Description.
+func (m Methods) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if n < 0 || n >= len(m) {
+		return "", nil, nil, nil, false
 	}
+	return m[n].name, Encoding{}, m[n].receiver, m[n].typed, true
 }
