--- a/internal/fleet/scheduler/machine_test.go
+++ b/internal/fleet/scheduler/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,9 @@
 	failures map[primrosespar.TaskName]map[uint64]bool
 	leases   map[primrosespar.Worker]time.Time
 	jobs     int
+	// gone are workers that were replaced and are still announced.
+	gone  []primrosespar.Member
+	lives int
 	// held are stored changes whose orders have not left yet.
 	held scheduler.Changes
 }
@@ -134,6 +138,7 @@
 	for _, w := range m.workers {
 		members = append(members, w.member)
 	}
+	members = append(members, m.gone...)
 	m.s.SetMembers(members, m.now)
 }
 
@@ -183,6 +188,9 @@
 	}
 	for name, n := range m.held.Noted {
 		w := m.find(name)
+		if w == nil {
+			continue
+		}
 		var left []primrosespar.EndedRun
 		for _, e := range w.ends {
 			if e.Sequence > n {
@@ -201,14 +209,13 @@
 	m.held = scheduler.Changes{}
 }
 
-// find returns the worker of the name.
+// find returns the worker of the name, nil if it was replaced.
 func (m *fleetMachine) find(name primrosespar.Worker) *modelWorker {
 	for _, w := range m.workers {
 		if w.member.Worker == name {
 			return w
 		}
 	}
-	m.t.Fatalf("no worker %s", name)
 	return nil
 }
 
@@ -257,6 +264,12 @@
 // apply carries an order out and returns the worker's answer.
 func (m *fleetMachine) apply(o sentOrder) primrosespar.Code {
 	w := m.find(o.order.Worker)
+	if w == nil {
+		if o.term == m.term {
+			m.s.Replaced(o.order.Worker, m.now)
+		}
+		return primrosespar.CodeWorkerReborn
+	}
 	if o.token < w.token {
 		return primrosespar.CodeStaleToken
 	}
@@ -283,21 +296,29 @@
 		return primrosespar.CodeStaleAttempt
 	}
 	need := m.stored[run.Task.Job].Submission.Steps[run.Task.Step].Need.Accelerators
-	m.checkStart(w, o, need)
+	m.checkStart(o)
+	m.checkRoom(w, need)
 	w.runs[run] = &modelRun{gpus: need}
 	return primrosespar.CodeOK
 }
 
 // checkStart is the oracle: it fails on a start that must not happen.
-func (m *fleetMachine) checkStart(w *modelWorker, o sentOrder, need int) {
+func (m *fleetMachine) checkStart(o sentOrder) {
 	task := o.order.Run.Task
 	for _, other := range m.workers {
 		for run := range other.runs {
 			require.NotEqual(m.t, task, run.Task, "second run %d beside run %d", o.order.Run.Number, run.Number)
 		}
 	}
+	if m.stored[task.Job].Submission.Steps[task.Step].Lasting {
+		return
+	}
 	require.False(m.t, m.done[task], "start of %v after its end was acknowledged", task)
 	require.Less(m.t, m.failed[task], 2, "start of %v after its attempts", task)
+}
+
+// checkRoom fails on a start that brings a worker over its capacity.
+func (m *fleetMachine) checkRoom(w *modelWorker, need int) {
 	used := need
 	for _, r := range w.runs {
 		used += r.gpus
@@ -390,7 +411,8 @@
 	}
 	m.s.Submit(job(string(jobID(m.jobs)), queue, primrosespar.Step{
 		Count: rapid.IntRange(1, 3).Draw(t, "count"), Gang: rapid.Bool().Draw(t, "gang"),
-		Need: gpus(rapid.SampledFrom([]int{2, 4, 8}).Draw(t, "gpus")),
+		Need:    gpus(rapid.SampledFrom([]int{2, 4, 8}).Draw(t, "gpus")),
+		Lasting: rapid.IntRange(0, 3).Draw(t, "lasting") == 0, MostAway: rapid.IntRange(0, 2).Draw(t, "away"),
 	}), m.now)
 }
 
@@ -471,6 +493,20 @@
 				m.restart(m.pick(t))
 			}
 		},
+		"replace": func(t *rapid.T) {
+			if seldom(t) {
+				m.replace(m.pick(t))
+			}
+		},
+		"forget": func(*rapid.T) { m.gone = nil },
+		"close": func(t *rapid.T) {
+			closing, vacate := map[primrosespar.Worker]bool{}, map[primrosespar.Worker]bool{}
+			if rapid.Bool().Draw(t, "closing") {
+				name := m.pick(t).member.Worker
+				closing[name], vacate[name] = true, rapid.Bool().Draw(t, "vacate")
+			}
+			m.s.SetClosing(closing, vacate)
+		},
 		"announce": func(*rapid.T) { m.roster() },
 	}
 }
@@ -539,6 +575,9 @@
 	for _, w := range m.workers {
 		m.look(w)
 	}
+	for _, w := range m.gone {
+		m.s.Replaced(w.Worker, m.now)
+	}
 }
 
 // work ends one run at a worker.
@@ -610,6 +649,19 @@
 	m.pending = dropFor(m.pending, w.member.Worker)
 }
 
+// replace lets another worker answer at the address of one. The holder hears
+// of it with its next call.
+func (m *fleetMachine) replace(w *modelWorker) {
+	m.gone = append(m.gone, w.member)
+	m.late = dropFor(m.late, w.member.Worker)
+	m.looks = slices.DeleteFunc(m.looks, func(l sentLook) bool { return l.worker == w })
+	m.lives++
+	w.member.Worker = primrosespar.Worker(fmt.Sprintf("n%02d", m.lives))
+	w.member.Born = w.member.Born.Add(time.Hour)
+	w.runs, w.barred = map[primrosespar.Run]*modelRun{}, map[primrosespar.TaskName]uint64{}
+	w.ends, w.ended, w.lapsedTo, w.token, w.until = nil, 0, 0, 0, time.Time{}
+}
+
 // dropFor returns the orders for other workers.
 func dropFor(list []sentOrder, worker primrosespar.Worker) []sentOrder {
 	var out []sentOrder
@@ -624,7 +676,8 @@
 // TestOneRunATask guards against two runs of a task at once, a run after an
 // acknowledged end, runs beyond the attempts and workers over their capacity,
 // whatever orders and answers are lost, late or repeated, whichever workers
-// fall silent or start anew and however often the holder changes.
+// fall silent, start anew, are replaced or closed, and however often the holder
+// changes.
 func TestOneRunATask(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
