Let all hosts put questions to the advice service

Cause: the advice service answers one call of each host after the other, and only the holder asked.

Up to eight hosts put questions, one each, over a new call between hosts; one question of a step is out at a time.

--- a/fleetpeer.go
+++ b/fleetpeer.go
@@ -51,12 +51,16 @@
 	State(ctx context.Context, to netip.AddrPort, id JobID) (JobState, error)
 	// Cancel cancels a job; nil says that this is stored.
 	Cancel(ctx context.Context, to netip.AddrPort, id JobID) error
+	// Advise lets a host put a question to the advice service, which answers one
+	// call of a host after the other.
+	Advise(ctx context.Context, to netip.AddrPort, question Question) (Advice, error)
 	// Succeed asks a host to take over the lease that the sender gave up.
 	Succeed(ctx context.Context, to netip.AddrPort) error
 }
 
 // FleetHandler answers messages of other hosts.
 type FleetHandler interface {
+	HandleAdvise(ctx context.Context, question Question) (Advice, error)
 	HandleBeat(ctx context.Context, beat FleetBeat) (FleetNews, error)
 	HandleSubmit(ctx context.Context, job Submission) error
 	HandleState(ctx context.Context, id JobID) (JobState, error)
--- a/internal/fleet/conductor/advising.go
+++ b/internal/fleet/conductor/advising.go
@@ -2,23 +2,61 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"primrosespar.example/primrosespar"
 )
 
-// adviceTimeout bounds a question to the advice service, which takes its time
-// for each worker.
-const adviceTimeout = 3 * time.Second
+const (
+	// adviceTimeout bounds a question to the advice service, which takes its
+	// time for each worker.
+	adviceTimeout = 3 * time.Second
+	// maxAskers bounds the hosts that put questions at once.
+	maxAskers = 8
+)
+
+// findAskers takes note of the hosts that can put questions.
+func (c *Conductor) findAskers() {
+	c.askers = c.askers[:1]
+	if c.parts.Hosts != nil {
+		hosts := c.parts.Hosts()
+		c.askers = append(c.askers, hosts[:min(len(hosts), maxAskers-1)]...)
+	}
+	c.core.SetAskers(len(c.askers))
+}
 
-// advise puts one question to the advice service.
-func (c *Conductor) advise(question primrosespar.Question) {
+// ask lets a host without a question put this one.
+func (c *Conductor) ask(question primrosespar.Question) {
+	for _, host := range c.askers {
+		if !c.asking[host] {
+			c.asking[host] = true
+			c.tasks.Go(func() { c.advise(host, question) })
+			return
+		}
+	}
+	// A host has left since the plan was made.
+	now := c.parts.Clock.Now()
+	c.core.Advised(question, primrosespar.Advice{}, false, now, now)
+}
+
+// advise puts one question at the host.
+func (c *Conductor) advise(host netip.AddrPort, question primrosespar.Question) {
 	ctx, cancel := context.WithTimeout(c.ctx, adviceTimeout)
 	defer cancel()
 	asked := c.parts.Clock.Now()
-	advice, err := c.parts.Fleet.Advise(ctx, question)
+	var advice primrosespar.Advice
+	var err error
+	if host.IsValid() {
+		advice, err = c.parts.Peers.Advise(ctx, host, question)
+	} else {
+		advice, err = c.parts.Fleet.Advise(ctx, question)
+	}
 	if err != nil {
 		c.parts.Failed("advice", err)
 	}
-	c.post(func() { c.core.Advised(question, advice, err == nil, asked, c.parts.Clock.Now()) })
+	c.post(func() {
+		delete(c.asking, host)
+		c.core.Advised(question, advice, err == nil, asked, c.parts.Clock.Now())
+	})
 }
--- /dev/null
+++ b/internal/fleet/conductor/advising_test.go
@@ -0,0 +1,98 @@
+package conductor_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/committer"
+	"primrosespar.example/primrosespar/internal/fleet/conductor"
+	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// advisedSource has one worker and a queue that needs advice.
+type advisedSource struct{ source }
+
+// Members implements primrosespar.Source.
+func (advisedSource) Members(context.Context) ([]primrosespar.Member, error) {
+	return []primrosespar.Member{{
+		Worker: "w", Service: "pool", Address: netip.MustParseAddrPort("10.0.1.1:1"), Born: time.Unix(1000, 0),
+		Capacity: primrosespar.Resources{Millicores: 1000, MemoryMiB: 1000, Accelerators: 8},
+	}}, nil
+}
+
+// advisedFleet answers looks; its advice takes long.
+type advisedFleet struct{ primrosespar.Fleet }
+
+// Look implements primrosespar.Fleet.
+func (advisedFleet) Look(ctx context.Context, look primrosespar.Look) (primrosespar.WorkerReport, error) {
+	select {
+	case <-ctx.Done():
+		return primrosespar.WorkerReport{}, ctx.Err()
+	case <-time.After(look.Wait):
+	}
+	return primrosespar.WorkerReport{Born: time.Unix(1000, 0), Clock: time.Hour}, nil
+}
+
+// Advise implements primrosespar.Fleet.
+func (advisedFleet) Advise(ctx context.Context, _ primrosespar.Question) (primrosespar.Advice, error) {
+	<-ctx.Done()
+	return primrosespar.Advice{}, ctx.Err()
+}
+
+// askedPeers take the questions that other hosts put.
+type askedPeers struct {
+	primrosespar.FleetPeers
+	asked chan primrosespar.Question
+}
+
+// Advise implements primrosespar.FleetPeers.
+func (p askedPeers) Advise(_ context.Context, _ netip.AddrPort, q primrosespar.Question) (primrosespar.Advice, error) {
+	p.asked <- q
+	return primrosespar.Advice{}, nil
+}
+
+// TestOtherHostsPutQuestions guards against steps that wait for an advice
+// service which answers one call of each host at a time.
+func TestOtherHostsPutQuestions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		table := keeper.New(keeper.WithClock(clock))
+		lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
+		seen, err := lease.Read(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, lease.Take(t.Context(), seen))
+		advised := catalog()
+		advised.Queues[0].Advised = true
+		peers := askedPeers{asked: make(chan primrosespar.Question, 10)}
+		c, err := conductor.New(conductor.Parts{
+			Table: table, Source: advisedSource{}, Fleet: advisedFleet{}, Peers: peers, Clock: clock, Committer: lease,
+			Hosts:   func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1")} },
+			Catalog: func() *primrosespar.Catalog { return advised },
+			Wall:    func(now time.Time) time.Time { return now },
+			Decided: func(scheduler.Event) {}, StoreAnswered: func() {}, Failed: func(string, error) {},
+		})
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(time.Second)
+		for _, id := range []primrosespar.JobID{"a", "b"} {
+			require.NoError(t, c.Submit(ctx, primrosespar.Submission{
+				ID: id, Queue: "q", Steps: []primrosespar.Step{{Count: 1, Need: primrosespar.Resources{Accelerators: 8}}},
+			}))
+		}
+		time.Sleep(time.Second)
+		require.Len(t, peers.asked, 1)
+		require.Equal(t, primrosespar.JobID("b"), (<-peers.asked).Job)
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,9 @@
 	Source primrosespar.Source
 	// Upkeep is nil where no machines are maintained.
 	Upkeep primrosespar.Upkeep
+	// Peers and Hosts are the other hosts, which put questions for the holder.
+	Peers primrosespar.FleetPeers
+	Hosts func() []netip.AddrPort
 	// Host names this host to the provider of the machines.
 	Host      primrosespar.Host
 	Clock     primrosespar.Clock
@@ -127,6 +131,11 @@
 	tasks       conc.WaitGroup
 	ctx         context.Context
 
+	// askers are the hosts that can put questions, this one as the zero address,
+	// and asking those that have one out.
+	askers []netip.AddrPort
+	asking map[netip.AddrPort]bool
+
 	attendants map[primrosespar.Worker]*attended
 	// shown are the stored states of jobs; callers see nothing else.
 	shown  map[primrosespar.JobID]primrosespar.JobState
@@ -174,6 +183,8 @@
 		shown:      map[primrosespar.JobID]primrosespar.JobState{},
 		next:       newBatch(),
 		began:      parts.Clock.Now(),
+		askers:     make([]netip.AddrPort, 1),
+		asking:     map[netip.AddrPort]bool{},
 		maintainer: maintainer.New(),
 	}
 	c.core = scheduler.New(scheduler.WithWall(parts.Wall), scheduler.WithTakeover(o.Takeover),
@@ -282,7 +293,7 @@
 		a.Pace(c.ctx, pace.Run, pace.Percent)
 	}
 	for _, question := range changes.Questions {
-		c.tasks.Go(func() { c.advise(question) })
+		c.ask(question)
 	}
 	c.next.add(changes)
 	c.flush(now)
@@ -295,6 +306,7 @@
 		c.next.forget(id)
 		delete(c.shown, id)
 	}
+	c.findAskers()
 	if c.mailRead {
 		waiting := c.core.Waiting()
 		c.waiting.Store(&waiting)
--- a/internal/fleet/courier/courier.go
+++ b/internal/fleet/courier/courier.go
@@ -65,6 +65,11 @@
 	return c.tell(ctx, to, rpcCancel, &subject{Job: id})
 }
 
+// Advise implements primrosespar.FleetPeers.
+func (c *Courier) Advise(ctx context.Context, to netip.AddrPort, question primrosespar.Question) (primrosespar.Advice, error) {
+	return ask[primrosespar.Advice](ctx, c, dialer.Lane{Address: to, Name: "advise", Size: 1}, rpcAdvise, &question)
+}
+
 // Succeed implements primrosespar.FleetPeers.
 func (c *Courier) Succeed(ctx context.Context, to netip.AddrPort) error {
 	return c.tell(ctx, to, rpcSucceed, &succession{})
--- a/internal/fleet/courier/server.go
+++ b/internal/fleet/courier/server.go
@@ -19,6 +19,7 @@
 	rpcSubmit  = "/primrosespar.FleetPeers/Submit"
 	rpcState   = "/primrosespar.FleetPeers/State"
 	rpcCancel  = "/primrosespar.FleetPeers/Cancel"
+	rpcAdvise  = "/primrosespar.FleetPeers/Advise"
 	rpcSucceed = "/primrosespar.FleetPeers/Succeed"
 )
 
@@ -65,6 +66,11 @@
 	return replier.Of(struct{}{}, s.handler.HandleCancel(ctx, in.Job))
 }
 
+// advise serves a question for the advice service.
+func (s *service) advise(ctx context.Context, in *primrosespar.Question) *replier.Reply[primrosespar.Advice] {
+	return replier.Of(s.handler.HandleAdvise(ctx, *in))
+}
+
 // succeed serves a handover.
 func (s *service) succeed(ctx context.Context, _ *succession) *replier.Reply[struct{}] {
 	return replier.Of(struct{}{}, s.handler.HandleSucceed(ctx))
@@ -77,6 +83,7 @@
 		replier.Handle(rpcSubmit, (*service).submit),
 		replier.Handle(rpcState, (*service).state),
 		replier.Handle(rpcCancel, (*service).cancel),
+		replier.Handle(rpcAdvise, (*service).advise),
 		replier.Handle(rpcSucceed, (*service).succeed),
 	}
 }
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -238,7 +238,7 @@
 func (d *Daemon) lead(ctx context.Context) error {
 	term, err := conductor.New(conductor.Parts{
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock,
-		Upkeep: d.backend.Upkeep, Host: d.settings.Host, Committer: d.committer, Catalog: d.follower.Catalog, Wall: d.wall,
+		Upkeep: d.backend.Upkeep, Host: d.settings.Host, Peers: d.courier, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, Wall: d.wall,
 		Decided: d.opts.Decided, StoreAnswered: d.storeAnswered, Failed: d.opts.Failed,
 	}, conductor.WithLease(d.settings.Lease), conductor.WithGangTimeout(d.settings.GangTimeout),
 		conductor.WithTakeover(time.Duration(float64(d.settings.Lease)/workerClockRate)+takeoverMargin))
--- a/internal/fleet/daemon/handling.go
+++ b/internal/fleet/daemon/handling.go
@@ -54,6 +54,11 @@
 	return term.Cancel(ctx, id)
 }
 
+// HandleAdvise implements primrosespar.FleetHandler.
+func (d *Daemon) HandleAdvise(ctx context.Context, question primrosespar.Question) (primrosespar.Advice, error) {
+	return d.backend.Fleet.Advise(ctx, question)
+}
+
 // HandleSucceed implements primrosespar.FleetHandler.
 func (d *Daemon) HandleSucceed(context.Context) error {
 	d.elector.Succeed()
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -219,6 +219,14 @@
 	return out
 }
 
+// Hosts returns the live hosts that beat to this one, in the order in which
+// they would succeed.
+func (e *Elector) Hosts() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.successors()
+}
+
 // successors returns the live hosts in the order in which they would succeed.
 // The lock is held.
 func (e *Elector) successors() []netip.AddrPort {
--- a/internal/fleet/scheduler/advising.go
+++ b/internal/fleet/scheduler/advising.go
@@ -38,14 +38,18 @@
 	return ok && t.born.Equal(w.born) && now.Add(ticketMargin).Before(t.until)
 }
 
+// SetAskers sets how many questions may be out at once.
+func (s *Scheduler) SetAskers(n int) { s.askers = n }
+
 // ask puts a question for workers that might run the unit, unless it waits for
-// something else than tickets. One question is out at a time, so that the next
-// is for the step that comes first then, and it names no more workers than are
-// needed: the service takes its time for each and answers one question after
-// the other.
+// something else than tickets. One question of a step is out at a time, and no
+// more at all than there are hosts to put them, so that the next is for the
+// step that comes first then. It names no more workers than are needed: the
+// service takes its time for each and answers one question of a host after the
+// other.
 func (s *Scheduler) ask(u *unit, r *ranked, now time.Time) {
 	st := u.step
-	if s.asking || now.Before(st.askAt) || r.terms.Priority > 0 && !s.leavesReserve(u, r) {
+	if st.asking || s.asking >= s.askers || now.Before(st.askAt) || r.terms.Priority > 0 && !s.leavesReserve(u, r) {
 		return
 	}
 	q := primrosespar.Question{Job: st.occ.job.sub.ID, Occurrence: st.occ.index, Step: st.index}
@@ -64,7 +68,8 @@
 	if len(q.Workers) == 0 {
 		return
 	}
-	s.asking = true
+	st.asking = true
+	s.asking++
 	s.questions = append(s.questions, q)
 }
 
@@ -133,11 +138,12 @@
 // Advised takes the answer to a question that was put at the time; without an
 // answer the question is put again later.
 func (s *Scheduler) Advised(q primrosespar.Question, advice primrosespar.Advice, answered bool, asked, now time.Time) {
-	s.asking = false
+	s.asking--
 	st := s.stepOf(q)
 	if st == nil {
 		return
 	}
+	st.asking = false
 	if !answered {
 		st.askAt = now.Add(adviceRetry)
 		return
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -52,6 +52,7 @@
 	// advised steps start only at workers with a ticket; denied workers never
 	// get one.
 	advised bool
+	asking  bool
 	askAt   time.Time
 	tickets map[primrosespar.Worker]ticket
 	denied  map[primrosespar.Worker]bool
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -61,8 +61,9 @@
 	strayStops []Order
 	questions  []primrosespar.Question
 	paces      []Pace
-	// asking is set while a question is out.
-	asking bool
+	// asking counts the questions that are out, of at most askers.
+	asking int
+	askers int
 	// asked and granted count the workers that the advice service was asked
 	// about for the first time, and those that it approved.
 	asked   int
@@ -136,6 +137,7 @@
 func New(opts ...Option) *Scheduler {
 	return &Scheduler{
 		opts:    collect(opts),
+		askers:  1,
 		jobs:    map[primrosespar.JobID]*job{},
 		workers: map[primrosespar.Worker]*worker{},
 		racks:   map[primrosespar.Service][]*rack{},
