End claims with their jobs

Room that was being made for an urgent job stayed kept for good when the job was cancelled meanwhile, or when it became too late to have room made for it.

The end of a job drops its claims, and a claim ends after its 3 s whoever holds it. Both tests fail without the change. The contact with a replaced worker ends at once, so that what it knows of ends is not taken for that of a later lifetime under the same id.

--- a/internal/fleet/conductor/conductor.go
+++ b/internal/fleet/conductor/conductor.go
@@ -443,6 +443,11 @@
 		c.lost = primrosespar.Fail(primrosespar.CodeLeaseLost, "worker %s has seen a later holder", worker)
 	case primrosespar.CodeWorkerReborn:
 		c.core.Replaced(worker, c.parts.Clock.Now())
+		// What it knows of ends and clocks says nothing of a later lifetime.
+		if a := c.attendants[worker]; a != nil {
+			a.cancel()
+			delete(c.attendants, worker)
+		}
 	default:
 	}
 }
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -305,9 +305,14 @@
 	return inUse <= reserved
 }
 
-// tend watches over the runs: it stops the rest of a broken gang and moves
-// runs that stand still.
+// tend watches over the runs: it stops the rest of a broken gang, moves runs
+// that stand still, and ends claims whose unit may not have them any more.
 func (s *Scheduler) tend(now time.Time) {
+	for u := range s.claimants {
+		if now.After(u.claimEnd) {
+			s.dropClaim(u)
+		}
+	}
 	for _, j := range s.live {
 		if j.running == 0 {
 			continue
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -19,6 +19,7 @@
 		s.freed++
 	}
 	u.claims = nil
+	delete(s.claimants, u)
 }
 
 // firstPriorityWeight is how much more the work of the first priority after
@@ -295,6 +296,7 @@
 // carryOut stops the victims and keeps the room for the unit.
 func (s *Scheduler) carryOut(u *unit, e *eviction, now time.Time) {
 	u.claims = map[*worker]primrosespar.Resources{}
+	s.claimants[u] = true
 	u.claimEnd = now.Add(claimTime)
 	need := u.step.spec.Occupies()
 	for _, w := range e.where {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -11,9 +11,9 @@
 //	s.Submit(job, now)
 //	changes := s.Plan(now)
 //	// store changes.Records; then send changes.Starts and note changes.Noted
-//	// stops may be sent at once
-//	s.Started(start, code, lapse, now)
-//	s.Report(report, now)
+//	// stops, paces and questions may be sent at once
+//	s.Started(start, code, now)
+//	s.Report(worker, report, asked, lapse, now)
 //
 // A start is sent only after the record that names its run and worker is
 // stored, and an end is acknowledged only after it is stored. A task gets a
@@ -44,6 +44,8 @@
 	// replaced are workers whose address another worker answers at, with the
 	// start of the lifetime that was replaced, while they are still announced.
 	replaced map[primrosespar.Worker]time.Time
+	// claimants are the units that room is kept for.
+	claimants map[*unit]bool
 	// freed counts the events by which a unit may fit that did not before.
 	freed uint64
 	// urgent are the accelerators in use by urgent work, by account.
@@ -144,7 +146,8 @@
 		urgent:  map[primrosespar.Account]int{},
 		noted:   map[primrosespar.Worker]uint64{},
 
-		replaced: map[primrosespar.Worker]time.Time{},
+		claimants: map[*unit]bool{},
+		replaced:  map[primrosespar.Worker]time.Time{},
 	}
 }
 
@@ -271,6 +274,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, u := range st.units {
+				s.dropClaim(u)
 				s.stopUnit(u, "job "+string(state))
 			}
 		}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -682,3 +682,57 @@
 	require.Equal(t, 3, len(changes.Stops)+len(changes.Starts))
 	require.NotEmpty(t, changes.Stops)
 }
+
+// fullRig returns a rig with three lasting tasks on four workers, and those.
+func fullRig(t *testing.T) (*rig, []scheduler.Order) {
+	r := newRig(t, 1)
+	r.lookAll()
+	starts := r.begin(job("full", "plain", primrosespar.Step{Count: perRack - 1, Need: gpus(8), Lasting: true}))
+	require.Len(t, starts, perRack-1)
+	return r, starts
+}
+
+// stopped lets the run end by its stop.
+func (r *rig) stopped(o scheduler.Order) {
+	r.s.Stopped(o, primrosespar.CodeOK, r.now)
+	r.look(r.index(o.Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: o.Run, End: primrosespar.EndStopped})
+}
+
+// TestCancelledJobGivesItsRoomBack guards against room that is kept for good
+// for a job which was cancelled while it was being made.
+func TestCancelledJobGivesItsRoomBack(t *testing.T) {
+	r, _ := fullRig(t)
+	r.s.Submit(job("u", "urgent", primrosespar.Step{Count: 2, Need: gpus(8), Gang: true}), r.now)
+	stops := r.plan().Stops
+	require.Len(t, stops, 1)
+	r.s.Cancel("u", r.now)
+	r.stopped(stops[0])
+	r.now = r.now.Add(time.Second)
+	require.Len(t, r.plan().Starts, 1, "the lasting task that was stopped")
+	r.s.Submit(job("v", "urgent", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	require.Len(t, r.plan().Starts, 1)
+}
+
+// TestClaimEndsWithoutItsJob guards against room that is kept for good for a
+// job that is too late to have room made for it.
+func TestClaimEndsWithoutItsJob(t *testing.T) {
+	r, starts := fullRig(t)
+	for _, m := range r.members {
+		r.s.Silent(m.Worker, r.now.Add(time.Minute))
+	}
+	r.s.Submit(job("u", "urgent", primrosespar.Step{Count: 2, Need: gpus(8), Gang: true}), r.now)
+	require.Empty(t, r.plan().Stops)
+	r.now = r.now.Add(3900 * time.Millisecond)
+	r.look(perRack-1, nil)
+	r.atWork(starts)
+	stops := r.plan().Stops
+	require.Len(t, stops, 1)
+	for i := range r.members {
+		r.members[i].Draining = r.members[i].Worker != stops[0].Worker
+	}
+	r.s.SetMembers(r.members, r.now)
+	r.stopped(stops[0])
+	r.now = r.now.Add(5 * time.Second)
+	r.s.Submit(job("v", "urgent", primrosespar.Step{Count: 1, Need: gpus(8)}), r.now)
+	require.Len(t, r.plan().Starts, 1)
+}
