Skip the pace of tasks where none fills a worker, and warn of heartbeats

The check of shared workers looked at each run ten times a second, which at 57,000 runs would be about a hundredth of a core; it is skipped while no task fills a worker.

Not measured apart: no site has such tasks or settings.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -147,6 +147,9 @@
 	f.log.WithFields(logrus.Fields{
 		"callers": f.settings.Callers.String(), "peers": f.settings.Peers.String(), "metrics": f.settings.Metrics.String(),
 	}).Info("host has started")
+	if f.settings.Heartbeats {
+		f.log.Warn("workers take orders with their heartbeats only; no task will start")
+	}
 	f.await(signals, path)
 	f.stop(ctx, servers)
 	f.log.Info("host has stopped")
--- a/internal/fleet/maintainer/maintainer.go
+++ b/internal/fleet/maintainer/maintainer.go
@@ -10,7 +10,7 @@
 //	changes := m.Plan(fleet, now)
 //	// store changes.Records; then send changes.Orders
 //	m.Ordered(order, code, now)
-//	m.Reported(wave)
+//	m.Reported(report, ok, now)
 //
 // A machine counts as down from before its order leaves, because an order
 // without an answer may be carried out late, until a list that was asked for
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -79,6 +79,7 @@
 	m.worker.used = m.worker.used.Add(m.unit.step.spec.Occupies())
 	m.unit.step.occ.job.running++
 	s.countUrgent(m, 1)
+	s.countFiller(m, 1)
 }
 
 // detach frees what the member had.
@@ -89,6 +90,7 @@
 	m.unit.step.occ.job.running--
 	m.unit.members = without(m.unit.members, m)
 	s.countUrgent(m, -1)
+	s.countFiller(m, -1)
 	s.freed++
 }
 
@@ -100,6 +102,13 @@
 	return list
 }
 
+// countFiller keeps the number of runs that fill workers.
+func (s *Scheduler) countFiller(m *member, sign int) {
+	if m.unit.step.spec.Filler {
+		s.fillers += sign
+	}
+}
+
 // countUrgent keeps the accelerators in use by urgent work of each account.
 func (s *Scheduler) countUrgent(m *member, sign int) {
 	j := m.unit.step.occ.job
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -50,6 +50,8 @@
 	freed uint64
 	// urgent are the accelerators in use by urgent work, by account.
 	urgent map[primrosespar.Account]int
+	// fillers counts the runs of tasks that fill workers.
+	fillers int
 	// mark numbers the searches for room.
 	mark uint64
 	// tended is when the runs were last watched over.
--- a/internal/fleet/scheduler/sharing.go
+++ b/internal/fleet/scheduler/sharing.go
@@ -77,6 +77,9 @@
 
 // share sets the pace of filling tasks at all workers.
 func (s *Scheduler) share(now time.Time) {
+	if s.fillers == 0 {
+		return
+	}
 	for _, w := range s.workers {
 		if w.shared() {
 			s.judgeTail(w, now)
