--- a/internal/fleet/conductor/advising_test.go
+++ b/internal/fleet/conductor/advising_test.go
@@ -66,9 +66,7 @@
 		clock := clockwork.NewRealClock()
 		table := keeper.New(keeper.WithClock(clock))
 		lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
-		seen, err := lease.Read(t.Context())
-		require.NoError(t, err)
-		require.NoError(t, lease.Take(t.Context(), seen))
+		takeLease(t, lease)
 		advised := catalog()
 		advised.Queues[0].Advised = true
 		peers := askedPeers{asked: make(chan primrosespar.Question, 10)}
--- a/internal/fleet/conductor/conductor_test.go
+++ b/internal/fleet/conductor/conductor_test.go
@@ -31,13 +31,26 @@
 	return &primrosespar.Catalog{Queues: []primrosespar.QueueTerms{{Queue: "q", Service: "pool", Priority: 1}}}
 }
 
+// takeLease takes the lease; a holder that writes meanwhile makes it try again,
+// as the elector does.
+func takeLease(t *testing.T, lease *committer.Committer) {
+	for {
+		seen, err := lease.Read(t.Context())
+		require.NoError(t, err)
+		err = lease.Take(t.Context(), seen)
+		if primrosespar.CodeOf(err) == primrosespar.CodeConflict {
+			continue
+		}
+		require.NoError(t, err)
+		return
+	}
+}
+
 // newTerm returns a conductor that has taken the lease.
 func newTerm(t *testing.T, table primrosespar.Table) *conductor.Conductor {
 	clock := clockwork.NewRealClock()
 	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
-	seen, err := lease.Read(t.Context())
-	require.NoError(t, err)
-	require.NoError(t, lease.Take(t.Context(), seen))
+	takeLease(t, lease)
 	c, err := conductor.New(conductor.Parts{
 		Table: table, Source: source{}, Clock: clock, Committer: lease, Catalog: catalog,
 		Wall:    func(now time.Time) time.Time { return now },
