Acknowledge ends only to the lifetime that reported them

Ends that nobody had stored were forgotten, and their tasks ran again.

Change: the poller notices a new lifetime in the report itself, an acknowledgement names its lifetime, and a cursor is sent once, within 400 ms after a report.

--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -18,7 +18,7 @@
 	order        []primrosespar.JobID
 	deletedKeys  map[string]bool
 	starts       []scheduler.Order
-	acknowledged map[primrosespar.Worker]uint64
+	acknowledged map[primrosespar.Worker]scheduler.Acknowledgement
 	replies      []func(error)
 	// waves are the maintenance waves to store, by number; maintenanceOrders
 	// are sent once they are stored.
@@ -31,7 +31,7 @@
 	return &batch{
 		records:      map[primrosespar.JobID]scheduler.Record{},
 		deletedKeys:  map[string]bool{},
-		acknowledged: map[primrosespar.Worker]uint64{},
+		acknowledged: map[primrosespar.Worker]scheduler.Acknowledgement{},
 		waves:        map[int]maintainer.Record{},
 	}
 }
@@ -50,8 +50,8 @@
 		b.records[r.Job] = r
 	}
 	b.starts = append(b.starts, changes.Starts...)
-	for w, sequence := range changes.Acknowledged {
-		b.acknowledged[w] = sequence
+	for w, acknowledgement := range changes.Acknowledged {
+		b.acknowledged[w] = acknowledgement
 	}
 }
 
@@ -115,7 +115,7 @@
 	}
 	if !c.next.needsCommit() && now.Sub(c.lastCommitAt) < keepaliveInterval {
 		c.dispatch(c.next)
-		c.next.starts, c.next.maintenanceOrders, c.next.acknowledged = nil, nil, map[primrosespar.Worker]uint64{}
+		c.next.starts, c.next.maintenanceOrders, c.next.acknowledged = nil, nil, map[primrosespar.Worker]scheduler.Acknowledgement{}
 		return
 	}
 	b := c.next
@@ -165,9 +165,9 @@
 	for _, o := range b.maintenanceOrders {
 		c.tasks.Go(func() { c.sendMaintenanceOrder(o) })
 	}
-	for w, sequence := range b.acknowledged {
+	for w, acknowledgement := range b.acknowledged {
 		if p := c.pollers[w]; p != nil {
-			p.Acknowledge(sequence)
+			p.Acknowledge(acknowledgement.StartedAt, acknowledgement.Sequence)
 		}
 	}
 }
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -371,12 +371,12 @@
 	return time.Time{}
 }
 
-// applyWorkers passes a new list of workers to the scheduler, resets the
-// pollers of restarted workers and stops those of removed workers.
+// applyWorkers passes a new list of workers to the scheduler, has restarted
+// workers polled again and stops the pollers of removed workers.
 func (c *Controller) applyWorkers(workers []primrosespar.WorkerInfo) {
 	for _, worker := range c.scheduler.SetWorkers(workers, c.parts.Clock.Now()) {
 		if p := c.pollers[worker]; p != nil {
-			p.Reset()
+			p.Restart()
 		}
 	}
 	for worker, p := range c.pollers {
@@ -429,11 +429,7 @@
 // OnReport implements poller.Sink.
 func (s pollSink) OnReport(worker primrosespar.Worker, report primrosespar.WorkerReport, requestedAt, leaseExpiry time.Time) {
 	s.c.enqueue(func() {
-		if s.c.scheduler.HandleReport(worker, report, requestedAt, leaseExpiry, s.c.parts.Clock.Now()) {
-			if p := s.c.pollers[worker]; p != nil {
-				p.Reset()
-			}
-		}
+		s.c.scheduler.HandleReport(worker, report, requestedAt, leaseExpiry, s.c.parts.Clock.Now())
 	})
 }
 
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -49,6 +49,11 @@
 	acknowledgeTimeout = time.Second
 	// minWorkerClockRate is the slowest rate of a worker's clock.
 	minWorkerClockRate = 0.98
+	// acknowledgeWindow is how long after a report ends may be acknowledged. A
+	// worker that restarts under its name counts its ends from 1 again; it takes
+	// longer than this to restart and to run a task, so that no unread end of
+	// the new lifetime can be acknowledged.
+	acknowledgeWindow = 400 * time.Millisecond
 	// expiryMargin covers the time that a worker needs to kill runs whose lease
 	// has expired.
 	expiryMargin = 300 * time.Millisecond
@@ -103,10 +108,16 @@
 	// unresponsive while the last poll has failed.
 	polled       bool
 	unresponsive bool
-	// acknowledged is the sequence up to which ends of runs are stored,
-	// lastSequence the highest that was reported.
+	// startedAt is the lifetime of the worker that the fields below belong to.
+	startedAt time.Time
+	// stored is the sequence up to which ends of runs are stored, acknowledged
+	// the one up to which the worker was told so, and lastSequence the highest
+	// that was reported.
+	stored       uint64
 	acknowledged uint64
 	lastSequence uint64
+	// reportedAt is when the last report was received.
+	reportedAt time.Time
 	// workerClock is the last reading of the worker's clock, received at
 	// workerClockAt.
 	workerClock   time.Duration
@@ -178,24 +189,34 @@
 	return p.leaseExpiry
 }
 
-// Acknowledge records that the ends of runs up to the sequence are stored.
-func (p *Poller) Acknowledge(sequence uint64) {
+// Acknowledge records that the ends of runs up to the sequence are stored, in
+// the lifetime of the worker that began at startedAt.
+func (p *Poller) Acknowledge(startedAt time.Time, sequence uint64) {
 	p.mu.Lock()
-	p.acknowledged = max(p.acknowledged, sequence)
+	if startedAt.Equal(p.startedAt) {
+		p.stored = max(p.stored, sequence)
+	}
 	p.mu.Unlock()
 	p.notify()
 }
 
-// Reset discards the state of the worker after it has restarted: it has to be
-// polled again, and it numbers the ends of its runs from 1 again.
-func (p *Poller) Reset() {
+// Restart records that the worker has restarted since its last report: it has
+// to be polled again.
+func (p *Poller) Restart() {
 	p.mu.Lock()
-	p.acknowledged, p.lastSequence, p.polled = 0, 0, false
-	p.workerClockAt = time.Time{}
+	p.beginLifetime(time.Time{})
 	p.mu.Unlock()
 	p.notify()
 }
 
+// beginLifetime discards what belongs to an earlier lifetime of the worker,
+// which numbers the ends of its runs from 1 again. The caller holds the lock.
+func (p *Poller) beginLifetime(startedAt time.Time) {
+	p.startedAt = startedAt
+	p.stored, p.acknowledged, p.lastSequence, p.polled = 0, 0, 0, false
+	p.workerClockAt = time.Time{}
+}
+
 // notify wakes the goroutine of Run after a change.
 func (p *Poller) notify() {
 	select {
@@ -227,7 +248,7 @@
 		p.sleep(ctx, retryDelay)
 		return
 	}
-	leaseExpiry := p.handleReport(report)
+	leaseExpiry := p.handleReport(request, report)
 	p.sink.OnReport(p.worker, report, requestedAt, leaseExpiry)
 	if len(report.Ended) > 0 {
 		p.awaitAcknowledgement(ctx)
@@ -238,13 +259,22 @@
 func (p *Poller) nextPoll(now time.Time) primrosespar.Poll {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	request := primrosespar.Poll{Worker: p.worker, Address: p.info.Address, Token: p.token, Acknowledged: p.acknowledged}
+	request := primrosespar.Poll{Worker: p.worker, Address: p.info.Address, Token: p.token}
 	if p.unresponsive || !p.polled {
 		// The lease of a worker that does not answer is not extended, so that
 		// its runs expire. The poll does not wait either, to get an answer
 		// soon.
 		return request
 	}
+	if p.stored > p.acknowledged && now.Sub(p.reportedAt) > acknowledgeWindow {
+		// The worker may have restarted. This poll confirms its lifetime, the
+		// next one acknowledges.
+		request.LeaseUntil = p.extendLease(now)
+		return request
+	}
+	if p.stored > p.acknowledged {
+		request.Acknowledged = p.stored
+	}
 	request.Wait = pollWait
 	if p.shared {
 		request.Wait = sharedPollWait
@@ -269,14 +299,20 @@
 }
 
 // handleReport records the answer to a poll and returns leaseExpiry.
-func (p *Poller) handleReport(report primrosespar.WorkerReport) time.Time {
+func (p *Poller) handleReport(request primrosespar.Poll, report primrosespar.WorkerReport) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !report.StartedAt.Equal(p.startedAt) {
+		p.beginLifetime(report.StartedAt)
+	} else {
+		p.acknowledged = max(p.acknowledged, request.Acknowledged)
+	}
 	p.unresponsive, p.polled = false, true
+	p.reportedAt = p.clock.Now()
 	// The worker read its clock after the poll was sent, and at the end of the
 	// wait if there was one. The time of the answer is later than that, which
 	// makes the lease shorter and the expiry later, so it is safe.
-	p.workerClock, p.workerClockAt = report.Clock, p.clock.Now()
+	p.workerClock, p.workerClockAt = report.Clock, p.reportedAt
 	for _, e := range report.Ended {
 		p.lastSequence = max(p.lastSequence, e.Sequence)
 	}
@@ -289,9 +325,9 @@
 	deadline := p.clock.After(acknowledgeTimeout)
 	for {
 		p.mu.Lock()
-		acknowledged := p.acknowledged >= p.lastSequence
+		stored := p.stored >= p.lastSequence
 		p.mu.Unlock()
-		if acknowledged {
+		if stored {
 			return
 		}
 		select {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -63,7 +63,7 @@
 	dirtyJobs     []*job
 	pendingStarts []*member
 	pendingStops  []*member
-	acknowledged  map[primrosespar.Worker]uint64
+	acknowledged  map[primrosespar.Worker]Acknowledgement
 	events        []Event
 	// strayStops are stop orders for runs that are in no record.
 	strayStops     []Order
@@ -129,12 +129,19 @@
 	Percent int
 }
 
+// Acknowledgement names the ends of runs that a worker may forget: those up to
+// Sequence, in its lifetime that began at StartedAt.
+type Acknowledgement struct {
+	StartedAt time.Time
+	Sequence  uint64
+}
+
 // Changes are what the caller of Plan has to carry out.
 type Changes struct {
 	// Records must be stored before Starts and Acknowledged are sent.
 	Records      []Record
 	Starts       []Order
-	Acknowledged map[primrosespar.Worker]uint64
+	Acknowledged map[primrosespar.Worker]Acknowledgement
 	// Stops, Throttles and AdviceRequests may be sent at once.
 	Stops          []Order
 	Throttles      []Throttle
@@ -151,7 +158,7 @@
 		workers:            map[primrosespar.Worker]*worker{},
 		racks:              map[primrosespar.Service][]*rack{},
 		urgentAccelerators: map[primrosespar.Account]int{},
-		acknowledged:       map[primrosespar.Worker]uint64{},
+		acknowledged:       map[primrosespar.Worker]Acknowledgement{},
 
 		claimants: map[*unit]bool{},
 		replaced:  map[primrosespar.Worker]time.Time{},
@@ -325,6 +332,6 @@
 	}
 	c.Stops = append(c.Stops, s.strayStops...)
 	s.dirtyJobs, s.pendingStarts, s.pendingStops, s.strayStops, s.adviceRequests, s.throttles, s.events = nil, nil, nil, nil, nil, nil, nil
-	s.acknowledged = map[primrosespar.Worker]uint64{}
+	s.acknowledged = map[primrosespar.Worker]Acknowledgement{}
 	return c
 }
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -190,7 +190,7 @@
 	h.now = h.now.Add(time.Second)
 	h.report(h.workerIndex(starts[0].Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: starts[0].Run, End: primrosespar.EndDone})
 	changes := h.plan()
-	require.Equal(t, uint64(1), changes.Acknowledged[starts[0].Worker])
+	require.Equal(t, uint64(1), changes.Acknowledged[starts[0].Worker].Sequence)
 	require.Len(t, changes.Records, 1)
 	require.Equal(t, primrosespar.JobCompleted, changes.Records[0].Progress.State)
 }
--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -159,10 +159,10 @@
 	}
 	m.unsent.Starts = append(m.unsent.Starts, changes.Starts...)
 	if m.unsent.Acknowledged == nil {
-		m.unsent.Acknowledged = map[primrosespar.Worker]uint64{}
+		m.unsent.Acknowledged = map[primrosespar.Worker]scheduler.Acknowledgement{}
 	}
-	for w, n := range changes.Acknowledged {
-		m.unsent.Acknowledged[w] = n
+	for w, acknowledgement := range changes.Acknowledged {
+		m.unsent.Acknowledged[w] = acknowledgement
 	}
 	for _, o := range changes.Stops {
 		m.pending = append(m.pending, sentOrder{order: o, token: m.token, term: m.term})
@@ -190,14 +190,14 @@
 			m.pending = append(m.pending, sentOrder{order: o, start: true, token: m.token, leaseUntil: m.now.Add(modelLease), term: m.term})
 		}
 	}
-	for name, n := range m.unsent.Acknowledged {
+	for name, acknowledgement := range m.unsent.Acknowledged {
 		w := m.findWorker(name)
-		if w == nil {
+		if w == nil || !acknowledgement.StartedAt.Equal(w.info.StartedAt) {
 			continue
 		}
 		var kept []primrosespar.EndedRun
 		for _, e := range w.unacknowledged {
-			if e.Sequence > n {
+			if e.Sequence > acknowledgement.Sequence {
 				kept = append(kept, e)
 				continue
 			}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -171,17 +171,16 @@
 }
 
 // HandleReport handles the answer to a poll that was sent at requestedAt.
-// leaseExpiry is when the lease that the poll carried has certainly expired. It
-// reports whether the worker has restarted since its last answer.
-func (s *Scheduler) HandleReport(name primrosespar.Worker, report primrosespar.WorkerReport, requestedAt, leaseExpiry, now time.Time) bool {
+// leaseExpiry is when the lease that the poll carried has certainly expired. A
+// report of an earlier lifetime of the worker is ignored.
+func (s *Scheduler) HandleReport(name primrosespar.Worker, report primrosespar.WorkerReport, requestedAt, leaseExpiry, now time.Time) {
 	w := s.workers[name]
 	if w == nil {
-		return false
+		return
 	}
-	restarted := !w.startedAt.IsZero() && !report.StartedAt.Equal(w.startedAt)
-	if restarted {
+	if !w.startedAt.IsZero() && !report.StartedAt.Equal(w.startedAt) {
 		if report.StartedAt.Before(w.startedAt) {
-			return false
+			return
 		}
 		s.handleRestart(w, report.StartedAt, now)
 	}
@@ -205,7 +204,6 @@
 			s.endMember(m, "", "", now)
 		}
 	}
-	return restarted
 }
 
 // handleEnd applies an end that the worker lists. The end of a run that was
@@ -215,7 +213,7 @@
 		return
 	}
 	w.acknowledged = ended.Sequence
-	s.acknowledged[w.info.Worker] = ended.Sequence
+	s.acknowledged[w.info.Worker] = Acknowledgement{StartedAt: w.startedAt, Sequence: ended.Sequence}
 	if m := w.members[ended.Run]; m != nil {
 		s.logEvent("run_ended", m.unit.step.occurrence.job, w, m.run, string(ended.End))
 		s.endMember(m, ended.End, ended.Checkpoint, now)
