Share failed searches between equal shapes

Cause: under overload most of the time in Plan went into searches whose result was known: units of one shape were searched one by one until they had waited 2 s, searches for victims were repeated for each unit, a rack reservation that found no rack was computed anew in each plan, and each plan looked at every running member for orders and at every unit of every job for waiting ones.

Change: a shape that did not fit blocks larger ones of the same shape and wait phase for the rest of the plan; failed searches for victims are shared within a plan; the search by worker runs only if long-running work could be stopped; steps count their waiting units; workers whose members need no order are skipped.

--- a/internal/fleet/indexer/indexer.go
+++ b/internal/fleet/indexer/indexer.go
@@ -36,15 +36,15 @@
 
 // count adds delta workers with the given free accelerators.
 func (x *Indexer) count(free, delta int) {
-	x.free += delta * free
 	free = max(free, 0)
+	x.free += delta * free
 	for len(x.workers) <= free {
 		x.workers = append(x.workers, 0)
 	}
 	x.workers[free] += delta
 }
 
-// Free returns the sum of the free accelerators.
+// Free returns the sum of the free accelerators of the workers.
 func (x *Indexer) Free() int { return x.free }
 
 // Room returns an upper bound of the tasks that fit into the group if each
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -27,7 +27,9 @@
 	// termsCatalog is the catalog that the queue terms were last read from.
 	termsCatalog *primrosespar.Catalog
 	// memberCount counts the members on workers.
-	memberCount       int
+	memberCount int
+	// waitingUnits counts the units in the phase Waiting.
+	waitingUnits      int
 	dirty             bool
 	submissionUnsaved bool
 }
@@ -38,6 +40,9 @@
 	index int
 	due   time.Time
 	steps []*step
+	// criticalPaths holds, by step, the estimated duration of the longest chain
+	// of dependent steps that begins there or later.
+	criticalPaths []time.Duration
 }
 
 // step is a step of an occurrence.
@@ -48,6 +53,8 @@
 	units      []*unit
 	// unfinished counts the units that are not done.
 	unfinished int
+	// waitingUnits counts the units in the phase Waiting.
+	waitingUnits int
 	// readySince is when the predecessors of the step were done.
 	readySince time.Time
 	// Tasks of advised steps start only on workers with a ticket; denied
@@ -121,11 +128,46 @@
 	for i := range j.submission.Steps {
 		o.steps = append(o.steps, newStep(o, i, now))
 	}
+	for i := range o.steps {
+		o.criticalPaths = append(o.criticalPaths, o.criticalPath(i))
+	}
 	j.occurrences = append(j.occurrences, o)
 	j.created = max(j.created, index+1)
 	return o
 }
 
+// criticalPath returns the estimated duration of the longest chain of dependent
+// steps, counting from the given step.
+func (o *occurrence) criticalPath(from int) time.Duration {
+	longest := make([]time.Duration, len(o.steps))
+	var total time.Duration
+	for i := from; i < len(o.steps); i++ {
+		spec := o.steps[i].spec
+		longest[i] = spec.Estimate
+		for _, predecessor := range spec.After {
+			if predecessor >= from && predecessor < i {
+				longest[i] = max(longest[i], longest[predecessor]+spec.Estimate)
+			}
+		}
+		total = max(total, longest[i])
+	}
+	return total
+}
+
+// setPhase changes the phase of the unit.
+func (u *unit) setPhase(phase encoder.Phase) {
+	delta := 0
+	if u.phase == encoder.Waiting {
+		delta--
+	}
+	if phase == encoder.Waiting {
+		delta++
+	}
+	u.phase = phase
+	u.step.waitingUnits += delta
+	u.step.occurrence.job.waitingUnits += delta
+}
+
 // newStep creates a step and its units.
 func newStep(o *occurrence, index int, now time.Time) *step {
 	spec := &o.job.submission.Steps[index]
@@ -141,6 +183,8 @@
 		}
 	}
 	st.unfinished = len(st.units)
+	st.waitingUnits = len(st.units)
+	o.job.waitingUnits += len(st.units)
 	return st
 }
 
@@ -171,7 +215,8 @@
 
 // restoreUnit restores a unit from its stored progress.
 func (s *Scheduler) restoreUnit(u *unit, stored encoder.Unit, now time.Time) {
-	u.phase, u.run, u.failedRuns, u.checkpoint = stored.Phase, stored.Run, stored.Failed, stored.Checkpoint
+	u.run, u.failedRuns, u.checkpoint = stored.Run, stored.Failed, stored.Checkpoint
+	u.setPhase(stored.Phase)
 	if u.run > 0 {
 		u.step.occurrence.job.started = true
 	}
@@ -191,7 +236,7 @@
 		s.attach(m)
 	}
 	if u.phase == encoder.Placed && len(u.members) == 0 {
-		u.phase = encoder.Waiting
+		u.setPhase(encoder.Waiting)
 	}
 }
 
@@ -240,7 +285,7 @@
 // and completes the job if this was its last unit.
 func (s *Scheduler) completeUnit(u *unit, now time.Time) {
 	j := u.step.occurrence.job
-	u.phase = encoder.Done
+	u.setPhase(encoder.Done)
 	u.step.unfinished--
 	s.markDirty(j)
 	s.dropClaim(u)
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -308,7 +308,7 @@
 // job if its attempts are used up.
 func (s *Scheduler) requeue(u *unit, now time.Time) {
 	j := u.step.occurrence.job
-	u.phase = encoder.Waiting
+	u.setPhase(encoder.Waiting)
 	u.stopping, u.firstEndAt = false, time.Time{}
 	s.markDirty(j)
 	if j.state.Ended() {
@@ -316,7 +316,7 @@
 	}
 	attempts := s.terms(j).Attempts
 	if !u.step.spec.LongRunning && attempts > 0 && len(u.failedRuns) >= attempts {
-		u.phase = encoder.Failed
+		u.setPhase(encoder.Failed)
 		s.endJob(j, primrosespar.JobFailed, now)
 	}
 }
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -63,10 +63,6 @@
 	urgentOneRackWait = 900 * time.Millisecond
 	// refusalRetryDelay is the delay after a start that was refused.
 	refusalRetryDelay = 100 * time.Millisecond
-	// unrestrictedWait is how long after it became ready a unit may use any
-	// worker that others of its shape may: the waits for the rack of its data
-	// and for a single rack are over by then.
-	unrestrictedWait = oneRackWait
 	// blockedRetryDelay is the delay before a unit that did not fit is tried
 	// again even if no capacity was freed, because its waits expire.
 	blockedRetryDelay = 100 * time.Millisecond
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -124,12 +124,12 @@
 	if !s.fitsEmptyRack(u, r.terms.Service) {
 		return true
 	}
-	if r.terms.Priority == 0 {
-		return waited > urgentOneRackWait
-	}
-	if waited < oneRackWait {
+	if waited < r.oneRackWait() {
 		return false
 	}
+	if r.terms.Priority == 0 {
+		return true
+	}
 	free := 0
 	if s.pool(r.terms.Service).index.Room(u.step.spec.Need.Accelerators, 2*u.size) < 2*u.size {
 		return false
@@ -182,9 +182,12 @@
 func (s *Scheduler) findWorkersInRack(u *unit, r *rankedStep, now time.Time, allowed func(*rack) bool) []*worker {
 	var best []candidate
 	bestScore := math.MaxInt
-	need := u.step.spec.Need.Accelerators
-	for _, k := range s.pool(r.terms.Service).racks {
-		if k.index.Room(need, u.size) < u.size || allowed != nil && !allowed(k) {
+	p := s.pool(r.terms.Service)
+	if !mayHold(&p.index, u) {
+		return nil
+	}
+	for _, k := range p.racks {
+		if !mayHold(&k.index, u) || allowed != nil && !allowed(k) {
 			continue
 		}
 		score := k.free()
@@ -212,7 +215,7 @@
 	}
 	// The cached candidates do not account for what this unit takes.
 	r.singleTaskWorkers = nil
-	if s.pool(r.terms.Service).index.Room(u.step.spec.Need.Accelerators, u.size) < u.size {
+	if !mayHold(&s.pool(r.terms.Service).index, u) {
 		return nil
 	}
 	found := s.candidates(u, s.announced, r.terms.Service, now)
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -58,16 +58,17 @@
 // placeWaiting starts the waiting units that fit, in order of rank.
 func (s *Scheduler) placeWaiting(now time.Time) {
 	s.clearReservations()
+	s.failedReclaims = map[reclaimSearch]bool{}
 	reservations, reclaims := 0, 0
-	blockedShapes := map[shape]bool{}
+	blockedSizes := map[blockedShape]int{}
 	for _, r := range s.rankSteps(now) {
 		r.step.advised = r.terms.Advised
-		blocked, index := s.placeStep(&r, 0, blockedShapes, now)
+		blocked, index := s.placeStep(&r, 0, blockedSizes, now)
 		// Room for all units of an urgent step is made in one plan. Making it
 		// for one unit after the other would take the time of a stop for each.
 		for blocked != nil && reclaims < maxReclaims && r.mayReclaim(now) && s.reclaim(blocked, &r, now) {
 			reclaims++
-			blocked, index = s.placeStep(&r, index+1, blockedShapes, now)
+			blocked, index = s.placeStep(&r, index+1, blockedSizes, now)
 		}
 		if blocked == nil {
 			continue
@@ -108,6 +109,42 @@
 	longRunning bool
 }
 
+// blockedShape holds the properties that determine whether a unit of at least
+// some size fits, beside its size.
+type blockedShape struct {
+	shape
+	// fitsRack, dataRackOnly and oneRackOnly say which racks the unit may use
+	// now.
+	fitsRack     bool
+	dataRackOnly bool
+	oneRackOnly  bool
+	// exceedsReserve is set for units that the reserve does not hold back.
+	exceedsReserve bool
+}
+
+// blockedShape returns the properties that determine whether a unit like u fits
+// now.
+func (s *Scheduler) blockedShape(u *unit, r *rankedStep, now time.Time) blockedShape {
+	waited := now.Sub(u.step.readySince)
+	b := blockedShape{shape: u.shape(r.terms), exceedsReserve: s.exceedsReserve(u, r)}
+	b.size = 0
+	b.dataRackOnly = b.dataRack != "" && waited < dataRackWait
+	if b.oneRack {
+		b.fitsRack = s.fitsEmptyRack(u, r.terms.Service)
+		b.oneRackOnly = waited < r.oneRackWait()
+	}
+	return b
+}
+
+// oneRackWait returns how long a gang of the step that prefers one rack waits
+// for it.
+func (r *rankedStep) oneRackWait() time.Duration {
+	if r.terms.Priority == 0 {
+		return urgentOneRackWait
+	}
+	return oneRackWait
+}
+
 // shape returns the shape of the unit.
 func (u *unit) shape(terms *primrosespar.QueueTerms) shape {
 	spec := u.step.spec
@@ -119,8 +156,11 @@
 
 // rankSteps returns the steps with waiting units in order of rank and deadline.
 func (s *Scheduler) rankSteps(now time.Time) []rankedStep {
-	var ranked []rankedStep
+	ranked := s.ranked[:0]
 	for _, j := range s.liveJobs {
+		if j.waitingUnits == 0 {
+			continue
+		}
 		terms := s.terms(j)
 		for _, o := range j.occurrences {
 			ranked = o.appendWaiting(ranked, terms, now)
@@ -129,6 +169,7 @@
 	slices.SortStableFunc(ranked, func(a, b rankedStep) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), a.deadline.Compare(b.deadline))
 	})
+	s.ranked = ranked
 	return ranked
 }
 
@@ -136,7 +177,7 @@
 // start.
 func (o *occurrence) appendWaiting(ranked []rankedStep, terms *primrosespar.QueueTerms, now time.Time) []rankedStep {
 	for _, st := range o.steps {
-		if st.readySince.IsZero() || st.unfinished == 0 || !st.hasWaiting(now) {
+		if st.readySince.IsZero() || st.waitingUnits == 0 || !st.hasWaiting(now) {
 			continue
 		}
 		r := rankedStep{step: st, terms: terms, rank: terms.Priority}
@@ -147,9 +188,9 @@
 		if o.job.submission.Repeat.Count > 0 {
 			startedAt = o.due
 		}
-		objective := time.Duration(terms.Slack*float64(o.criticalPath(0))) + terms.Target
+		objective := time.Duration(terms.Slack*float64(o.criticalPaths[0])) + terms.Target
 		r.deadline = startedAt.Add(objective)
-		finish := now.Add(o.criticalPath(st.index))
+		finish := now.Add(o.criticalPaths[st.index])
 		r.onTime = !finish.After(r.deadline)
 		switch {
 		case st.spec.LongRunning:
@@ -183,37 +224,23 @@
 	return u.phase == encoder.Waiting && len(u.members) == 0 && !now.Before(u.notBefore)
 }
 
-// criticalPath returns the estimated duration of the longest chain of dependent
-// steps, counting from the given step.
-func (o *occurrence) criticalPath(from int) time.Duration {
-	longest := make([]time.Duration, len(o.steps))
-	var total time.Duration
-	for i := from; i < len(o.steps); i++ {
-		spec := o.steps[i].spec
-		longest[i] = spec.Estimate
-		for _, predecessor := range spec.After {
-			if predecessor >= from && predecessor < i {
-				longest[i] = max(longest[i], longest[predecessor]+spec.Estimate)
-			}
-		}
-		total = max(total, longest[i])
-	}
-	return total
-}
-
 // placeStep starts the waiting units of a step, beginning at index from, and
 // returns the first one that does not fit, with its index. A unit without
-// claims is not tried if its shape did not fit earlier in this plan, or if no
-// capacity was freed since it last did not fit and its retry time has not come.
-func (s *Scheduler) placeStep(r *rankedStep, from int, blockedShapes map[shape]bool, now time.Time) (*unit, int) {
+// claims is not tried if a smaller one of its shape did not fit earlier in this
+// plan, or if no capacity was freed since it last did not fit and its retry time
+// has not come.
+func (s *Scheduler) placeStep(r *rankedStep, from int, blockedSizes map[blockedShape]int, now time.Time) (*unit, int) {
 	r.singleTaskWorkers = nil
 	for i := from; i < len(r.step.units); i++ {
 		u := r.step.units[i]
 		if !u.waiting(now) {
 			continue
 		}
-		unitShape := u.shape(r.terms)
-		if u.claims == nil && (blockedShapes[unitShape] || u.blockedVersion == s.capacityVersion && now.Before(u.retryAt)) {
+		if u.claims == nil && u.blockedVersion == s.capacityVersion && now.Before(u.retryAt) {
+			return u, i
+		}
+		blocked := s.blockedShape(u, r, now)
+		if size, known := blockedSizes[blocked]; known && u.claims == nil && u.size >= size {
 			return u, i
 		}
 		var workers []*worker
@@ -221,8 +248,8 @@
 			workers = s.findWorkers(u, r, now)
 		}
 		if workers == nil {
-			if len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && !u.step.advised && now.Sub(u.step.readySince) > unrestrictedWait {
-				blockedShapes[unitShape] = true
+			if u.unrestricted() && u.claims == nil {
+				blockedSizes[blocked] = u.size
 			}
 			if now.Sub(u.progressAt) > avoidTime {
 				u.avoid = nil
@@ -244,9 +271,8 @@
 	p := s.pool(r.terms.Service)
 	free, total := p.index.Free(), p.total
 	need := u.size * u.step.spec.Need.Accelerators
-	reserve := int(min(s.opts.Reserve*float64(s.guaranteed), maxReserveShare*float64(total)))
 	switch {
-	case free-need >= reserve || need > total-reserve:
+	case free-need >= s.reserve(p) || s.exceedsReserve(u, r):
 		return true
 	case u.step.spec.LongRunning:
 		// A long-running task is started while there is room for it twice over.
@@ -257,13 +283,26 @@
 	}
 }
 
+// reserve returns the accelerators of the pool that are kept free for the
+// guarantees.
+func (s *Scheduler) reserve(p *pool) int {
+	return int(min(s.opts.Reserve*float64(s.guaranteed), maxReserveShare*float64(p.total)))
+}
+
+// exceedsReserve reports whether the unit is too large to ever leave the reserve
+// free.
+func (s *Scheduler) exceedsReserve(u *unit, r *rankedStep) bool {
+	p := s.pool(r.terms.Service)
+	return u.size*u.step.spec.Need.Accelerators > p.total-s.reserve(p)
+}
+
 // start assigns the unit to workers. The start orders are sent once the record
 // of the assignment is stored.
 func (s *Scheduler) start(u *unit, r *rankedStep, workers []*worker, now time.Time) {
 	j := u.step.occurrence.job
 	s.dropClaim(u)
 	u.withinGuarantee = r.terms.Priority == 0 && s.fitsGuarantee(u)
-	u.phase = encoder.Placed
+	u.setPhase(encoder.Placed)
 	u.run++
 	u.placedAt, u.progressAt, u.firstEndAt, u.firstSentAt = now, now, time.Time{}, time.Time{}
 	for i, w := range workers {
@@ -384,6 +423,9 @@
 	for _, w := range s.announced {
 		s.collectWorkerOrders(w, now)
 	}
+	if len(s.workers) == len(s.announced) {
+		return
+	}
 	for _, w := range s.workers {
 		if !w.announced {
 			s.collectWorkerOrders(w, now)
@@ -391,13 +433,27 @@
 	}
 }
 
+// needsOrder reports whether an order for the member is due, in flight or to be
+// repeated.
+func (m *member) needsOrder() bool {
+	if m.stopping {
+		return !m.stopped
+	}
+	return m.phase == placed || m.phase == sent
+}
+
 // collectWorkerOrders collects the orders that are due for one worker.
 func (s *Scheduler) collectWorkerOrders(w *worker, now time.Time) {
-	if len(w.memberList) == 0 || !w.polled && w.startedAt.IsZero() {
+	if !w.ordersDue || !w.polled && w.startedAt.IsZero() {
 		return
 	}
+	w.ordersDue = false
 	for i := len(w.memberList) - 1; i >= 0; i-- {
 		m := w.memberList[i]
+		if !m.needsOrder() {
+			continue
+		}
+		w.ordersDue = true
 		if m.inFlight || now.Before(m.retryAt) {
 			continue
 		}
--- a/internal/fleet/scheduler/pools.go
+++ b/internal/fleet/scheduler/pools.go
@@ -104,6 +104,13 @@
 	w.indexedFree = free
 }
 
+// mayHold reports whether the workers of an index may have room for the unit, by
+// their accelerators alone.
+func mayHold(index *indexer.Indexer, u *unit) bool {
+	need := u.step.spec.Need.Accelerators
+	return index.Free() >= u.size*need && index.Room(need, u.size) == u.size
+}
+
 // mayHoldOne reports whether the worker may have room for a task of the unit,
 // by its accelerators alone.
 func (w *worker) mayHoldOne(u *unit) bool { return w.indexedFree >= u.step.spec.Need.Accelerators }
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -52,6 +52,10 @@
 	}
 	u.nextReclaimAt = now.Add(blockedRetryDelay)
 	withinGuarantee := s.fitsGuarantee(u)
+	search := reclaimSearch{u.shape(r.terms), withinGuarantee}
+	if u.unrestricted() && s.failedReclaims[search] {
+		return false
+	}
 	var best *preemption
 	if u.size == 1 || u.step.spec.OneRack && s.fitsEmptyRack(u, r.terms.Service) {
 		for _, k := range s.pool(r.terms.Service).racks {
@@ -64,12 +68,27 @@
 		best = s.findPreemption(u, r, s.announced, withinGuarantee, now)
 	}
 	if best == nil {
+		if u.unrestricted() {
+			s.failedReclaims[search] = true
+		}
 		return false
 	}
 	s.applyPreemption(u, best, now)
 	return true
 }
 
+// reclaimSearch identifies equal searches for victims within one plan.
+type reclaimSearch struct {
+	shape           shape
+	withinGuarantee bool
+}
+
+// unrestricted reports whether the unit may use any worker that others of its
+// shape may use.
+func (u *unit) unrestricted() bool {
+	return len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && !u.step.advised
+}
+
 // preemption is a set of units to stop, the workers that the unit then runs on,
 // and the total cost.
 type preemption struct {
@@ -92,8 +111,10 @@
 	room := 0
 	var eligible []*worker
 	var victims []victim
-	// disrupted counts the victims' tasks by long-running step.
-	disrupted := map[*step]int{}
+	// disrupted counts the victims' tasks by long-running step. longRunning is
+	// set if a long-running unit could be stopped.
+	var disrupted map[*step]int
+	longRunning := false
 	for _, w := range workers {
 		if !w.eligible(u, r.terms.Service, now) {
 			continue
@@ -110,17 +131,25 @@
 				continue
 			}
 			v.searchID = s.searchID
-			if s.mayPreempt(v, withinGuarantee) && v.disruptable(disrupted[v.step]) {
-				if v.step.spec.LongRunning {
-					disrupted[v.step] += v.size
+			if !s.mayPreempt(v, withinGuarantee) {
+				continue
+			}
+			longRunning = longRunning || v.step.spec.LongRunning
+			if !v.disruptable(disrupted[v.step]) {
+				continue
+			}
+			if v.step.spec.LongRunning {
+				if disrupted == nil {
+					disrupted = map[*step]int{}
 				}
-				victims = append(victims, victim{v, s.preemptionCost(v, now)})
+				disrupted[v.step] += v.size
 			}
+			victims = append(victims, victim{v, s.preemptionCost(v, now)})
 		}
 	}
 	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
 	p := s.pickVictims(u, eligible, room, victims)
-	if p != nil && !p.stopsLongRunning() {
+	if !longRunning || p != nil && !p.stopsLongRunning() {
 		return p
 	}
 	if byWorker := s.findPreemptionByWorker(u, eligible, withinGuarantee, now); byWorker != nil && (p == nil || byWorker.cost < p.cost) {
@@ -337,7 +366,7 @@
 	if !u.step.spec.OneRack || !s.fitsEmptyRack(u, service) {
 		return false
 	}
-	if u.reservedRack == nil || !now.Before(u.reservedUntil) {
+	if !now.Before(u.reservedUntil) {
 		u.reservedRack, u.reservedUntil = s.soonestRack(u, service, now), now.Add(rackReservationTime)
 	}
 	if u.reservedRack == nil {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -61,11 +61,15 @@
 	// emptyRackFits caches whether shapes would fit into an empty rack. It is
 	// dropped when the announced workers change.
 	emptyRackFits map[emptyRackShape]bool
+	// failedReclaims are the searches for victims that failed in this plan.
+	failedReclaims map[reclaimSearch]bool
 	// searchID numbers the searches for room, to mark what the current one has
 	// visited.
 	searchID uint64
 	// checkedAt is when the runs were last checked.
-	checkedAt     time.Time
+	checkedAt time.Time
+	// ranked is the buffer of rankSteps.
+	ranked        []rankedStep
 	dirtyJobs     []*job
 	pendingStarts []*member
 	pendingStops  []*member
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -34,7 +34,7 @@
 	indexedFree int
 	// ordersDue is set while an order may be due for a member.
 	ordersDue bool
-	trial      trialRoom
+	trial     trialRoom
 	// reservedFor is the blocked unit that the worker is reserved for.
 	reservedFor *unit
 	// acknowledged is the sequence number of the last end that was handled.
