Plan before the workers are known without a failure

Change: the cache exists from the start. The state machine now plans before it announces the workers, as a holder does.

Result: TestPlanBeforeWorkersAreKnown and the state machine panic without the change and pass with it.

--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -150,6 +150,7 @@
 		jobs:               map[primrosespar.JobID]*job{},
 		workers:            map[primrosespar.Worker]*worker{},
 		pools:              map[primrosespar.Service]*pool{},
+		emptyRackFits:      map[emptyRackShape]bool{},
 		urgentAccelerators: map[primrosespar.Account]int{},
 		acknowledged:       map[primrosespar.Worker]Acknowledgement{},
 
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -132,6 +132,18 @@
 	return 0
 }
 
+// TestPlanBeforeWorkersAreKnown guards against a holder that fails because it
+// has jobs to place and has not read the list of workers yet.
+func TestPlanBeforeWorkersAreKnown(t *testing.T) {
+	s := scheduler.New()
+	now := time.Unix(1_000_000, 0)
+	s.SetCatalog(testCatalog())
+	s.Submit(job("a", "plain", primrosespar.Step{Count: 4, Gang: true, OneRack: true, Need: needAccelerators(8)}), now)
+	require.Empty(t, s.Plan(now).Starts)
+	_, known := s.Explain("a", now)
+	require.True(t, known)
+}
+
 // TestNewHolderKeepsRunsOfPreviousHolder guards against a second run of a task
 // whose first run an earlier holder started: the first poll of a worker under a
 // new token must not make its lease appear expired.
--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -129,6 +129,8 @@
 		require.NoError(m.t, err)
 		m.scheduler.Restore(*record.Submission, progress, m.now)
 	}
+	// A holder plans before it has read the list of workers.
+	m.plan()
 	m.announceWorkers()
 }
 
