Keep a panic from ending the process

Change: a panic in a term or in one of its goroutines ends the term; one in a call to a worker fails that call as unanswered; one in a call of another host or of a caller fails that call; the follower and the elector run again. Each is reported with its stack. A plan is followed by a pause of at least four times its duration, at most 100 ms.

--- a/internal/fleet/controller/advice.go
+++ b/internal/fleet/controller/advice.go
@@ -33,7 +33,7 @@
 	for _, host := range c.adviceHosts {
 		if !c.adviceInFlight[host] {
 			c.adviceInFlight[host] = true
-			c.tasks.Go(func() { c.sendAdviceRequest(host, request) })
+			c.goTask("advice request", func() { c.sendAdviceRequest(host, request) })
 			return
 		}
 	}
--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -126,7 +126,7 @@
 		return
 	}
 	c.commitStartedAt.Store(int64(now.Sub(c.startedAt)) + 1)
-	c.tasks.Go(func() {
+	c.goTask("commit", func() {
 		err := c.parts.Committer.Commit(c.ctx, writes)
 		c.enqueue(func() { c.handleCommitResult(b, err) })
 	})
@@ -163,7 +163,7 @@
 		}
 	}
 	for _, o := range b.maintenanceOrders {
-		c.tasks.Go(func() { c.sendMaintenanceOrder(o) })
+		c.goTask("maintenance order", func() { c.sendMaintenanceOrder(o) })
 	}
 	for w, acknowledgement := range b.acknowledged {
 		if p := c.pollers[w]; p != nil {
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -22,6 +22,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
@@ -46,9 +47,13 @@
 	// tickInterval is the time between two plans when nothing comes in, so that
 	// timeouts and due times take effect.
 	tickInterval = 100 * time.Millisecond
-	// minPlanInterval is the minimum time between two plans; actions that
-	// arrive meanwhile are planned together.
-	minPlanInterval = 15 * time.Millisecond
+	// minPlanInterval and maxPlanInterval bound the time between two plans;
+	// actions that arrive meanwhile are planned together. Between them the
+	// interval is planIntervalFactor times the duration of the last plan, so
+	// that a host with little processor time still polls and answers.
+	minPlanInterval    = 15 * time.Millisecond
+	maxPlanInterval    = 100 * time.Millisecond
+	planIntervalFactor = 4
 	// readTimeout bounds one read of the store or of the provider of the
 	// machines.
 	readTimeout = 1500 * time.Millisecond
@@ -155,8 +160,9 @@
 	next         *batch
 	inFlight     *batch
 	lastCommitAt time.Time
-	// plannedAt is when the last plan was made.
+	// plannedAt is when the last plan was made, and planTime how long it took.
 	plannedAt time.Time
+	planTime  time.Duration
 	catalog   *primrosespar.Catalog
 	// termErr is the error that ends the term.
 	termErr error
@@ -225,14 +231,24 @@
 	if err := c.load(runCtx); err != nil {
 		return err
 	}
-	c.tasks.Go(func() { c.runPeriodically(runCtx, workersInterval, c.readWorkers) })
-	c.tasks.Go(func() { c.runPeriodically(runCtx, inboxInterval, c.readInbox) })
+	c.goTask("read of the workers", func() { c.runPeriodically(runCtx, workersInterval, c.readWorkers) })
+	c.goTask("read of the inbox", func() { c.runPeriodically(runCtx, inboxInterval, c.readInbox) })
 	c.startMaintenance(runCtx)
 	err := c.loop(runCtx)
 	c.failPendingReplies(err)
 	return err
 }
 
+// goTask runs f on its own goroutine. A panic ends the term, not the process:
+// the host goes on serving callers, and another one may lead.
+func (c *Controller) goTask(part string, f func()) {
+	c.tasks.Go(func() {
+		if recovered := panics.Try(f); recovered != nil {
+			c.enqueue(func() { c.termErr = eris.Wrapf(recovered.AsError(), "%s panicked", part) })
+		}
+	})
+}
+
 // loop runs actions and plans until the term ends.
 func (c *Controller) loop(ctx context.Context) error {
 	tick := c.parts.Clock.After(tickInterval)
@@ -248,7 +264,7 @@
 			action()
 			c.runQueuedActions()
 			if planDue == nil {
-				planDue = c.parts.Clock.After(minPlanInterval - c.parts.Clock.Since(c.plannedAt))
+				planDue = c.parts.Clock.After(c.planInterval() - c.parts.Clock.Since(c.plannedAt))
 			}
 		case <-planDue:
 			planDue = nil
@@ -280,6 +296,11 @@
 	}
 }
 
+// planInterval returns the time between the last plan and the next one.
+func (c *Controller) planInterval() time.Duration {
+	return min(max(minPlanInterval, planIntervalFactor*c.planTime), maxPlanInterval)
+}
+
 // plan runs the scheduler, sends the orders that need not be stored first and
 // adds the other changes to the next commit.
 func (c *Controller) plan() {
@@ -293,6 +314,7 @@
 		c.scheduler.SetCatalog(catalog)
 	}
 	changes := c.scheduler.Plan(now)
+	c.planTime = c.parts.Clock.Since(now)
 	for _, e := range changes.Events {
 		c.parts.OnDecision(e)
 	}
@@ -358,7 +380,7 @@
 		cancel: cancel,
 	}
 	c.pollers[info.Worker] = p
-	c.tasks.Go(func() { p.Run(ctx) })
+	c.goTask("poller", func() { p.Run(ctx) })
 	return p
 }
 
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -48,11 +48,16 @@
 
 // newController returns a controller whose committer holds the lease.
 func newController(t *testing.T, table primrosespar.Table) *controller.Controller {
+	return newControllerOf(t, table, source{})
+}
+
+// newControllerOf is newController with the given source of workers.
+func newControllerOf(t *testing.T, table primrosespar.Table, workers primrosespar.Source) *controller.Controller {
 	clock := clockwork.NewRealClock()
 	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
 	acquireLease(t, lease)
 	c, err := controller.New(controller.Parts{
-		Table: table, Source: source{}, Clock: clock, Committer: lease, Catalog: catalog,
+		Table: table, Source: workers, Clock: clock, Committer: lease, Catalog: catalog,
 		WallClock:  func(now time.Time) time.Time { return now },
 		OnDecision: func(scheduler.Event) {}, OnStoreAnswer: func() {}, OnError: func(string, error) {},
 	})
@@ -92,3 +97,21 @@
 		require.Error(t, <-ended)
 	})
 }
+
+// brokenSource is a primrosespar.Source whose list of workers cannot be read
+// without a panic.
+type brokenSource struct{ source }
+
+// ListWorkers implements primrosespar.Source.
+func (brokenSource) ListWorkers(context.Context) ([]primrosespar.WorkerInfo, error) {
+	panic("malformed row")
+}
+
+// TestPanicEndsTheTermOnly guards against an unexpected error that ends the
+// whole process of the holder, and then that of each host that follows it.
+func TestPanicEndsTheTermOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControllerOf(t, keeper.New(keeper.WithClock(clockwork.NewRealClock())), brokenSource{})
+		require.ErrorContains(t, c.Run(t.Context()), "malformed row")
+	})
+}
--- a/internal/fleet/controller/maintenance.go
+++ b/internal/fleet/controller/maintenance.go
@@ -33,8 +33,8 @@
 	if c.parts.Maintenance == nil {
 		return
 	}
-	c.tasks.Go(func() { c.runPeriodically(ctx, waveInterval, c.readWaves) })
-	c.tasks.Go(func() { c.runPeriodically(ctx, machinesInterval, c.readMachines) })
+	c.goTask("read of the waves", func() { c.runPeriodically(ctx, waveInterval, c.readWaves) })
+	c.goTask("read of the machines", func() { c.runPeriodically(ctx, machinesInterval, c.readMachines) })
 }
 
 // readWaves reads the waves that the operator requested.
@@ -87,7 +87,7 @@
 	}
 	c.next.maintenanceOrders = append(c.next.maintenanceOrders, changes.Orders...)
 	for _, report := range changes.Reports {
-		c.tasks.Go(func() { c.reportWave(report) })
+		c.goTask("maintenance report", func() { c.reportWave(report) })
 	}
 }
 
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"primrosespar.example/primrosespar/internal/fleet/messenger"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/submitter"
+	"primrosespar.example/primrosespar/internal/fleet/supervisor"
 )
 
 // Timeouts and margins of the daemon.
@@ -112,6 +113,8 @@
 	backend   Backend
 	opts      Options
 	messenger *messenger.Messenger
+	// supervisor keeps a panic in one part from ending the process.
+	supervisor *supervisor.Supervisor
 	committer *committer.Committer
 	elector   *elector.Elector
 	follower  *follower.Follower
@@ -136,6 +139,7 @@
 	for _, opt := range opts {
 		opt(&d.opts)
 	}
+	d.supervisor = supervisor.New(d.opts.Clock, d.opts.OnError)
 	incarnation, err := newIncarnation()
 	if err != nil {
 		return nil, err
@@ -183,12 +187,17 @@
 	defer func() { _ = d.messenger.Close() }()
 	defer tasks.Wait()
 	tasks.Go(func() {
-		if err := messenger.Serve(ctx, listener, d); err != nil && ctx.Err() == nil {
+		if err := messenger.Serve(ctx, listener, d, d.opts.OnError); err != nil && ctx.Err() == nil {
 			d.opts.OnError("peers", err)
 		}
 	})
-	tasks.Go(func() { d.follower.Run(ctx) })
-	return d.elector.Run(ctx)
+	tasks.Go(func() {
+		_ = d.supervisor.Keep(ctx, "catalog", func() error {
+			d.follower.Run(ctx)
+			return nil
+		})
+	})
+	return d.supervisor.Keep(ctx, "election", func() error { return d.elector.Run(ctx) })
 }
 
 // Ready reports whether the host can serve callers: it is not draining, its
@@ -279,7 +288,7 @@
 			cancel()
 		}
 	})
-	if err := term.Run(termCtx); err != nil {
+	if err := d.supervisor.Try("term", func() error { return term.Run(termCtx) }); err != nil {
 		return err
 	}
 	releaseCtx, cancelRelease := context.WithTimeout(termCtx, releaseTimeout)
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -7,7 +7,7 @@
 //	defer m.Close()
 //	reply, err := m.Heartbeat(ctx, holder, heartbeat)
 //
-//	err := messenger.Serve(ctx, listener, handler)
+//	err := messenger.Serve(ctx, listener, handler, onPanic)
 //
 // Errors are *primrosespar.Failure. Without an answer, a heartbeat, query or
 // advice request fails with CodePeerUnavailable. A submission, cancellation or
--- a/internal/fleet/messenger/server.go
+++ b/internal/fleet/messenger/server.go
@@ -36,10 +36,11 @@
 	handler primrosespar.FleetHandler
 }
 
-// Serve serves other hosts on the listener until the context ends.
-func Serve(ctx context.Context, listener net.Listener, handler primrosespar.FleetHandler) error {
+// Serve serves other hosts on the listener until the context ends. A panic in a
+// call fails that call and is passed to onPanic.
+func Serve(ctx context.Context, listener net.Listener, handler primrosespar.FleetHandler, onPanic func(method string, err error)) error {
 	mux := drpcmux.New()
-	if err := mux.Register(&service{handler: handler}, methods()); err != nil {
+	if err := mux.Register(&service{handler: handler}, methods().Guarded(onPanic)); err != nil {
 		return eris.Wrap(err, "register fleet service")
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.ManagerOptions()})
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"primrosespar.example/primrosespar"
 )
@@ -238,7 +239,11 @@
 	request := p.nextPoll(requestedAt)
 	pollCtx, cancel := context.WithTimeout(ctx, request.Wait+answerTimeout)
 	defer cancel()
-	report, err := p.fleet.Poll(pollCtx, request)
+	var report primrosespar.WorkerReport
+	err := protect(func() (err error) {
+		report, err = p.fleet.Poll(pollCtx, request)
+		return err
+	})
 	if err != nil {
 		p.mu.Lock()
 		p.unresponsive = true
@@ -340,6 +345,16 @@
 	}
 }
 
+// protect runs a call to the worker and turns a panic into a failure after which
+// the order may have been carried out.
+func protect(call func() error) error {
+	var err error
+	if recovered := panics.Try(func() { err = call() }); recovered != nil {
+		return primrosespar.FailUnknown(primrosespar.CodeWorkerLost, "the call to the worker panicked").WithCause(recovered.AsError())
+	}
+	return err
+}
+
 // sleep waits for the duration or until the context ends.
 func (p *Poller) sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -377,8 +392,10 @@
 		p.mu.Lock()
 		info := p.info
 		p.mu.Unlock()
-		err := p.fleet.Throttle(ctx, primrosespar.Throttle{
-			Worker: p.worker, Address: info.Address, Token: p.token, Run: run, Percent: percent,
+		err := protect(func() error {
+			return p.fleet.Throttle(ctx, primrosespar.Throttle{
+				Worker: p.worker, Address: info.Address, Token: p.token, Run: run, Percent: percent,
+			})
 		})
 		p.sink.OnThrottleResult(p.worker, run, percent, err)
 	})
@@ -400,7 +417,11 @@
 		p.mu.Lock()
 		info := p.info
 		p.mu.Unlock()
-		leaseExpiry, err := send(ctx, info)
+		var leaseExpiry time.Time
+		err := protect(func() (err error) {
+			leaseExpiry, err = send(ctx, info)
+			return err
+		})
 		p.sink.OnOrderResult(p.worker, run, start, leaseExpiry, err)
 	})
 }
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -204,3 +204,52 @@
 	require.Empty(t, w.ends, "ends were stored and not acknowledged")
 	require.Less(t, w.polls, 100)
 }
+
+// brokenFleet is a primrosespar.Fleet whose calls panic.
+type brokenFleet struct{ primrosespar.Fleet }
+
+// Poll implements primrosespar.Fleet.
+func (brokenFleet) Poll(context.Context, primrosespar.Poll) (primrosespar.WorkerReport, error) {
+	panic("malformed answer")
+}
+
+// Start implements primrosespar.Fleet.
+func (brokenFleet) Start(context.Context, primrosespar.Start) error { panic("malformed answer") }
+
+// recordingSink records the codes of failed polls and orders.
+type recordingSink struct {
+	slowStore
+	polls  chan primrosespar.Code
+	orders chan primrosespar.Code
+}
+
+// OnPollError implements poller.Sink.
+func (s *recordingSink) OnPollError(_ primrosespar.Worker, _ time.Time, err error) {
+	s.polls <- primrosespar.CodeOf(err)
+}
+
+// OnOrderResult implements poller.Sink.
+func (s *recordingSink) OnOrderResult(_ primrosespar.Worker, _ primrosespar.Run, _ bool, _ time.Time, err error) {
+	s.orders <- primrosespar.CodeOf(err)
+}
+
+// TestPanicInACallCostsThatCall guards against an answer of a worker that ends
+// the whole process, and against an order that stays in flight forever.
+func TestPanicInACallCostsThatCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		sink := &recordingSink{polls: make(chan primrosespar.Code, 100), orders: make(chan primrosespar.Code, 1)}
+		p := poller.New(brokenFleet{}, clockwork.NewRealClock(), primrosespar.WorkerInfo{Worker: "w"}, 1, sink)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			p.Run(ctx)
+		}()
+		p.Start(ctx, primrosespar.Start{Run: primrosespar.Run{Number: 1}})
+		require.Equal(t, primrosespar.CodeWorkerLost, <-sink.orders)
+		require.Equal(t, primrosespar.CodeWorkerLost, <-sink.polls)
+		require.Equal(t, primrosespar.CodeWorkerLost, <-sink.polls)
+		cancel()
+		<-ended
+	})
+}
--- a/internal/member/replier/reply.go
+++ b/internal/member/replier/reply.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/panics"
 	"storj.io/drpc"
 
 	"primrosespar.example/primrosespar"
@@ -70,6 +72,27 @@
 // Methods implements drpc.Description.
 type Methods []Method
 
+// Guarded returns the methods with a panic in one turned into the failure of
+// that call, which is passed to onPanic with the name of the method. Without it
+// a panic ends the process, because drpc does not recover from it.
+func (m Methods) Guarded(onPanic func(method string, err error)) Methods {
+	guarded := slices.Clone(m)
+	for i := range guarded {
+		name, receive := guarded[i].name, guarded[i].receiver
+		guarded[i].receiver = func(srv any, ctx context.Context, in1, in2 any) (drpc.Message, error) {
+			var out drpc.Message
+			var err error
+			if recovered := panics.Try(func() { out, err = receive(srv, ctx, in1, in2) }); recovered != nil {
+				err = eris.Wrapf(recovered.AsError(), "%s panicked", name)
+				onPanic(name, err)
+				return nil, eris.Errorf("%s failed unexpectedly", name)
+			}
+			return out, err
+		}
+	}
+	return guarded
+}
+
 // NumMethods implements drpc.Description.
 func (m Methods) NumMethods() int { return len(m) }
 
