--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -115,12 +115,12 @@
 	messenger *messenger.Messenger
 	// supervisor keeps a panic in one part from ending the process.
 	supervisor *supervisor.Supervisor
-	committer *committer.Committer
-	elector   *elector.Elector
-	follower  *follower.Follower
-	submitter *submitter.Submitter
-	term      atomic.Pointer[controller.Controller]
-	draining  atomic.Bool
+	committer  *committer.Committer
+	elector    *elector.Elector
+	follower   *follower.Follower
+	submitter  *submitter.Submitter
+	term       atomic.Pointer[controller.Controller]
+	draining   atomic.Bool
 
 	mu sync.Mutex
 	// lastContact is when the store or the holder last answered,
