Keep an idle worker while its first start waits for the store

Cause: the lease of an idle worker is not renewed, and a member counted against it before its start was sent.

Change: only members whose start was sent, or that run, count.

--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -55,6 +55,13 @@
 	throttledAt      time.Time
 }
 
+// mayRun reports whether the member may be on its worker. A start order that
+// waits for its record to be stored was not sent, so a lease that expires
+// meanwhile says nothing about it.
+func (m *member) mayRun() bool {
+	return m.everSent || m.unanswered || m.phase == running || m.phase == restored
+}
+
 // task returns the name of the member's task.
 func (m *member) task() primrosespar.TaskName {
 	o := m.unit.step.occurrence
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -144,6 +144,30 @@
 	require.True(t, known)
 }
 
+// TestIdleWorkerIsNotLostWhileStartWaitsForTheStore guards against a worker
+// that is given up because the record of its first start takes long to store:
+// the lease of an idle worker is not renewed. A slow store made many workers
+// unusable until their next report.
+func TestIdleWorkerIsNotLostWhileStartWaitsForTheStore(t *testing.T) {
+	h := newHarness(t, 1)
+	h.reportAllIdle()
+	h.now = h.now.Add(2 * leaseTime)
+	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(4)}), h.now)
+	starts := h.plan().Starts
+	require.Len(t, starts, 1)
+	for range 20 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		for _, e := range h.plan().Events {
+			require.NotEqual(t, "worker_lost", e.Kind)
+		}
+	}
+	h.scheduler.Submit(job("b", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(4)}), h.now)
+	second := h.plan().Starts
+	require.Len(t, second, 1)
+	require.Equal(t, starts[0].Worker, second[0].Worker, "the worker with the fewest free accelerators is still usable")
+	require.True(t, h.scheduler.ShouldSend(starts[0], h.now))
+}
+
 // TestNewHolderKeepsRunsOfPreviousHolder guards against a second run of a task
 // whose first run an earlier holder started: the first poll of a worker under a
 // new token must not make its lease appear expired.
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -305,7 +305,7 @@
 // lease expired.
 func (s *Scheduler) expireLeases(now time.Time) {
 	for _, w := range s.workers {
-		if len(w.members) == 0 || !now.After(w.leaseExpiry) {
+		if !now.After(w.leaseExpiry) || !slices.ContainsFunc(w.memberList, (*member).mayRun) {
 			continue
 		}
 		// A poll in flight may have renewed the lease.
@@ -315,7 +315,7 @@
 		s.logEvent("worker_lost", nil, w, 0, "lease expired")
 		w.polled = false
 		for _, m := range w.snapshot() {
-			if m.inFlight {
+			if m.inFlight || !m.mayRun() {
 				continue
 			}
 			s.endMember(m, primrosespar.EndLeaseExpired, "", now)
