Refuse jobs that wait for a store that does not answer

Change: once the commit in flight has taken 1 s, the jobs that wait for the next one are withdrawn and refused as not run. A host waits 1.3 s for the holder instead of 0.9, so that the refusal reaches it.

Result: TestJobsThatWaitForASilentStoreAreRefused gets an unknown outcome without the change.

--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -20,6 +20,9 @@
 	starts       []scheduler.Order
 	acknowledged map[primrosespar.Worker]scheduler.Acknowledgement
 	replies      []func(error)
+	// submissions are the jobs that were submitted since the last commit began,
+	// with the replies to their callers.
+	submissions map[primrosespar.JobID][]func(error)
 	// waves are the maintenance waves to store, by number; maintenanceOrders
 	// are sent once they are stored.
 	waves             map[int]maintainer.Record
@@ -33,6 +36,7 @@
 		deletedKeys:  map[string]bool{},
 		acknowledged: map[primrosespar.Worker]scheduler.Acknowledgement{},
 		waves:        map[int]maintainer.Record{},
+		submissions:  map[primrosespar.JobID][]func(error){},
 	}
 }
 
@@ -55,6 +59,16 @@
 	}
 }
 
+// withdraw removes a job that was submitted since the last commit began, and
+// returns the replies to its callers.
+func (b *batch) withdraw(id primrosespar.JobID) []func(error) {
+	replies := b.submissions[id]
+	delete(b.submissions, id)
+	delete(b.records, id)
+	b.order = slices.DeleteFunc(b.order, func(other primrosespar.JobID) bool { return other == id })
+	return replies
+}
+
 // deleteJob deletes the rows of a job.
 func (b *batch) deleteJob(id primrosespar.JobID) {
 	b.deletedKeys[primrosespar.ProgressKey(id)] = true
@@ -64,7 +78,34 @@
 // needsCommit reports whether the batch has rows to store or callers that wait
 // for a commit.
 func (b *batch) needsCommit() bool {
-	return len(b.records) > 0 || len(b.waves) > 0 || len(b.deletedKeys) > 0 || len(b.replies) > 0
+	return len(b.records) > 0 || len(b.waves) > 0 || len(b.deletedKeys) > 0 || len(b.replies) > 0 || len(b.submissions) > 0
+}
+
+// allReplies returns the replies to all callers that wait for the batch.
+func (b *batch) allReplies() []func(error) {
+	all := slices.Clone(b.replies)
+	for _, replies := range b.submissions {
+		all = append(all, replies...)
+	}
+	return all
+}
+
+// withdrawSubmissions refuses the jobs that wait for the store while it does not
+// answer the commit in flight. Nothing of them was sent to the store or to a
+// worker, so they have not run and never will; their callers may try again,
+// which they could not after an unknown outcome.
+func (c *Controller) withdrawSubmissions() {
+	if c.commitAge() < withdrawThreshold {
+		return
+	}
+	for id := range c.next.submissions {
+		if !c.scheduler.Withdraw(id) {
+			continue
+		}
+		for _, reply := range c.next.withdraw(id) {
+			reply(primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight"))
+		}
+	}
 }
 
 // encodeBatch returns the writes of the batch in the order in which they have
@@ -145,7 +186,7 @@
 	for id, r := range b.records {
 		c.committedStates[id] = r.Progress.State
 	}
-	for _, reply := range b.replies {
+	for _, reply := range b.allReplies() {
 		reply(nil)
 	}
 	c.dispatch(b)
@@ -177,11 +218,11 @@
 // sent.
 func (c *Controller) failPendingReplies(err error) {
 	if c.inFlight != nil {
-		for _, reply := range c.inFlight.replies {
+		for _, reply := range c.inFlight.allReplies() {
 			reply(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the term ended during the commit").WithCause(err))
 		}
 	}
-	for _, reply := range c.next.replies {
+	for _, reply := range c.next.allReplies() {
 		reply(primrosespar.Fail(primrosespar.CodeNotHolder, "the term ended").WithCause(err))
 	}
 }
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -59,6 +59,9 @@
 	readTimeout = 1500 * time.Millisecond
 	// stallThreshold is how long a commit may take before new work is refused.
 	stallThreshold = 700 * time.Millisecond
+	// withdrawThreshold is how long a commit may take before the jobs that wait
+	// for the next one are refused. A store that is only slow answers within it.
+	withdrawThreshold = time.Second
 	// endedJobRetention is how long the state of an ended job can be queried;
 	// the platform requires 120 s.
 	endedJobRetention = 150 * time.Second
@@ -342,6 +345,7 @@
 // each plan.
 func (c *Controller) runPeriodicTasks() {
 	now := c.parts.Clock.Now()
+	c.withdrawSubmissions()
 	for _, id := range c.scheduler.Forget(now.Add(-endedJobRetention)) {
 		c.next.deleteJob(id)
 		delete(c.committedStates, id)
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,68 @@
 		require.ErrorContains(t, c.Run(t.Context()), "malformed row")
 	})
 }
+
+// silentTable is a primrosespar.Table whose commits get no answer and have no
+// effect while silent is set.
+type silentTable struct {
+	primrosespar.Table
+	silent atomic.Bool
+}
+
+// Commit implements primrosespar.Table.
+func (t *silentTable) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	if t.silent.Load() {
+		<-ctx.Done()
+		return nil, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "no answer")
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
+// callTimeout is how long the callers of the tests wait for an answer.
+const callTimeout = 6 * time.Second
+
+// TestJobsThatWaitForASilentStoreAreRefused guards against an unknown outcome
+// for a job of which nothing was sent to the store: its caller could not try
+// again. The job in the commit in flight is not refused, since it may be stored.
+func TestJobsThatWaitForASilentStoreAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &silentTable{Table: keeper.New(keeper.WithClock(clockwork.NewRealClock()))}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newController(t, table)
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		// No renewal of the lease row is in flight at this time.
+		time.Sleep(1100 * time.Millisecond)
+		submit := func(id primrosespar.JobID) chan error {
+			result := make(chan error, 1)
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				result <- c.Submit(ctx, primrosespar.Submission{ID: id, Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}}})
+			}()
+			time.Sleep(100 * time.Millisecond)
+			return result
+		}
+		table.silent.Store(true)
+		sent := submit("a")
+		waiting, again := submit("b"), submit("b")
+		time.Sleep(1100 * time.Millisecond)
+		for _, refused := range []chan error{waiting, again} {
+			err := <-refused
+			require.Equal(t, primrosespar.CodeStoreUnavailable, primrosespar.CodeOf(err))
+			var failure *primrosespar.Failure
+			require.ErrorAs(t, err, &failure)
+			require.Equal(t, primrosespar.RanNot, failure.Ran)
+		}
+		require.Empty(t, sent)
+		time.Sleep(3 * time.Second)
+		table.silent.Store(false)
+		require.NoError(t, <-sent)
+		time.Sleep(time.Second)
+		_, err := c.State(ctx, "b")
+		require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(err))
+		require.NoError(t, <-submit("b"))
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -16,9 +16,12 @@
 	if c.Stalled() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
-	return c.applyAndCommit(ctx, func(now time.Time) error {
-		c.scheduler.Submit(job, now)
-		return nil
+	return c.runInLoop(ctx, func(reply func(error)) {
+		if c.scheduler.Submit(job, c.parts.Clock.Now()) || c.next.submissions[job.ID] != nil {
+			c.next.submissions[job.ID] = append(c.next.submissions[job.ID], reply)
+			return
+		}
+		c.next.replies = append(c.next.replies, reply)
 	})
 }
 
@@ -84,9 +87,16 @@
 
 // Stalled reports whether the commit in flight has lasted longer than
 // stallThreshold. New work is refused then, since it would only wait behind it.
-func (c *Controller) Stalled() bool {
+func (c *Controller) Stalled() bool { return c.commitAge() > stallThreshold }
+
+// commitAge returns how long the commit in flight has lasted, 0 if there is
+// none.
+func (c *Controller) commitAge() time.Duration {
 	startedAt := c.commitStartedAt.Load()
-	return startedAt > 0 && c.parts.Clock.Since(c.startedAt)-time.Duration(startedAt) > stallThreshold
+	if startedAt == 0 {
+		return 0
+	}
+	return c.parts.Clock.Since(c.startedAt) - time.Duration(startedAt)
 }
 
 // applyAndCommit applies a change on the loop and waits until it is stored.
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -269,6 +269,17 @@
 	return true
 }
 
+// units returns the units of all occurrences of the job.
+func (j *job) units() []*unit {
+	var units []*unit
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			units = append(units, st.units...)
+		}
+	}
+	return units
+}
+
 // hasMembers reports whether any member is on a worker.
 func (o *occurrence) hasMembers() bool {
 	for _, st := range o.steps {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -22,6 +22,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"primrosespar.example/primrosespar"
@@ -189,6 +190,32 @@
 	return true
 }
 
+// Withdraw forgets a job whose record was never stored, so that it never runs.
+// It returns false and leaves the job if it is not known or a start of one of
+// its tasks was sent.
+func (s *Scheduler) Withdraw(id primrosespar.JobID) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	for _, u := range j.units() {
+		if slices.ContainsFunc(u.members, (*member).mayRun) {
+			return false
+		}
+	}
+	for _, u := range j.units() {
+		s.dropClaim(u)
+		for _, m := range slices.Clone(u.members) {
+			s.detach(m)
+		}
+	}
+	delete(s.jobs, id)
+	s.liveJobs = slices.DeleteFunc(s.liveJobs, func(other *job) bool { return other == j })
+	s.dirtyJobs = slices.DeleteFunc(s.dirtyJobs, func(other *job) bool { return other == j })
+	s.logEvent("job_withdrawn", j, nil, 0, "the store does not answer")
+	return true
+}
+
 // Restore adds a stored job of an earlier holder. The state of its placed runs
 // is unknown until their worker reports or its lease expires.
 func (s *Scheduler) Restore(submission primrosespar.Submission, progress encoder.Progress, now time.Time) {
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -23,8 +23,9 @@
 
 // Timeouts of one call.
 const (
-	// holderTimeout bounds a change at the holder before the inbox is used.
-	holderTimeout = 900 * time.Millisecond
+	// holderTimeout bounds a change at the holder before the inbox is used. The
+	// holder refuses a job within it if the store does not answer.
+	holderTimeout = 1300 * time.Millisecond
 	// queryTimeout bounds a query to the holder.
 	queryTimeout = 500 * time.Millisecond
 	// searchInterval is the wait before a holder is looked up again.
