--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -180,21 +180,20 @@
 		clock := clockwork.NewRealClock()
 		next := committer.New(f.table, clock, committer.Identity{Host: "c", Incarnation: "3", Address: netip.MustParseAddrPort("10.0.0.3:1")})
 		f.peers.setReply(func() (primrosespar.FleetHeartbeatReply, error) {
-			if next.Token() == 0 {
-				seen, err := next.Read(ctx)
-				if err != nil {
-					return noReply()
-				}
-				if err := next.Acquire(ctx, seen); err != nil {
-					return noReply()
-				}
+			if next.Token() > 0 {
+				return primrosespar.FleetHeartbeatReply{Leading: true, Token: 2, LeaseVersion: next.Version()}, nil
+			}
+			// The other successor is faster than this reply.
+			seen, err := next.Read(ctx)
+			if err != nil {
+				return noReply()
+			}
+			if err := next.Acquire(ctx, seen); err != nil {
+				return noReply()
 			}
 			return primrosespar.FleetHeartbeatReply{Resigned: true}, nil
 		})
 		time.Sleep(elector.HeartbeatInterval)
-		f.peers.setReply(func() (primrosespar.FleetHeartbeatReply, error) {
-			return primrosespar.FleetHeartbeatReply{Leading: true, Token: 2, LeaseVersion: next.Version()}, nil
-		})
 		for range 10 {
 			require.NoError(t, next.Commit(ctx, nil))
 			time.Sleep(500 * time.Millisecond)
