--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -180,7 +180,7 @@
 		clock := clockwork.NewRealClock()
 		next := committer.New(f.table, clock, committer.Identity{Host: "c", Incarnation: "3", Address: netip.MustParseAddrPort("10.0.0.3:1")})
 		f.peers.setReply(func() (primrosespar.FleetHeartbeatReply, error) {
-			if next.Token() > 0 {
+			if next.Version() > 0 {
 				return primrosespar.FleetHeartbeatReply{Leading: true, Token: 2, LeaseVersion: next.Version()}, nil
 			}
 			// The other successor is faster than this reply.
