--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -179,6 +179,7 @@
 	runWithFixture(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		clock := clockwork.NewRealClock()
 		next := committer.New(f.table, clock, committer.Identity{Host: "c", Incarnation: "3", Address: netip.MustParseAddrPort("10.0.0.3:1")})
+		acquired := make(chan struct{})
 		f.peers.setReply(func() (primrosespar.FleetHeartbeatReply, error) {
 			if next.Version() > 0 {
 				return primrosespar.FleetHeartbeatReply{Leading: true, Token: 2, LeaseVersion: next.Version()}, nil
@@ -191,9 +192,10 @@
 			if err := next.Acquire(ctx, seen); err != nil {
 				return noReply()
 			}
+			close(acquired)
 			return primrosespar.FleetHeartbeatReply{Resigned: true}, nil
 		})
-		time.Sleep(elector.HeartbeatInterval)
+		<-acquired
 		for range 10 {
 			require.NoError(t, next.Commit(ctx, nil))
 			time.Sleep(500 * time.Millisecond)
