Poll the idle workers of a large fleet in portions

Cause: a new holder polled all workers at once, and each idle one twice. On the large site without its 18 large hosts the holder has 0.192 of a core; hosts replaced each other from the start (five holders within 20 s), because nothing else got processor time for more than 0.9 s.

Change: at most 128 first polls per core are in flight, 16 at least; workers with runs are polled at once; an idle worker is polled once.

Result: TestNewHolderPollsALargeFleetInPortions fails without the change (2,200 polls, all at once).

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -20,6 +20,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/entry/meter"
+	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/viewer"
@@ -50,6 +51,9 @@
 	// holds.
 	leadingGCPercent = 400
 	defaultGCPercent = 100
+	// minFirstPolls is the minimum of the idle workers that a new holder polls
+	// at once.
+	minFirstPolls = 16
 	// headerTimeout and idleTimeout limit HTTP connections.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -132,7 +136,8 @@
 		backend.Maintenance = client
 	}
 	fleetDaemon, err := daemon.New(daemon.Settings{
-		Host: h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
+		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
+		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
 		Lease: min(maxWorkerLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 	}, backend,
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -65,6 +65,8 @@
 	// endedJobRetention is how long the state of an ended job can be queried;
 	// the platform requires 120 s.
 	endedJobRetention = 150 * time.Second
+	// DefaultMaxFirstPolls is the limit of a host with a whole core.
+	DefaultMaxFirstPolls = 128
 	// maxQueuedActions bounds the actions that wait for the loop.
 	maxQueuedActions = 4096
 	// inboxPageLimit is the maximum number of inbox rows per read.
@@ -109,6 +111,9 @@
 	Takeover time.Duration
 	// GangTimeout is how long a member of a gang waits for the others.
 	GangTimeout time.Duration
+	// MaxFirstPolls bounds the workers without runs whose first poll is in
+	// flight.
+	MaxFirstPolls int
 }
 
 // Option sets one option.
@@ -130,6 +135,11 @@
 	}
 }
 
+// WithMaxFirstPolls bounds the workers without runs whose first poll is in
+// flight, so that a host with little processor time still renews its lease
+// while it gets to know a large fleet.
+func WithMaxFirstPolls(n int) Option { return func(o *Options) { o.MaxFirstPolls = n } }
+
 // Controller runs one term of a holder of the fleet lease. It cannot be reused
 // for another term.
 type Controller struct {
@@ -190,7 +200,7 @@
 
 // New returns a Controller for the term of the committer's lease.
 func New(parts Parts, opts ...Option) (*Controller, error) {
-	o := Options{Lease: poller.DefaultLease, Takeover: scheduler.DefaultTakeover, GangTimeout: scheduler.DefaultGangTimeout}
+	o := Options{Lease: poller.DefaultLease, Takeover: scheduler.DefaultTakeover, GangTimeout: scheduler.DefaultGangTimeout, MaxFirstPolls: DefaultMaxFirstPolls}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -359,15 +369,27 @@
 }
 
 // updatePollers starts missing pollers and tells each whether its worker has to
-// be polled.
+// be polled. Workers with runs, whose leases have to be renewed, are polled at
+// once; the others when less than MaxFirstPolls first polls are in flight.
 func (c *Controller) updatePollers() {
 	busy := map[primrosespar.Worker]bool{}
+	firstPolls := 0
+	for name := range c.pollers {
+		if c.scheduler.AwaitsFirstReport(name) {
+			firstPolls++
+		}
+	}
 	for _, info := range c.scheduler.WorkersToPoll() {
-		busy[info.Worker] = true
 		p := c.pollers[info.Worker]
 		if p == nil {
+			if firstPolls >= c.opts.MaxFirstPolls && c.scheduler.Idle(info.Worker) {
+				continue
+			}
+			firstPolls++
 			p = c.startPoller(info)
 		}
+		// A poller polls once by itself. An idle worker needs no more than that.
+		busy[info.Worker] = !c.scheduler.Idle(info.Worker) || !c.scheduler.AwaitsFirstReport(info.Worker)
 		p.SetWorker(info)
 	}
 	for name, p := range c.pollers {
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -52,16 +53,18 @@
 	return newControllerOf(t, table, source{})
 }
 
-// newControllerOf is newController with the given source of workers.
-func newControllerOf(t *testing.T, table primrosespar.Table, workers primrosespar.Source) *controller.Controller {
+// newControllerOf is newController with the given source of workers, which may
+// be their fleet too.
+func newControllerOf(t *testing.T, table primrosespar.Table, workers primrosespar.Source, opts ...controller.Option) *controller.Controller {
+	fleet, _ := workers.(primrosespar.Fleet)
 	clock := clockwork.NewRealClock()
 	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
 	acquireLease(t, lease)
 	c, err := controller.New(controller.Parts{
-		Table: table, Source: workers, Clock: clock, Committer: lease, Catalog: catalog,
+		Table: table, Source: workers, Fleet: fleet, Clock: clock, Committer: lease, Catalog: catalog,
 		WallClock:  func(now time.Time) time.Time { return now },
 		OnDecision: func(scheduler.Event) {}, OnStoreAnswer: func() {}, OnError: func(string, error) {},
-	})
+	}, opts...)
 	require.NoError(t, err)
 	return c
 }
@@ -181,3 +184,55 @@
 		require.Error(t, <-ended)
 	})
 }
+
+// largeFleet is a primrosespar.Source and Fleet of idle workers that answer
+// polls after a while. It counts the polls in flight.
+type largeFleet struct {
+	source
+	primrosespar.Fleet
+	workers  int
+	inFlight atomic.Int64
+	most     atomic.Int64
+	answered atomic.Int64
+}
+
+// ListWorkers implements primrosespar.Source.
+func (f *largeFleet) ListWorkers(context.Context) ([]primrosespar.WorkerInfo, error) {
+	var workers []primrosespar.WorkerInfo
+	for i := range f.workers {
+		workers = append(workers, primrosespar.WorkerInfo{
+			Worker: primrosespar.Worker(fmt.Sprintf("w%d", i)), Service: "pool", StartedAt: time.UnixMilli(1),
+		})
+	}
+	return workers, nil
+}
+
+// Poll implements primrosespar.Fleet.
+func (f *largeFleet) Poll(context.Context, primrosespar.Poll) (primrosespar.WorkerReport, error) {
+	n := f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	if n > f.most.Load() {
+		f.most.Store(n)
+	}
+	time.Sleep(60 * time.Millisecond)
+	f.answered.Add(1)
+	return primrosespar.WorkerReport{StartedAt: time.UnixMilli(1)}, nil
+}
+
+// TestNewHolderPollsALargeFleetInPortions guards against a small host that
+// polls all workers at once and loses the lease meanwhile, because nothing else
+// gets processor time.
+func TestNewHolderPollsALargeFleetInPortions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &largeFleet{workers: 1100}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newControllerOf(t, keeper.New(keeper.WithClock(clockwork.NewRealClock())), fleet, controller.WithMaxFirstPolls(24))
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, int64(1100), fleet.answered.Load())
+		require.LessOrEqual(t, fleet.most.Load(), int64(24))
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -15,6 +15,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -63,6 +64,9 @@
 	PeerAddress netip.AddrPort
 	// Weight ranks the host as a successor.
 	Weight float64
+	// MaxFirstPolls bounds the idle workers that a new holder polls at once; 0 is
+	// the default.
+	MaxFirstPolls int
 	// Lease is how long a worker keeps its runs without a renewal.
 	Lease time.Duration
 	// GangTimeout is how long a member of a gang waits for the others; 0 is the
@@ -268,7 +272,8 @@
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock,
 		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
-	}, controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
+	}, controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
+		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
 		controller.WithTakeover(time.Duration(float64(d.settings.Lease)/minWorkerClockRate)+takeoverMargin))
 	if err != nil {
 		return err
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -137,6 +137,13 @@
 	return workers
 }
 
+// AwaitsFirstReport reports whether no poll of the worker was answered or has
+// failed yet.
+func (s *Scheduler) AwaitsFirstReport(name primrosespar.Worker) bool {
+	w := s.workers[name]
+	return w != nil && !w.polled && !w.unresponsive
+}
+
 // MarkUnresponsive records that a poll got no answer. leaseExpiry is when the
 // last lease that was sent to the worker has certainly expired.
 func (s *Scheduler) MarkUnresponsive(name primrosespar.Worker, leaseExpiry time.Time) {
