Wait for the answer of a slow store instead of asking twice

Cause: the time limit of a commit follows the duration of the last one, which was recorded only if the first attempt was answered.

Change: a commit that is resolved counts its whole duration, so that the next one waits for its answer.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -32,9 +32,9 @@
 
 // Limits of a transaction and its retries.
 const (
-	// maxWrites is the maximum number of rows in one transaction, besides the
+	// MaxWrites is the maximum number of rows in one transaction, besides the
 	// lease row.
-	maxWrites = 90
+	MaxWrites = 90
 	// maxBytes keeps a transaction, which is sent in base64, below the store's
 	// limit of 1 MB.
 	maxBytes = 600_000
@@ -138,7 +138,7 @@
 func (c *Committer) Commit(ctx context.Context, writes []primrosespar.Write) error {
 	for {
 		n, size := 0, 0
-		for n < len(writes) && n < maxWrites && size < maxBytes {
+		for n < len(writes) && n < MaxWrites && size < maxBytes {
 			size += len(writes[n].Value)
 			n++
 		}
@@ -174,6 +174,7 @@
 	}
 	backoff := minBackoff
 	outcomeUnknown := false
+	firstAttemptAt := c.clock.Now()
 	for n := 0; ; n++ {
 		startedAt := c.clock.Now()
 		versions, err := c.attempt(ctx, n, txn)
@@ -187,7 +188,11 @@
 		case code == primrosespar.CodeConflict && !outcomeUnknown:
 			return c.conflictError(next)
 		case code == primrosespar.CodeConflict:
-			return c.resolveOutcome(ctx, next)
+			err := c.resolveOutcome(ctx, next)
+			// An attempt was given up before its answer came. The next commit
+			// waits longer for it.
+			c.lastCommitTime = c.clock.Since(firstAttemptAt)
+			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
 		case code != primrosespar.CodeStoreUnavailable:
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -113,3 +113,40 @@
 	require.NoError(t, c.Commit(ctx, writes))
 	require.EqualValues(t, 4, table.Counts().Transactions, "one to acquire the lease and three for the rows")
 }
+
+// slowTable takes a while to answer a commit, which takes effect.
+type slowTable struct {
+	*keeper.Keeper
+	latency time.Duration
+}
+
+// Commit implements primrosespar.Table.
+func (s *slowTable) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	versions, err := s.Keeper.Commit(ctx, txn)
+	select {
+	case <-time.After(s.latency):
+		return versions, err
+	case <-ctx.Done():
+		return nil, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "no answer")
+	}
+}
+
+// TestCommitWaitsForASlowStore guards against commits that are given up one
+// after the other just before their answer comes: each then takes a second
+// attempt and a read as well.
+func TestCommitWaitsForASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &slowTable{Keeper: keeper.New(keeper.WithClock(clockwork.NewRealClock()))}
+		c := newCommitter(table, "a")
+		seen, err := c.Read(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, c.Acquire(t.Context(), seen))
+		table.latency = 600 * time.Millisecond
+		require.NoError(t, c.Commit(t.Context(), write("1")))
+		for range 5 {
+			startedAt := time.Now()
+			require.NoError(t, c.Commit(t.Context(), write("2")))
+			require.Equal(t, table.latency, time.Since(startedAt))
+		}
+	})
+}
