Store what callers and urgent starts wait for first

Cause: all that had changed during a commit went into the next one as a whole, and its answers and starts waited for all of its transactions.

Change: a commit is one transaction: first the jobs that a caller waits for, then those with tasks to start by priority, then the others in order of their change. Acknowledgements and deletions wait for the last portion.

--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/maintainer"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
@@ -19,10 +21,11 @@
 	deletedKeys  map[string]bool
 	starts       []scheduler.Order
 	acknowledged map[primrosespar.Worker]scheduler.Acknowledgement
-	replies      []func(error)
-	// submissions are the jobs that were submitted since the last commit began,
-	// with the replies to their callers.
-	submissions map[primrosespar.JobID][]func(error)
+	// replies are the replies to the callers that wait for a change of a job.
+	replies map[primrosespar.JobID][]func(error)
+	// submitted are the jobs that are new and of which nothing was sent to the
+	// store.
+	submitted map[primrosespar.JobID]bool
 	// waves are the maintenance waves to store, by number; maintenanceOrders
 	// are sent once they are stored.
 	waves             map[int]maintainer.Record
@@ -36,7 +39,8 @@
 		deletedKeys:  map[string]bool{},
 		acknowledged: map[primrosespar.Worker]scheduler.Acknowledgement{},
 		waves:        map[int]maintainer.Record{},
-		submissions:  map[primrosespar.JobID][]func(error){},
+		replies:      map[primrosespar.JobID][]func(error){},
+		submitted:    map[primrosespar.JobID]bool{},
 	}
 }
 
@@ -59,11 +63,90 @@
 	}
 }
 
+// takePortion moves the records that matter most, and what waits for them alone,
+// to a new batch of one transaction. It answers a store that takes most of a
+// second for a transaction: a start or an answer to a caller then does not wait
+// for all that has changed meanwhile. What depends on more than one job goes
+// with the last portion: an acknowledgement covers the ends of several jobs, and
+// a row is deleted only after what replaces it is stored.
+func (b *batch) takePortion(maxRows int) *batch {
+	portion := newBatch()
+	kept := b.order[:0:0]
+	rows := 0
+	for _, id := range b.byImportance() {
+		r := b.records[id]
+		n := 1
+		if r.Submission != nil || r.Progress.State.Ended() {
+			// The row of the submission is written or deleted too.
+			n++
+		}
+		if rows += n; rows > maxRows {
+			kept = append(kept, id)
+			continue
+		}
+		portion.records[id] = r
+		portion.order = append(portion.order, id)
+		delete(b.records, id)
+	}
+	b.order = kept
+	for id, replies := range b.replies {
+		if _, waits := b.records[id]; !waits {
+			portion.replies[id] = replies
+			delete(b.replies, id)
+			delete(b.submitted, id)
+		}
+	}
+	b.starts, portion.starts = splitStarts(b.starts, b.records)
+	if len(b.records) == 0 {
+		portion.acknowledged, portion.deletedKeys, portion.waves, portion.maintenanceOrders = b.acknowledged, b.deletedKeys, b.waves, b.maintenanceOrders
+		rest := newBatch()
+		b.acknowledged, b.deletedKeys, b.waves, b.maintenanceOrders = rest.acknowledged, rest.deletedKeys, rest.waves, nil
+	}
+	return portion
+}
+
+// byImportance returns the jobs of the records: first those that a caller waits
+// for, then those with tasks to start, by priority, then the others, each in
+// the order in which they were added.
+func (b *batch) byImportance() []primrosespar.JobID {
+	toStart := map[primrosespar.JobID]bool{}
+	for _, start := range b.starts {
+		toStart[start.Run.Task.Job] = true
+	}
+	class := func(id primrosespar.JobID) int {
+		switch {
+		case len(b.replies[id]) > 0:
+			return 0
+		case toStart[id]:
+			return 1
+		}
+		return 2
+	}
+	ids := slices.Clone(b.order)
+	slices.SortStableFunc(ids, func(x, y primrosespar.JobID) int {
+		return cmp.Or(cmp.Compare(class(x), class(y)), cmp.Compare(b.records[x].Priority, b.records[y].Priority))
+	})
+	return ids
+}
+
+// splitStarts returns the starts that still wait for a record, and the others.
+func splitStarts(starts []scheduler.Order, records map[primrosespar.JobID]scheduler.Record) (waiting, ready []scheduler.Order) {
+	for _, start := range starts {
+		if _, waits := records[start.Run.Task.Job]; waits {
+			waiting = append(waiting, start)
+		} else {
+			ready = append(ready, start)
+		}
+	}
+	return waiting, ready
+}
+
 // withdraw removes a job that was submitted since the last commit began, and
 // returns the replies to its callers.
 func (b *batch) withdraw(id primrosespar.JobID) []func(error) {
-	replies := b.submissions[id]
-	delete(b.submissions, id)
+	replies := b.replies[id]
+	delete(b.replies, id)
+	delete(b.submitted, id)
 	delete(b.records, id)
 	b.order = slices.DeleteFunc(b.order, func(other primrosespar.JobID) bool { return other == id })
 	return replies
@@ -78,13 +161,13 @@
 // needsCommit reports whether the batch has rows to store or callers that wait
 // for a commit.
 func (b *batch) needsCommit() bool {
-	return len(b.records) > 0 || len(b.waves) > 0 || len(b.deletedKeys) > 0 || len(b.replies) > 0 || len(b.submissions) > 0
+	return len(b.records) > 0 || len(b.waves) > 0 || len(b.deletedKeys) > 0 || len(b.replies) > 0
 }
 
 // allReplies returns the replies to all callers that wait for the batch.
 func (b *batch) allReplies() []func(error) {
-	all := slices.Clone(b.replies)
-	for _, replies := range b.submissions {
+	var all []func(error)
+	for _, replies := range b.replies {
 		all = append(all, replies...)
 	}
 	return all
@@ -98,7 +181,7 @@
 	if c.commitAge() < withdrawThreshold {
 		return
 	}
-	for id := range c.next.submissions {
+	for id := range c.next.submitted {
 		if !c.scheduler.Withdraw(id) {
 			continue
 		}
@@ -147,7 +230,7 @@
 	return writes, nil
 }
 
-// flush commits the next batch unless a commit is in flight. A batch without
+// flush commits the next portion of the batch unless a commit is in flight. A batch without
 // rows is dispatched at once, except that an empty commit renews the lease row
 // when keepaliveInterval has passed since the last one.
 func (c *Controller) flush(now time.Time) {
@@ -159,8 +242,8 @@
 		c.next.starts, c.next.maintenanceOrders, c.next.acknowledged = nil, nil, map[primrosespar.Worker]scheduler.Acknowledgement{}
 		return
 	}
-	b := c.next
-	c.next, c.inFlight, c.lastCommitAt = newBatch(), b, now
+	b := c.next.takePortion(committer.MaxWrites)
+	c.inFlight, c.lastCommitAt = b, now
 	writes, err := c.encodeBatch(b)
 	if err != nil {
 		c.termErr = err
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -236,3 +236,49 @@
 		require.Error(t, <-ended)
 	})
 }
+
+// slowTable is a primrosespar.Table whose commits take a while.
+type slowTable struct {
+	primrosespar.Table
+	latency time.Duration
+}
+
+// Commit implements primrosespar.Table.
+func (t *slowTable) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	versions, err := t.Table.Commit(ctx, txn)
+	time.Sleep(t.latency)
+	return versions, err
+}
+
+// TestAnswersDoNotWaitForTheWholeBatch guards against callers that wait for
+// several transactions of a slow store, since their jobs are stored together
+// with many others.
+func TestAnswersDoNotWaitForTheWholeBatch(t *testing.T) {
+	const latency = 400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newController(t, &slowTable{Table: keeper.New(keeper.WithClock(clockwork.NewRealClock())), latency: latency})
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		var answered atomic.Int64
+		for i := range 200 {
+			go func() {
+				err := c.Submit(ctx, primrosespar.Submission{
+					ID: primrosespar.JobID(fmt.Sprintf("%016x", i)), Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}},
+				})
+				if err == nil {
+					answered.Add(1)
+				}
+			}()
+		}
+		// The first transaction holds the jobs of the first moment, the second
+		// one as many of the others as fit, with two rows each.
+		time.Sleep(2*latency + 100*time.Millisecond)
+		require.GreaterOrEqual(t, answered.Load(), int64(committer.MaxWrites/2))
+		time.Sleep(6 * latency)
+		require.Equal(t, int64(200), answered.Load())
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -17,11 +17,10 @@
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
 	return c.runInLoop(ctx, func(reply func(error)) {
-		if c.scheduler.Submit(job, c.parts.Clock.Now()) || c.next.submissions[job.ID] != nil {
-			c.next.submissions[job.ID] = append(c.next.submissions[job.ID], reply)
-			return
+		if c.scheduler.Submit(job, c.parts.Clock.Now()) {
+			c.next.submitted[job.ID] = true
 		}
-		c.next.replies = append(c.next.replies, reply)
+		c.next.replies[job.ID] = append(c.next.replies[job.ID], reply)
 	})
 }
 
@@ -30,11 +29,12 @@
 	if c.Stalled() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
-	return c.applyAndCommit(ctx, func(now time.Time) error {
-		if !c.scheduler.Cancel(id, now) {
-			return primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id)
+	return c.runInLoop(ctx, func(reply func(error)) {
+		if !c.scheduler.Cancel(id, c.parts.Clock.Now()) {
+			reply(primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id))
+			return
 		}
-		return nil
+		c.next.replies[id] = append(c.next.replies[id], reply)
 	})
 }
 
@@ -99,17 +99,6 @@
 	return c.parts.Clock.Since(c.startedAt) - time.Duration(startedAt)
 }
 
-// applyAndCommit applies a change on the loop and waits until it is stored.
-func (c *Controller) applyAndCommit(ctx context.Context, apply func(now time.Time) error) error {
-	return c.runInLoop(ctx, func(reply func(error)) {
-		if err := apply(c.parts.Clock.Now()); err != nil {
-			reply(err)
-			return
-		}
-		c.next.replies = append(c.next.replies, reply)
-	})
-}
-
 // runInLoop runs f on the loop and waits for its reply. If the context or the
 // term ends first, the outcome is unknown.
 func (c *Controller) runInLoop(ctx context.Context, f func(reply func(error))) error {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -105,6 +105,8 @@
 	// Submission is set in the first record of a job only.
 	Submission *primrosespar.Submission
 	Progress   encoder.Progress
+	// Priority is the priority of the job's queue; 0 comes first.
+	Priority int
 }
 
 // Order is an order to start or stop a task on a worker.
@@ -345,7 +347,9 @@
 func (s *Scheduler) collectChanges() Changes {
 	c := Changes{Acknowledged: s.acknowledged, Events: s.events, AdviceRequests: s.adviceRequests, Throttles: s.throttles}
 	for _, j := range s.dirtyJobs {
-		c.Records = append(c.Records, j.record())
+		r := j.record()
+		r.Priority = s.terms(j).Priority
+		c.Records = append(c.Records, r)
 		j.dirty = false
 		j.submissionUnsaved = false
 	}
