Read the lease row back after a commit without an answer

Change: after an attempt without an answer the lease row is read, which does not wait for transactions. The time limit of an attempt follows the duration of a read too, and the attempts of the successors are four reads apart at least.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -41,11 +41,14 @@
 	// minAttemptTimeout and maxAttemptTimeout bound the timeout of one attempt,
 	// which is needed because a connection may stop responding for good.
 	// Between them the timeout is attemptTimeoutFactor times the duration of
-	// the last commit, and twice that for every second attempt, since a slow
-	// store takes most of a second.
+	// the last commit or twice that of the last read, and twice that for every
+	// second attempt, since a slow store takes most of a second.
 	minAttemptTimeout    = 500 * time.Millisecond
 	maxAttemptTimeout    = 1500 * time.Millisecond
 	attemptTimeoutFactor = 4
+	// outcomeReadTimeout bounds the read that follows an attempt without an
+	// answer.
+	outcomeReadTimeout = 400 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait before a commit is repeated.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
@@ -82,6 +85,8 @@
 	version atomic.Uint64
 	// lastCommitTime is how long the last commit took.
 	lastCommitTime time.Duration
+	// lastReadTime is how long the last read of the lease row took.
+	lastReadTime time.Duration
 }
 
 // New returns a Committer without a lease.
@@ -91,10 +96,12 @@
 
 // Read reads the lease row.
 func (c *Committer) Read(ctx context.Context) (Holder, error) {
+	startedAt := c.clock.Now()
 	rows, err := c.table.Get(ctx, primrosespar.FleetLeaseKey())
 	if err != nil {
 		return Holder{}, err
 	}
+	c.lastReadTime = c.clock.Since(startedAt)
 	var h Holder
 	if rows[0].Version > 0 {
 		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil {
@@ -195,6 +202,10 @@
 			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
+			if c.tookEffect(ctx, next) {
+				c.lastCommitTime = c.clock.Since(firstAttemptAt)
+				return nil
+			}
 		case code != primrosespar.CodeStoreUnavailable:
 			return err
 		}
@@ -207,7 +218,7 @@
 
 // attemptTimeout returns the timeout of the nth attempt.
 func (c *Committer) attemptTimeout(n int) time.Duration {
-	d := max(minAttemptTimeout, attemptTimeoutFactor*c.lastCommitTime)
+	d := max(minAttemptTimeout, attemptTimeoutFactor*max(c.lastCommitTime, 2*c.lastReadTime))
 	if n%2 == 1 {
 		d *= 2
 	}
@@ -239,7 +250,7 @@
 		seen, err := c.Read(readCtx)
 		cancel()
 		if err == nil {
-			if seen.Incarnation == next.Incarnation && seen.Token == next.Token && seen.Sequence == next.Sequence {
+			if seen.sameWrite(next) {
 				c.setLease(seen)
 				return nil
 			}
@@ -252,6 +263,25 @@
 	}
 }
 
+// tookEffect reads the lease row and reports whether it shows the commit, which
+// got no answer. Reads do not wait for the transactions of others, which delay
+// another attempt while the store is slow.
+func (c *Committer) tookEffect(ctx context.Context, next Holder) bool {
+	readCtx, cancel := context.WithTimeout(ctx, outcomeReadTimeout)
+	defer cancel()
+	seen, err := c.Read(readCtx)
+	if err != nil || !seen.sameWrite(next) {
+		return false
+	}
+	c.setLease(seen)
+	return true
+}
+
+// sameWrite reports whether both are the same write of the lease row.
+func (h Holder) sameWrite(other Holder) bool {
+	return h.Incarnation == other.Incarnation && h.Token == other.Token && h.Sequence == other.Sequence
+}
+
 // wait waits before the next attempt.
 func (c *Committer) wait(ctx context.Context, d time.Duration) error {
 	select {
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -150,3 +150,39 @@
 		}
 	})
 }
+
+// busyTable takes the first commit, whose answer is lost, and refuses all
+// others as too many.
+type busyTable struct {
+	*keeper.Keeper
+	commits int
+}
+
+// Commit implements primrosespar.Table.
+func (s *busyTable) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	if s.commits++; s.commits > 1 {
+		return nil, primrosespar.Fail(primrosespar.CodeStoreUnavailable, "too many transactions")
+	}
+	if _, err := s.Keeper.Commit(ctx, txn); err != nil {
+		return nil, err
+	}
+	<-ctx.Done()
+	return nil, primrosespar.FailUnknown(primrosespar.CodeStoreUnknown, "no answer")
+}
+
+// TestUnansweredAcquisitionIsReadBack guards against a host that has acquired
+// the lease and does not learn it while the store refuses transactions: others
+// then take over from it.
+func TestUnansweredAcquisitionIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &busyTable{Keeper: keeper.New(keeper.WithClock(clockwork.NewRealClock()))}
+		c := newCommitter(table, "a")
+		seen, err := c.Read(t.Context())
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.NoError(t, c.Acquire(ctx, seen))
+		require.Equal(t, primrosespar.Token(1), c.Token())
+		require.Equal(t, 1, table.commits)
+	})
+}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -52,8 +52,11 @@
 	// ms, so an outage of the store for all hosts does not change the holder.
 	stalledTakeoverDelay = 600 * time.Millisecond
 	// delayPerRank separates the takeover attempts of the successors, so that
-	// they do not conflict.
+	// they do not conflict. With a slow store it is readsPerRank times the
+	// duration of a read, because a part of the store makes one transaction
+	// after the other.
 	delayPerRank = 200 * time.Millisecond
+	readsPerRank = 4
 	// startupTakeoverDelay replaces takeoverDelay while the host named by the
 	// row answers but does not lead yet: with a slow store it learns late that
 	// it has acquired the lease.
@@ -508,7 +511,7 @@
 	if rank < 0 {
 		rank = len(e.lastReply.Hosts)
 	}
-	return time.Duration(rank) * delayPerRank
+	return time.Duration(rank) * max(delayPerRank, readsPerRank*e.storeReadTime)
 }
 
 // weightDelay returns how long this host waits for hosts with more processor
