--- a/internal/member/replier/encoding.go
+++ b/internal/member/replier/encoding.go
@@ -12,8 +12,6 @@
 package replier
 
 import (
-	"sync"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
@@ -25,15 +23,6 @@
 	maxNestingDepth   = 16
 )
 
-// encMode and decMode return the modes of the codec, which are built once. By
-// default the encoder truncates times to whole seconds.
-var (
-	encMode = sync.OnceValues(cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode)
-	decMode = sync.OnceValues(cbor.DecOptions{
-		MaxArrayElements: maxCollectionSize, MaxMapPairs: maxCollectionSize, MaxNestedLevels: maxNestingDepth,
-	}.DecMode)
-)
-
 // Encoding implements drpc.Encoding with CBOR.
 type Encoding struct{}
 
@@ -46,7 +35,8 @@
 	if data, ok := message.(EncodedMessage); ok {
 		return data, nil
 	}
-	mode, err := encMode()
+	// By default the encoder truncates times to whole seconds.
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
 	if err != nil {
 		return nil, eris.Wrap(err, "encoder options")
 	}
@@ -56,7 +46,7 @@
 
 // Unmarshal implements drpc.Encoding.
 func (Encoding) Unmarshal(data []byte, message drpc.Message) error {
-	mode, err := decMode()
+	mode, err := cbor.DecOptions{MaxArrayElements: maxCollectionSize, MaxMapPairs: maxCollectionSize, MaxNestedLevels: maxNestingDepth}.DecMode()
 	if err != nil {
 		return eris.Wrap(err, "decoder options")
 	}
