--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -106,8 +106,9 @@
 }
 
 // byImportance returns the jobs of the records: first those that a caller waits
-// for, then those with tasks to start, by priority, then the others, each in
-// the order in which they were added.
+// for, then those with tasks to start or that have ended, which callers see only
+// once it is stored, by priority, then the others, each in the order in which
+// they were added.
 func (b *batch) byImportance() []primrosespar.JobID {
 	toStart := map[primrosespar.JobID]bool{}
 	for _, start := range b.starts {
@@ -117,7 +118,7 @@
 		switch {
 		case len(b.replies[id]) > 0:
 			return 0
-		case toStart[id]:
+		case toStart[id] || b.records[id].Progress.State.Ended():
 			return 1
 		}
 		return 2
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -80,11 +80,11 @@
 func (s *Scheduler) candidatesUpTo(u *unit, workers []*worker, service primrosespar.Service, limit int, now time.Time) []candidate {
 	var candidates []candidate
 	for _, w := range workers {
-		// Long-running tasks ignore reservations. Otherwise they could wait
-		// forever for room that is reserved for a gang.
 		if !w.mayHoldOne(u) {
 			continue
 		}
+		// Long-running tasks ignore reservations. Otherwise they could wait
+		// forever for room that is reserved for a gang.
 		reserved := w.reservedFor != nil && w.reservedFor != u && !u.step.spec.LongRunning
 		if reserved || !w.eligible(u, service, now) {
 			continue
