Keep a job of the inbox from being withdrawn

Cause, found while reading the change: a job that a caller submits again while the holder reads its row in the inbox counted as new, could be withdrawn while the store was silent, and its row was deleted by the next commit. An accepted job would have been lost.

Change: a job whose row was read is not withdrawn.

Result: TestJobOfTheInboxIsNotWithdrawn fails without the change.

--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -231,9 +231,9 @@
 	return writes, nil
 }
 
-// flush commits the next portion of the batch unless a commit is in flight. A batch without
-// rows is dispatched at once, except that an empty commit renews the lease row
-// when keepaliveInterval has passed since the last one.
+// flush commits the next portion of the batch unless a commit is in flight. A
+// batch without rows is dispatched at once, except that an empty commit renews
+// the lease row when keepaliveInterval has passed since the last one.
 func (c *Controller) flush(now time.Time) {
 	if c.inFlight != nil {
 		return
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -15,6 +15,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
@@ -185,6 +186,42 @@
 	})
 }
 
+// TestJobOfTheInboxIsNotWithdrawn guards against a job that another host has
+// accepted through the inbox and that is forgotten, because a second submission
+// of it waits for a silent store.
+func TestJobOfTheInboxIsNotWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stored := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		table := &silentTable{Table: stored}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newController(t, table)
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(1600 * time.Millisecond)
+		job := primrosespar.Submission{ID: "b", Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}}}
+		enc, err := encoder.New()
+		require.NoError(t, err)
+		row, err := enc.Submission(job)
+		require.NoError(t, err)
+		_, err = stored.Commit(ctx, primrosespar.Txn{Writes: []primrosespar.Write{{Key: primrosespar.FleetInboxSubmitKey("b"), Value: row}}})
+		require.NoError(t, err)
+		table.silent.Store(true)
+		go func() { _ = c.Submit(ctx, primrosespar.Submission{ID: "a", Queue: "q", Steps: job.Steps}) }()
+		time.Sleep(100 * time.Millisecond)
+		result := make(chan error, 1)
+		go func() { result <- c.Submit(ctx, job) }()
+		// The inbox is read meanwhile.
+		time.Sleep(3 * time.Second)
+		table.silent.Store(false)
+		require.NoError(t, <-result)
+		time.Sleep(time.Second)
+		_, err = c.State(ctx, "b")
+		require.NoError(t, err)
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
+
 // largeFleet is a primrosespar.Source and Fleet of idle workers that answer
 // polls after a while. It counts the polls in flight.
 type largeFleet struct {
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -225,6 +225,9 @@
 			continue
 		}
 		c.scheduler.Submit(job, now)
+		// The job is accepted by its row, which this batch deletes. It must not
+		// be withdrawn.
+		delete(c.next.submitted, job.ID)
 		c.next.deletedKeys[row.Key] = true
 	}
 	for _, row := range rows {
