--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -136,6 +136,7 @@
 	return append(messengerOptions(h.daemon.settings),
 		messenger.WithClock(h.daemon.options.Clock),
 		messenger.WithCurrentTLS(h.daemon.options.PeerTLS),
+		messenger.WithOnPanic(h.daemon.report),
 	)
 }
 
--- a/internal/member/messenger/messenger.go
+++ b/internal/member/messenger/messenger.go
@@ -50,6 +50,9 @@
 	// TLS returns the TLS configuration of the next connection; if TLS is nil,
 	// connections are not encrypted.
 	TLS func() *tls.Config
+	// OnPanic receives a panic in a call that Serve handles, with the name of
+	// the method. The call fails, the process goes on.
+	OnPanic func(method string, err error)
 }
 
 // Option sets one option.
@@ -76,9 +79,14 @@
 	return func(o *Options) { o.TLS = current }
 }
 
+// WithOnPanic sets the function that receives a panic in a call.
+func WithOnPanic(onPanic func(method string, err error)) Option {
+	return func(o *Options) { o.OnPanic = onPanic }
+}
+
 // newOptions applies the options to the defaults.
 func newOptions(opts []Option) Options {
-	o := Options{Timeout: defaultTimeout}
+	o := Options{Timeout: defaultTimeout, OnPanic: func(string, error) {}}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/internal/member/messenger/messenger_test.go
+++ b/internal/member/messenger/messenger_test.go
@@ -163,3 +163,21 @@
 	require.NoError(t, err)
 	require.Len(t, answer.Body, maxAnswer)
 }
+
+// TestPanicInAHandlerFailsItsCall guards against a call that ends the process
+// of the peer. The work may have run by then.
+func TestPanicInAHandlerFailsItsCall(t *testing.T) {
+	panicked := make(chan string, 1)
+	address, stop := startServer(t, "127.0.0.1:0", fakeHandler{execute: func(context.Context, primrosespar.Call) (primrosespar.Answer, error) {
+		panic("malformed call")
+	}}, messenger.WithOnPanic(func(method string, _ error) { panicked <- method }))
+	defer stop()
+	client := newClient(t)
+	_, err := client.Execute(t.Context(), address, primrosespar.Call{Remaining: 5 * time.Second})
+	var failure *primrosespar.Failure
+	require.ErrorAs(t, err, &failure)
+	require.NotEqual(t, primrosespar.RanNot, failure.Ran)
+	require.Contains(t, <-panicked, "Execute")
+	_, err = client.Heartbeat(t.Context(), address, primrosespar.Heartbeat{Host: "a"})
+	require.NoError(t, err)
+}
--- a/internal/member/messenger/server.go
+++ b/internal/member/messenger/server.go
@@ -39,7 +39,7 @@
 func Serve(ctx context.Context, listener net.Listener, handler primrosespar.PeerHandler, opts ...Option) error {
 	o := newOptions(opts)
 	mux := drpcmux.New()
-	if err := mux.Register(&service{handler: handler, clock: o.Clock}, methods()); err != nil {
+	if err := mux.Register(&service{handler: handler, clock: o.Clock}, methods().Guarded(o.OnPanic)); err != nil {
 		return eris.Wrap(err, "register peer service")
 	}
 	if o.TLS != nil {
