--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -127,6 +127,7 @@
 func (s *Scheduler) blockedShape(u *unit, r *rankedStep, now time.Time) blockedShape {
 	waited := now.Sub(u.step.readySince)
 	b := blockedShape{shape: u.shape(r.terms), exceedsReserve: s.exceedsReserve(u, r)}
+	// Sizes are compared by the caller: what blocks a unit blocks larger ones.
 	b.size = 0
 	b.dataRackOnly = b.dataRack != "" && waited < dataRackWait
 	if b.oneRack {
