--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -22,7 +22,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -102,12 +101,6 @@
 	OnError func(part string, err error)
 }
 
-// peer is another host and its last heartbeat to this one.
-type peer struct {
-	heartbeat  primrosespar.FleetHeartbeat
-	receivedAt time.Time
-}
-
 // Elector takes part in the election for one host. It is safe for concurrent
 // use.
 type Elector struct {
@@ -252,71 +245,6 @@
 	}
 }
 
-// HandleHeartbeat records the heartbeat of another host and returns the
-// successors.
-func (e *Elector) HandleHeartbeat(heartbeat primrosespar.FleetHeartbeat) []netip.AddrPort {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.parts.Clock.Now()
-	known, ok := e.peers[heartbeat.Address]
-	e.peers[heartbeat.Address] = peer{heartbeat, now}
-	if !ok || known.heartbeat.Leaving != heartbeat.Leaving || now.Sub(e.successionAt) >= successionInterval {
-		e.succession, e.successionAt = e.successors(), now
-	}
-	return e.succession
-}
-
-// ClockOffsets returns, for each live peer, the wall-clock time in its last
-// heartbeat minus this host's wall-clock time at its arrival. The offsets
-// reveal a clock that has jumped.
-func (e *Elector) ClockOffsets(wallClock func(time.Time) time.Time) []time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []time.Duration
-	for _, p := range e.peers {
-		if e.parts.Clock.Since(p.receivedAt) < peerTimeout {
-			out = append(out, p.heartbeat.WallClock.Sub(wallClock(p.receivedAt)))
-		}
-	}
-	return out
-}
-
-// Hosts returns the live peers in order of succession.
-func (e *Elector) Hosts() []netip.AddrPort {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.successors()
-}
-
-// successors returns the live peers that are not leaving, at most
-// maxSuccessors, in order of succession: by descending weight, then by address.
-// The caller holds the lock.
-func (e *Elector) successors() []netip.AddrPort {
-	var live []peer
-	for address, p := range e.peers {
-		switch age := e.parts.Clock.Since(p.receivedAt); {
-		case age > 10*peerTimeout:
-			delete(e.peers, address)
-		case age < peerTimeout && !p.heartbeat.Leaving:
-			live = append(live, p)
-		}
-	}
-	slices.SortFunc(live, func(a, b peer) int {
-		switch {
-		case a.heartbeat.Weight > b.heartbeat.Weight:
-			return -1
-		case a.heartbeat.Weight < b.heartbeat.Weight:
-			return 1
-		}
-		return a.heartbeat.Address.Compare(b.heartbeat.Address)
-	})
-	out := make([]netip.AddrPort, 0, maxSuccessors)
-	for _, p := range live[:min(len(live), maxSuccessors)] {
-		out = append(out, p.heartbeat.Address)
-	}
-	return out
-}
-
 // step sends a heartbeat or reads the lease row, whichever is due, and returns
 // the delay until the next step.
 func (e *Elector) step(ctx context.Context, terms *conc.WaitGroup) time.Duration {
@@ -367,161 +295,6 @@
 	return watchInterval
 }
 
-// watchSilentHolder reads the lease row instead of sending a heartbeat, which
-// takes long to fail, while the holder is silent and the row does not change.
-// It reports whether it did.
-func (e *Elector) watchSilentHolder(ctx context.Context, terms *conc.WaitGroup) bool {
-	e.mu.Lock()
-	silent, watching, seen := e.holderSilent, e.watching, e.seenVersion
-	e.mu.Unlock()
-	if !silent || !watching {
-		return false
-	}
-	e.watchLease(ctx, terms, takeoverDelay)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	// A row that changes shows that the holder lives.
-	e.holderSilent = e.watching && e.seenVersion == seen
-	return true
-}
-
-// setHolderSilent records whether heartbeats to the holder fail.
-func (e *Elector) setHolderSilent(silent bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.holderSilent = silent
-}
-
-// takeoverWait returns the time until the lease row has to be read again: when
-// a takeover is due, and at least each watchInterval.
-func (e *Elector) takeoverWait() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.watching {
-		return watchInterval
-	}
-	due := takeoverDelay + e.rankDelay() - e.parts.Clock.Since(e.versionSeenAt)
-	return min(max(due, minWatchInterval), watchInterval)
-}
-
-// holderSilence returns the time since the holder last answered.
-func (e *Elector) holderSilence() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.parts.Clock.Since(e.lastReplyAt)
-}
-
-// stopWatching stops watching the lease row; the next watch starts anew.
-func (e *Elector) stopWatching() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.watching = false
-}
-
-// watchLease reads the lease row and acquires the lease if it is free or if the
-// row has not changed for minUnchanged.
-func (e *Elector) watchLease(ctx context.Context, terms *conc.WaitGroup, minUnchanged time.Duration) {
-	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	startedAt := e.parts.Clock.Now()
-	row, err := e.parts.Committer.Read(readCtx)
-	e.recordReadTime(e.parts.Clock.Since(startedAt))
-	if err != nil {
-		e.parts.OnError("election", err)
-		// The row may have changed while it could not be read.
-		e.stopWatching()
-		e.forgetReply()
-		return
-	}
-	if !e.observeLease(row, minUnchanged) {
-		return
-	}
-	acquireCtx, cancelAcquire := context.WithTimeout(ctx, acquireTimeout)
-	defer cancelAcquire()
-	switch err := e.parts.Committer.Acquire(acquireCtx, row); primrosespar.CodeOf(err) {
-	case primrosespar.CodeOK:
-		e.startTerm(ctx, terms)
-	case primrosespar.CodeConflict:
-		e.stopWatching()
-	default:
-		e.parts.OnError("election", err)
-	}
-}
-
-// recordReadTime records how long a read of the lease row took.
-func (e *Elector) recordReadTime(d time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.storeReadTime, e.storeReadAt = d, e.parts.Clock.Now()
-}
-
-// StoreSlow reports whether the store was slow when this host read the lease row
-// a moment ago, as it does while there is no holder.
-func (e *Elector) StoreSlow() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.storeReadTime > slowReadTime && e.parts.Clock.Since(e.storeReadAt) < readTimeout
-}
-
-// forgetReply drops the version of the lease row in the last reply. After an
-// outage of the store the holder gets time to write the row again.
-func (e *Elector) forgetReply() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.repliedVersion = 0
-}
-
-// observeLease records a read of the lease row and reports whether this host
-// should try to acquire the lease.
-func (e *Elector) observeLease(row committer.Holder, minUnchanged time.Duration) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.parts.Clock.Now()
-	if row.Token != e.holder.Token || row.Host != e.holder.Host || !e.holderKnown {
-		e.holder, e.holderKnown = row, true
-		e.lastReplyAt = now
-		e.parts.OnChange(row.Host, row.Token, "read from the store")
-	}
-	if !e.watching || row.Version != e.seenVersion {
-		e.watching, e.seenVersion, e.versionSeenAt = true, row.Version, now
-		if row.Version > 0 && row.Version == e.repliedVersion {
-			e.versionSeenAt = e.repliedAt
-		}
-	}
-	if e.resigned {
-		return false
-	}
-	if e.parts.Committer.IsOwn(row) {
-		return true
-	}
-	if row.Host == "" {
-		return now.Sub(e.versionSeenAt) >= e.rankDelay()+e.weightDelay()
-	}
-	if row.Token == e.resignedToken {
-		minUnchanged = 0
-	}
-	return now.Sub(e.versionSeenAt) >= minUnchanged+e.rankDelay()
-}
-
-// rankDelay returns how long this host waits for successors of a better rank.
-// The caller holds the lock.
-func (e *Elector) rankDelay() time.Duration {
-	self := e.parts.OwnHeartbeat().Address
-	rank := slices.Index(e.lastReply.Hosts, self)
-	if rank < 0 {
-		rank = len(e.lastReply.Hosts)
-	}
-	return time.Duration(rank) * max(delayPerRank, readsPerRank*e.storeReadTime)
-}
-
-// weightDelay returns how long this host waits for hosts with more processor
-// time to acquire a free lease. It complements rankDelay, since no order of
-// succession is known before the first holder.
-func (e *Elector) weightDelay() time.Duration {
-	shortfall := 1 - e.parts.OwnHeartbeat().Weight
-	return time.Duration(max(0, shortfall) * float64(maxWeightDelay))
-}
-
 // startTerm starts a term of this host.
 func (e *Elector) startTerm(ctx context.Context, terms *conc.WaitGroup) {
 	termCtx, stopTerm := context.WithCancel(ctx)
