Log how a host learned of a version of the catalog

Cause: the line of a new version told the version and the duration of the read.

Change: the line says so, and two gauges show the version in force and how long it has been unconfirmed. The follower keeps what it knows at adoption; no decision changes.

--- a/catalog.go
+++ b/catalog.go
@@ -36,6 +36,20 @@
 	Keys map[string]Account
 }
 
+// CatalogChange is the adoption of a new version of the catalog by one host.
+type CatalogChange struct {
+	// Previous is 0 for the first version.
+	Previous Version
+	Version  Version
+	// Announced reports whether the holder had announced the version. Otherwise
+	// the host read it on its own.
+	Announced bool
+	// ReadTime is how long the read took. Unconfirmed is how long the previous
+	// version had not been known to be the newest when the new one was adopted.
+	ReadTime    time.Duration
+	Unconfirmed time.Duration
+}
+
 // Terms returns the terms of the queue.
 func (c *Catalog) Terms(queue Queue) (QueueTerms, bool) {
 	for i := range c.Queues {
--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -146,6 +146,14 @@
 		return err
 	}
 	h.daemon = fleetDaemon
+	h.meter.Gauge("primrosespar_catalog_version", func() float64 {
+		version, _ := fleetDaemon.Catalog()
+		return float64(version)
+	})
+	h.meter.Gauge("primrosespar_catalog_unconfirmed_seconds", func() float64 {
+		_, age := fleetDaemon.Catalog()
+		return age.Seconds()
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -21,9 +21,7 @@
 		Hosts: d.elector.HandleHeartbeat(heartbeat), LeaseVersion: d.committer.Version(),
 	}
 	reply.Waiting, reply.WaitingKnown = term.Waiting()
-	if catalog := d.follower.Catalog(); catalog != nil {
-		reply.CatalogVersion, reply.CatalogAge = catalog.Version, d.follower.Age()
-	}
+	reply.CatalogVersion, reply.CatalogAge = d.Catalog()
 	return reply, nil
 }
 
@@ -76,8 +74,23 @@
 }
 
 // logCatalogChange passes a new version of the catalog to OnChange.
-func (d *Daemon) logCatalogChange(version primrosespar.Version, age time.Duration) {
-	d.opts.OnChange("catalog", fmt.Sprintf("version %d, read %v ago", version, age))
+func (d *Daemon) logCatalogChange(change primrosespar.CatalogChange) {
+	how := "read on its own"
+	if change.Announced {
+		how = "announced by the holder"
+	}
+	d.opts.OnChange("catalog", fmt.Sprintf("version %d replaces %d, %s, read in %v, not confirmed for %v",
+		change.Version, change.Previous, how, change.ReadTime, change.Unconfirmed))
+}
+
+// Catalog returns the version of the catalog in force at this host, 0 if there
+// is none, and how long ago it was last known to be the newest.
+func (d *Daemon) Catalog() (primrosespar.Version, time.Duration) {
+	catalog := d.follower.Catalog()
+	if catalog == nil {
+		return 0, 0
+	}
+	return catalog.Version, d.follower.Age()
 }
 
 var _ primrosespar.FleetViewer = (*Daemon)(nil)
@@ -86,9 +99,7 @@
 func (d *Daemon) Status(ctx context.Context) primrosespar.FleetStatus {
 	status := primrosespar.FleetStatus{Host: d.settings.Host, Ready: d.Ready()}
 	status.Holder, status.Token = d.elector.LastHolder()
-	if catalog := d.follower.Catalog(); catalog != nil {
-		status.CatalogVersion, status.CatalogAge = catalog.Version, d.follower.Age()
-	}
+	status.CatalogVersion, status.CatalogAge = d.Catalog()
 	term := d.term.Load()
 	if term == nil {
 		return status
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -51,9 +51,9 @@
 	// versions to the others.
 	Leader func() bool
 	// OnRead is called after each successful read. OnChange receives each new
-	// version and the time since its read began. OnError receives failed reads.
+	// version. OnError receives failed reads.
 	OnRead   func()
-	OnChange func(version primrosespar.Version, age time.Duration)
+	OnChange func(change primrosespar.CatalogChange)
 	OnError  func(err error)
 }
 
@@ -61,7 +61,7 @@
 type Option func(*Options)
 
 // WithOnChange sets the function that receives each new version.
-func WithOnChange(onChange func(primrosespar.Version, time.Duration)) Option {
+func WithOnChange(onChange func(primrosespar.CatalogChange)) Option {
 	return func(o *Options) { o.OnChange = onChange }
 }
 
@@ -110,7 +110,7 @@
 		ApplyTimeout: DefaultApplyTimeout,
 		Leader:       func() bool { return false },
 		OnRead:       func() {},
-		OnChange:     func(primrosespar.Version, time.Duration) {},
+		OnChange:     func(primrosespar.CatalogChange) {},
 		OnError:      func(error) {},
 	}}
 	for _, opt := range opts {
@@ -197,17 +197,31 @@
 		f.opts.OnError(err)
 		return
 	}
+	change, changed := f.adopt(catalog, requestedAt)
+	f.opts.OnRead()
+	if changed {
+		f.opts.OnChange(change)
+	}
+}
+
+// adopt replaces the catalog by a newer one and records what the read, which
+// began at requestedAt, confirms. It reports whether the catalog changed.
+func (f *Follower) adopt(catalog *primrosespar.Catalog, requestedAt time.Time) (change primrosespar.CatalogChange, changed bool) {
 	f.mu.Lock()
-	changed := f.catalog == nil || catalog.Version > f.catalog.Version
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	changed = f.catalog == nil || catalog.Version > f.catalog.Version
 	if changed {
+		change = primrosespar.CatalogChange{
+			Version: catalog.Version, Announced: f.announced >= catalog.Version, ReadTime: now.Sub(requestedAt),
+		}
+		if f.catalog != nil {
+			change.Previous, change.Unconfirmed = f.catalog.Version, now.Sub(f.confirmedAt)
+		}
 		f.catalog = catalog
 	}
 	if catalog.Version == f.catalog.Version && requestedAt.After(f.confirmedAt) {
 		f.confirmedAt = requestedAt
 	}
-	f.mu.Unlock()
-	f.opts.OnRead()
-	if changed {
-		f.opts.OnChange(catalog.Version, f.clock.Since(requestedAt))
-	}
+	return change, changed
 }
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -131,3 +131,23 @@
 		require.EqualValues(t, 6, f.Usable().Version)
 	}, follower.WithMaxAge(maxAge))
 }
+
+// TestChangeSaysHowItWasLearned guards against a log that cannot tell a version
+// that the holder announced from one that the host found on its own.
+func TestChangeSaysHowItWasLearned(t *testing.T) {
+	changes := make(chan primrosespar.CatalogChange, 3)
+	runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
+		f.Confirm(5, time.Now())
+		s.set(6, false)
+		time.Sleep(applyTimeout)
+		s.set(7, false)
+		f.Confirm(7, time.Now())
+		time.Sleep(time.Millisecond)
+		require.Equal(t, primrosespar.CatalogChange{Version: 5}, <-changes)
+		own := <-changes
+		require.EqualValues(t, 5, own.Previous)
+		require.False(t, own.Announced)
+		require.Greater(t, own.Unconfirmed, time.Second)
+		require.True(t, (<-changes).Announced)
+	}, follower.WithOnChange(func(change primrosespar.CatalogChange) { changes <- change }))
+}
