Count the age of the catalog by the clock of one host

Cause: the holder states the age of its last read by its own clock, and the other hosts subtract it from theirs. The clock of a suspended process stands still, so a holder that wakes up confirms an old version as a recent one, and all hosts put off their own reads. Each further suspension puts them off again. Class: a duration by one host's clock that is used on another's.

Evidence: TestSuspendedHolderConfirmsNothingNew, with two suspensions of 1.3 s and the calls of the earlier interface, fails on (expected 6, actual 5 after 3 s).

Change: the holder numbers its reads and says which one confirms its version and how many it has begun. A read that had not begun when the holder answered a heartbeat began after that heartbeat was sent, by the clock of the host that sent it. So a confirmation is never newer than the read behind it, whatever the holder's clock does. Hosts of earlier releases still get the age; from a holder of an earlier release a host takes no confirmation and reads itself.

Looked for elsewhere: StoreAge in the same reply only makes a host watch the lease row, and the row decides; leases of workers are on the worker's clock.

--- a/catalog.go
+++ b/catalog.go
@@ -36,6 +36,18 @@
 	Keys map[string]Account
 }
 
+// CatalogConfirmation is what a holder says about its reads of the catalog.
+// Another host derives from it how old its own version is by its own clock
+// alone: the clock of a holder that was suspended is behind.
+type CatalogConfirmation struct {
+	Holder  Token
+	Version Version
+	// Read is the number of the last read that found Version to be the newest,
+	// and Reads is the number of reads that the holder has begun.
+	Read  uint64
+	Reads uint64
+}
+
 // CatalogChange is the adoption of a new version of the catalog by one host.
 type CatalogChange struct {
 	// Previous is 0 for the first version.
--- a/fleetpeer.go
+++ b/fleetpeer.go
@@ -35,10 +35,15 @@
 	// CommitStalled is set while the store does not answer a commit of the
 	// holder. Another host that reaches the store may then take over earlier.
 	CommitStalled bool `json:"stuck,omitempty"`
-	// CatalogVersion is the newest known version of the catalog, and CatalogAge
-	// is how long ago the store confirmed it.
-	CatalogVersion Version       `json:"catalog_version"`
-	CatalogAge     time.Duration `json:"catalog_age"`
+	// CatalogVersion is the newest known version of the catalog. CatalogRead is
+	// the number of the holder's read that last found it to be the newest, and
+	// CatalogReads is the number of reads that the holder has begun.
+	CatalogVersion Version `json:"catalog_version"`
+	CatalogRead    uint64  `json:"catalog_read,omitempty"`
+	CatalogReads   uint64  `json:"catalog_reads,omitempty"`
+	// CatalogAge is how long ago the version was confirmed by the holder's
+	// clock. Only hosts of earlier releases use it.
+	CatalogAge time.Duration `json:"catalog_age"`
 	// Waiting is the number of jobs that have not started, by queue.
 	// WaitingKnown is false until a new holder has counted them.
 	WaitingKnown bool          `json:"counted,omitempty"`
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -337,11 +337,13 @@
 	return d.opts.Clock.Since(d.lastStoreAnswer)
 }
 
-// handleHeartbeatReply records contact with the holder and confirms the catalog
-// version in its reply.
+// handleHeartbeatReply records contact with the holder and what its reply says
+// about the catalog.
 func (d *Daemon) handleHeartbeatReply(reply primrosespar.FleetHeartbeatReply, requestedAt time.Time) {
 	d.mu.Lock()
 	d.lastContact = d.opts.Clock.Now()
 	d.mu.Unlock()
-	d.follower.Confirm(reply.CatalogVersion, requestedAt.Add(-reply.CatalogAge))
+	d.follower.Confirm(primrosespar.CatalogConfirmation{
+		Holder: reply.Token, Version: reply.CatalogVersion, Read: reply.CatalogRead, Reads: reply.CatalogReads,
+	}, requestedAt)
 }
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -21,7 +21,9 @@
 		Hosts: d.elector.HandleHeartbeat(heartbeat), LeaseVersion: d.committer.Version(),
 	}
 	reply.Waiting, reply.WaitingKnown = term.Waiting()
-	reply.CatalogVersion, reply.CatalogAge = d.Catalog()
+	confirmation := d.follower.Confirmation()
+	reply.CatalogVersion, reply.CatalogRead, reply.CatalogReads = confirmation.Version, confirmation.Read, confirmation.Reads
+	reply.CatalogAge = d.follower.Age()
 	return reply, nil
 }
 
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -7,8 +7,10 @@
 //
 //	f := follower.New(source, clock)
 //	go f.Run(ctx)
-//	f.Confirm(reply.CatalogVersion, confirmedAt)
+//	f.Confirm(confirmation, heartbeatSentAt)
 //	catalog := f.Catalog()
+//
+// The holder passes its own Confirmation to the other hosts.
 package follower
 
 import (
@@ -109,11 +111,28 @@
 	confirmedAt time.Time
 	// announced is the newest version that the holder has announced.
 	announced primrosespar.Version
+	// reads counts the reads that have begun, and confirmedRead is the number of
+	// the last one that found the catalog to be the newest.
+	reads         uint64
+	confirmedRead uint64
+	// holder is the holder that sent the last confirmation, and observations are
+	// the earlier confirmations of this holder that its next reads are compared
+	// with, in order.
+	holder       primrosespar.Token
+	observations []observation
 	// unanswered counts the reads without an answer since the last one with an
 	// answer.
 	unanswered int
 }
 
+// observation records that the holder had begun a number of reads when it
+// answered a heartbeat that was sent at sentAt. Each later read of the holder
+// began after sentAt.
+type observation struct {
+	reads  uint64
+	sentAt time.Time
+}
+
 // New returns a Follower without a catalog.
 func New(source primrosespar.Source, clock primrosespar.Clock, opts ...Option) *Follower {
 	f := &Follower{source: source, clock: clock, wake: make(chan struct{}, 1), opts: Options{
@@ -152,15 +171,28 @@
 	return f.clock.Since(f.confirmedAt)
 }
 
-// Confirm records that the version was the newest at the given time. A version
-// that is newer than the catalog is read at once.
-func (f *Follower) Confirm(version primrosespar.Version, at time.Time) {
+// Confirmation returns what this host, if it is the holder, says about its
+// reads. The caller sets the holder's token.
+func (f *Follower) Confirmation() primrosespar.CatalogConfirmation {
 	f.mu.Lock()
-	newer := f.catalog == nil || version > f.catalog.Version
+	defer f.mu.Unlock()
+	confirmation := primrosespar.CatalogConfirmation{Read: f.confirmedRead, Reads: f.reads}
+	if f.catalog != nil {
+		confirmation.Version = f.catalog.Version
+	}
+	return confirmation
+}
+
+// Confirm records what the holder answered to a heartbeat that was sent at
+// sentAt. A version that is newer than the catalog is read at once.
+func (f *Follower) Confirm(confirmation primrosespar.CatalogConfirmation, sentAt time.Time) {
+	f.mu.Lock()
+	readAfter := f.observe(confirmation, sentAt)
+	newer := f.catalog == nil || confirmation.Version > f.catalog.Version
 	if newer {
-		f.announced = max(f.announced, version)
-	} else if version == f.catalog.Version && at.After(f.confirmedAt) {
-		f.confirmedAt = at
+		f.announced = max(f.announced, confirmation.Version)
+	} else if confirmation.Version == f.catalog.Version && readAfter.After(f.confirmedAt) {
+		f.confirmedAt = readAfter
 	}
 	f.mu.Unlock()
 	if newer {
@@ -171,6 +203,26 @@
 	}
 }
 
+// observe records a confirmation and returns a time after which the holder
+// began the read that confirms its version, or the zero time if there is none.
+// The caller holds the lock.
+func (f *Follower) observe(confirmation primrosespar.CatalogConfirmation, sentAt time.Time) time.Time {
+	if confirmation.Holder != f.holder {
+		f.holder, f.observations = confirmation.Holder, nil
+	}
+	var readAfter time.Time
+	for len(f.observations) > 0 && f.observations[0].reads < confirmation.Read {
+		readAfter = f.observations[0].sentAt
+		f.observations = f.observations[1:]
+	}
+	if last := len(f.observations) - 1; last >= 0 && f.observations[last].reads == confirmation.Reads {
+		f.observations[last].sentAt = sentAt
+	} else {
+		f.observations = append(f.observations, observation{confirmation.Reads, sentAt})
+	}
+	return readAfter
+}
+
 // Run reads the catalog whenever it is due until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -222,20 +274,28 @@
 func (f *Follower) Read(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, f.readTimeout())
 	defer cancel()
-	requestedAt := f.clock.Now()
+	requestedAt, read := f.beginRead()
 	catalog, err := f.source.Catalog(readCtx)
 	f.countUnanswered(readCtx.Err() != nil)
 	if err != nil {
 		f.opts.OnError(err)
 		return
 	}
-	change, changed := f.adopt(catalog, requestedAt)
+	change, changed := f.adopt(catalog, read, requestedAt)
 	f.opts.OnRead()
 	if changed {
 		f.opts.OnChange(change)
 	}
 }
 
+// beginRead returns the time and the number of a read that begins.
+func (f *Follower) beginRead() (requestedAt time.Time, read uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	return f.clock.Now(), f.reads
+}
+
 // countUnanswered counts a read that got no answer, or forgets the earlier ones
 // after an answer.
 func (f *Follower) countUnanswered(timedOut bool) {
@@ -247,9 +307,10 @@
 	}
 }
 
-// adopt replaces the catalog by a newer one and records what the read, which
-// began at requestedAt, confirms. It reports whether the catalog changed.
-func (f *Follower) adopt(catalog *primrosespar.Catalog, requestedAt time.Time) (change primrosespar.CatalogChange, changed bool) {
+// adopt replaces the catalog by a newer one and records what the read with the
+// given number, which began at requestedAt, confirms. It reports whether the
+// catalog changed.
+func (f *Follower) adopt(catalog *primrosespar.Catalog, read uint64, requestedAt time.Time) (change primrosespar.CatalogChange, changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
@@ -263,8 +324,11 @@
 		}
 		f.catalog = catalog
 	}
-	if catalog.Version == f.catalog.Version && requestedAt.After(f.confirmedAt) {
-		f.confirmedAt = requestedAt
+	if catalog.Version == f.catalog.Version {
+		f.confirmedRead = read
+		if requestedAt.After(f.confirmedAt) {
+			f.confirmedAt = requestedAt
+		}
 	}
 	return change, changed
 }
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +62,13 @@
 	s.unanswered = count
 }
 
+// confirm tells the follower that the holder has just found the version to be
+// the newest.
+func confirm(f *follower.Follower, version primrosespar.Version) {
+	f.Confirm(primrosespar.CatalogConfirmation{Holder: 1, Version: version, Read: 1, Reads: 1}, time.Now())
+	f.Confirm(primrosespar.CatalogConfirmation{Holder: 1, Version: version, Read: 2, Reads: 2}, time.Now())
+}
+
 // runWithFollower runs the body with a follower that has version 5, in a
 // synctest bubble.
 func runWithFollower(t *testing.T, body func(t *testing.T, s *fakeSource, f *follower.Follower), opts ...follower.Option) {
@@ -80,7 +88,7 @@
 // catalog because it no longer hears from the holder.
 func TestChangeIsAppliedWithoutHolder(t *testing.T) {
 	runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
-		f.Confirm(5, time.Now())
+		confirm(f, 5)
 		s.set(6, false)
 		time.Sleep(applyTimeout)
 		require.EqualValues(t, 6, f.Catalog().Version)
@@ -93,7 +101,7 @@
 func TestChangeIsAppliedInTimeAfterLostReads(t *testing.T) {
 	for lost := 1; lost <= 2; lost++ {
 		runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
-			f.Confirm(5, time.Now())
+			confirm(f, 5)
 			s.set(6, false)
 			s.loseReads(lost)
 			time.Sleep(applyTimeout)
@@ -102,12 +110,68 @@
 	}
 }
 
+// suspendableClock is the clock of a process that can be suspended, during
+// which it stands still.
+type suspendableClock struct {
+	clockwork.Clock
+	stoodStill atomic.Int64
+}
+
+// Now implements primrosespar.Clock.
+func (c *suspendableClock) Now() time.Time {
+	return c.Clock.Now().Add(-time.Duration(c.stoodStill.Load()))
+}
+
+// Since implements primrosespar.Clock.
+func (c *suspendableClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// TestSuspendedHolderConfirmsNothingNew guards against a change that takes
+// effect too late because a holder that was suspended, twice, counts its last
+// read as recent and so confirms an old version.
+func TestSuspendedHolderConfirmsNothingNew(t *testing.T) {
+	runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
+		clock := &suspendableClock{Clock: clockwork.NewRealClock()}
+		holder := follower.New(s, clock)
+		heartbeat := func() { f.Confirm(holder.Confirmation(), time.Now()) }
+		for range 2 {
+			heartbeat()
+			holder.Read(t.Context())
+			heartbeat()
+		}
+		s.set(6, false)
+		changedAt := time.Now()
+		for range 2 {
+			const suspended = 1300 * time.Millisecond
+			time.Sleep(suspended)
+			clock.stoodStill.Add(int64(suspended))
+			heartbeat()
+		}
+		time.Sleep(applyTimeout - time.Since(changedAt))
+		require.EqualValues(t, 6, f.Catalog().Version)
+	})
+}
+
+// TestHolderConfirmsVersion guards against hosts that all read the store
+// although the holder reads it for them.
+func TestHolderConfirmsVersion(t *testing.T) {
+	runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
+		holder := follower.New(s, clockwork.NewRealClock())
+		for range 20 {
+			holder.Read(t.Context())
+			f.Confirm(holder.Confirmation(), time.Now())
+			time.Sleep(400 * time.Millisecond)
+			require.Less(t, f.Age(), applyTimeout/2)
+		}
+		require.EqualValues(t, 1, f.Confirmation().Reads)
+	})
+}
+
 // TestAnnouncedVersionIsReadAtOnce guards against a host that is told of a new
 // version and waits for its next regular read.
 func TestAnnouncedVersionIsReadAtOnce(t *testing.T) {
 	runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
 		s.set(6, false)
-		f.Confirm(6, time.Now())
+		confirm(f, 6)
 		time.Sleep(time.Millisecond)
 		require.EqualValues(t, 6, f.Catalog().Version)
 	})
@@ -141,7 +205,7 @@
 func TestShorterApplyTimeoutIsKept(t *testing.T) {
 	const timeout = 1500 * time.Millisecond
 	runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
-		f.Confirm(5, time.Now())
+		confirm(f, 5)
 		s.set(6, false)
 		time.Sleep(timeout)
 		require.EqualValues(t, 6, f.Catalog().Version)
@@ -171,11 +235,11 @@
 func TestChangeSaysHowItWasLearned(t *testing.T) {
 	changes := make(chan primrosespar.CatalogChange, 3)
 	runWithFollower(t, func(t *testing.T, s *fakeSource, f *follower.Follower) {
-		f.Confirm(5, time.Now())
+		confirm(f, 5)
 		s.set(6, false)
 		time.Sleep(applyTimeout)
 		s.set(7, false)
-		f.Confirm(7, time.Now())
+		confirm(f, 7)
 		time.Sleep(time.Millisecond)
 		require.Equal(t, primrosespar.CatalogChange{Version: 5}, <-changes)
 		own := <-changes
