Log which runs end with the crash of their worker

Change: worker_crashed counts the runs that ended with it, and run_crashed names each of them, with whether it had just started. The end of a draining or cordoned worker is no crash. No decision changes.

--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -295,6 +295,7 @@
 // answer may still reach the new lifetime; a stop order prevents that.
 func (s *Scheduler) handleRestart(w *worker, startedAt, now time.Time) {
 	s.logEvent("worker_reborn", nil, w, 0, "")
+	s.recordCrash(w)
 	w.startedAt, w.acknowledged, w.polled = startedAt, 0, false
 	for _, m := range w.memberList {
 		if m.unanswered || m.inFlight {
@@ -341,6 +342,7 @@
 		return
 	}
 	s.logEvent("worker_replaced", nil, w, 0, "another worker responds at its address")
+	s.recordCrash(w)
 	for _, m := range w.snapshot() {
 		s.endMember(m, primrosespar.EndLeaseExpired, "", now)
 	}
