Give up a task that crashes the workers that start it

Its caller was told "active" until the end.

Cause: a run that ended with its worker was no event of its task. It was taken as the loss of a worker that leaves or is cut off, and the task was placed again without a bound; nothing of it was stored. Class: a retry without a budget, whose every try harms others.

Change: crashes are counted by task and stored beside the failed runs, in numbers that rows of earlier releases never hold. Only runs that had just started are suspected, if there are any; one that alone explains the crash counts double. Six points or five crashes give the task up. Planned ends, runs that had been at work for 20 s and workers that were only cut off do not count. A suspected task starts on an idle worker that gets no other work for a second. A holder counts what an earlier one could not have seen.

--- a/internal/fleet/encoder/encoder.go
+++ b/internal/fleet/encoder/encoder.go
@@ -48,7 +48,9 @@
 	// Run is the number of the last run; it is 0 before the first one.
 	Run uint64
 	// Failed holds the numbers of the runs that failed. A later holder of the
-	// fleet lease may receive their ends again and must not count them twice.
+	// fleet lease may receive their ends again and must not count them twice. It
+	// also holds the crashes of workers under the unit, as numbers of 2^63 or
+	// more, which earlier releases count as failed runs.
 	Failed     []uint64
 	Checkpoint string
 	// Workers holds the workers of the current run's members, in the order of
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"primrosespar.example/primrosespar"
@@ -77,6 +76,8 @@
 	run   uint64
 	// failedRuns holds the numbers of the runs that failed.
 	failedRuns []uint64
+	// crashes are the runs that ended with a worker.
+	crashes    []crash
 	checkpoint string
 	members    []*member
 	stopping   bool
@@ -215,7 +216,8 @@
 
 // restoreUnit restores a unit from its stored progress.
 func (s *Scheduler) restoreUnit(u *unit, stored encoder.Unit, now time.Time) {
-	u.run, u.failedRuns, u.checkpoint = stored.Run, stored.Failed, stored.Checkpoint
+	u.run, u.checkpoint = stored.Run, stored.Checkpoint
+	u.restoreFailures(stored.Failed)
 	u.setPhase(stored.Phase)
 	if u.run > 0 {
 		u.step.occurrence.job.started = true
@@ -369,7 +371,7 @@
 
 // progress returns the stored form of a unit.
 func (u *unit) progress() encoder.Unit {
-	progress := encoder.Unit{Phase: u.phase, Run: u.run, Failed: slices.Clone(u.failedRuns), Checkpoint: u.checkpoint}
+	progress := encoder.Unit{Phase: u.phase, Run: u.run, Failed: u.storedFailures(), Checkpoint: u.checkpoint}
 	if u.phase == encoder.Done {
 		progress.Checkpoint = ""
 	}
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -63,9 +64,12 @@
 }
 
 // task returns the name of the member's task.
-func (m *member) task() primrosespar.TaskName {
-	o := m.unit.step.occurrence
-	return primrosespar.TaskName{Job: o.job.submission.ID, Occurrence: o.index, Step: m.unit.step.index, Index: m.index}
+func (m *member) task() primrosespar.TaskName { return m.unit.task(m.index - m.unit.firstIndex) }
+
+// task returns the name of the unit's task with the index.
+func (u *unit) task(index int) primrosespar.TaskName {
+	o := u.step.occurrence
+	return primrosespar.TaskName{Job: o.job.submission.ID, Occurrence: o.index, Step: u.step.index, Index: u.firstIndex + index}
 }
 
 // order returns the start or stop order for the member.
@@ -312,7 +316,7 @@
 }
 
 // requeue makes a unit whose run is over wait for its next run, or fails the
-// job if its attempts are used up.
+// job if its attempts are used up or it crashes its workers.
 func (s *Scheduler) requeue(u *unit, now time.Time) {
 	j := u.step.occurrence.job
 	u.setPhase(encoder.Waiting)
@@ -321,6 +325,14 @@
 	if j.state.Ended() {
 		return
 	}
+	if index, crashes, found := u.deadlyTask(); found {
+		task := u.task(index)
+		s.logEvent("task_given_up", j, nil, u.run,
+			fmt.Sprintf("task %d.%d.%d: %d workers crashed under it", task.Occurrence, task.Step, task.Index, crashes))
+		u.setPhase(encoder.Failed)
+		s.endJob(j, primrosespar.JobFailed, now)
+		return
+	}
 	attempts := s.terms(j).Attempts
 	if !u.step.spec.LongRunning && attempts > 0 && len(u.failedRuns) >= attempts {
 		u.setPhase(encoder.Failed)
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -29,7 +29,7 @@
 	if !w.announced || !w.polled || w.unresponsive || !w.acceptsWork(spec.LongRunning) || w.info.Service != service {
 		return false
 	}
-	if now.Before(w.quarantinedUntil) || u.avoid[w.info.Worker] {
+	if now.Before(w.quarantinedUntil) || now.Before(w.probationUntil) || u.avoid[w.info.Worker] {
 		return false
 	}
 	return u.step.hasRequiredLabel(w)
@@ -274,8 +274,11 @@
 // takeBest picks the worker for a single task and takes the room from its
 // candidate: in the rack of its data if there is room, else the worker with the
 // fewest free accelerators, with the rack's free accelerators as tie-breaker.
-// Workers where the task would interfere with others come after the rest, and
-// cordoned workers and those at the disruption limit come last.
+// A task under which workers have crashed goes to an idle worker that has not
+// crashed, if there is one, so that its next crash harms no other task and has
+// no other explanation. Workers where the task would interfere with others come
+// after the rest, and cordoned workers and those at the disruption limit come
+// last.
 func takeBest(candidates []candidate, u *unit) []*worker {
 	var best *candidate
 	bestScore := math.MaxInt
@@ -286,6 +289,9 @@
 			continue
 		}
 		score := c.free.Accelerators*rackScoreRange + min(c.worker.rack.free(), rackScoreRange-1)
+		if u.suspected() && (c.worker.crashedLately || len(c.worker.memberList) > 0) {
+			score += math.MaxInt / 32
+		}
 		if c.worker.interferes(u.step) {
 			score += math.MaxInt / 16
 		}
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -308,6 +308,9 @@
 	u.placedAt, u.progressAt, u.firstEndAt, u.firstSentAt = now, now, time.Time{}, time.Time{}
 	for i, w := range workers {
 		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w})
+		if u.suspected() {
+			w.probationUntil = now.Add(probationTime)
+		}
 	}
 	j.started = true
 	if j.state == primrosespar.JobQueued {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -22,6 +22,7 @@
 package scheduler
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -45,6 +46,10 @@
 	// with the start time of the replaced lifetime, for as long as they are
 	// still announced.
 	replaced map[primrosespar.Worker]time.Time
+	// crashedAt holds when a worker last crashed at an address, and lostContacts
+	// the runs that may have ended with a worker.
+	crashedAt    map[netip.AddrPort]time.Time
+	lostContacts map[netip.AddrPort]lostContact
 	// claimants are the units that hold claims on freed capacity.
 	claimants map[*unit]bool
 	// capacityVersion counts the events after which a blocked unit may fit.
@@ -156,6 +161,8 @@
 		emptyRackFits:      map[emptyRackShape]bool{},
 		urgentAccelerators: map[primrosespar.Account]int{},
 		acknowledged:       map[primrosespar.Worker]Acknowledgement{},
+		crashedAt:          map[netip.AddrPort]time.Time{},
+		lostContacts:       map[netip.AddrPort]lostContact{},
 
 		claimants: map[*unit]bool{},
 		replaced:  map[primrosespar.Worker]time.Time{},
@@ -342,6 +349,11 @@
 	s.events = append(s.events, e)
 }
 
+// logWorkerEvent is logEvent for a worker that may not be known any more.
+func (s *Scheduler) logWorkerEvent(kind string, worker primrosespar.Worker, detail string) {
+	s.events = append(s.events, Event{Kind: kind, Worker: worker, Detail: detail})
+}
+
 // collectChanges returns the changes collected since the last call and resets
 // them.
 func (s *Scheduler) collectChanges() Changes {
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -28,6 +28,8 @@
 	now       time.Time
 	workers   []primrosespar.WorkerInfo
 	records   map[primrosespar.JobID]scheduler.Record
+	// started are the start orders of all plans.
+	started []scheduler.Order
 }
 
 // newHarness returns a harness whose workers are announced and have not been
@@ -86,6 +88,7 @@
 		}
 		h.records[record.Job] = record
 	}
+	h.started = append(h.started, changes.Starts...)
 	return changes
 }
 
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -41,7 +41,13 @@
 	acknowledged     uint64
 	failedJobs       map[primrosespar.JobID]bool
 	quarantinedUntil time.Time
-	throttling       throttling
+	// probationUntil is until when the worker gets no other work than the
+	// suspected task that was placed there.
+	probationUntil time.Time
+	// crashedLately is set if a worker has crashed at the address of this one
+	// within crashMemory.
+	crashedLately bool
+	throttling    throttling
 }
 
 // ensureWorker returns the worker and adds it if it is not known. Until it
@@ -90,7 +96,9 @@
 			replaced[info.Worker] = startedAt
 			continue
 		}
+		s.observeAnnouncement(info, now)
 		w := s.ensureWorker(info.Worker, now)
+		w.crashedLately = s.crashedLately(info.Address, now)
 		if !w.startedAt.IsZero() && !info.StartedAt.IsZero() && info.StartedAt.After(w.startedAt) {
 			s.handleRestart(w, info.StartedAt, now)
 			restarted = append(restarted, info.Worker)
@@ -101,6 +109,7 @@
 		s.announced = append(s.announced, w)
 	}
 	s.replaced = replaced
+	s.expireCrashes(now)
 	if changed || len(s.announced) != len(wasAnnounced) {
 		s.capacityVersion++
 		s.groupRacks()
@@ -183,6 +192,7 @@
 		s.handleRestart(w, report.StartedAt, now)
 	}
 	w.startedAt, w.unresponsive = report.StartedAt, false
+	s.observeReport(w)
 	// The worker rejects orders of earlier holders from now on, but the lease
 	// that they gave is still valid.
 	w.polled = true
@@ -199,6 +209,10 @@
 	for run, m := range w.members {
 		if !listed[run] && !m.unanswered && !m.inFlight && !m.answeredAt.IsZero() && m.answeredAt.Before(requestedAt) {
 			s.logEvent("run_missing", m.unit.step.occurrence.job, w, m.run, "worker does not list the run")
+			if m.phase == restored {
+				// The worker may have restarted before this holder knew it.
+				s.countRunCrash(w.info.Worker, newLostRun(m), false, now)
+			}
 			s.endMember(m, "", "", now)
 		}
 	}
@@ -273,6 +287,7 @@
 		m.markRunning(now)
 	}
 	m.seenAt = now
+	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
 	if active.Checkpoint != "" && m.run == m.unit.run {
 		m.unit.checkpoint = active.Checkpoint
@@ -295,7 +310,7 @@
 // answer may still reach the new lifetime; a stop order prevents that.
 func (s *Scheduler) handleRestart(w *worker, startedAt, now time.Time) {
 	s.logEvent("worker_reborn", nil, w, 0, "")
-	s.recordCrash(w)
+	s.recordCrash(w, now)
 	w.startedAt, w.acknowledged, w.polled = startedAt, 0, false
 	for _, m := range w.memberList {
 		if m.unanswered || m.inFlight {
@@ -324,10 +339,9 @@
 		}
 		s.logEvent("worker_lost", nil, w, 0, "lease expired")
 		w.polled = false
-		for _, m := range w.snapshot() {
-			if m.inFlight || !m.mayRun() {
-				continue
-			}
+		expired := slices.DeleteFunc(w.snapshot(), func(m *member) bool { return m.inFlight || !m.mayRun() })
+		s.recordLostContact(w, expired, now)
+		for _, m := range expired {
 			s.endMember(m, primrosespar.EndLeaseExpired, "", now)
 		}
 	}
@@ -342,7 +356,7 @@
 		return
 	}
 	s.logEvent("worker_replaced", nil, w, 0, "another worker responds at its address")
-	s.recordCrash(w)
+	s.recordCrash(w, now)
 	for _, m := range w.snapshot() {
 		s.endMember(m, primrosespar.EndLeaseExpired, "", now)
 	}
