Withdraw starts from a worker whose capacity has shrunk

Cause: room is checked when a task is placed. A start that waits for its record, or that is repeated because it was not answered, left without a look at the capacity that the worker announces by then.

Evidence: TestShrunkWorkerGetsNoFurtherStart and TestShrunkWorkerKeepsWhatFits fail without the change (the unsent starts are sent).

Change: with each list of workers, starts that do not fit any more are stopped, unsent ones first; tasks at work stay.

--- a/fleet.go
+++ b/fleet.go
@@ -28,6 +28,12 @@
 	return Resources{r.Millicores - o.Millicores, r.MemoryMiB - o.MemoryMiB, r.Accelerators - o.Accelerators}
 }
 
+// Holds reports whether the used resources do not exceed r.
+func (r Resources) Holds(used Resources) bool {
+	left := r.Sub(used)
+	return left.Millicores >= 0 && left.MemoryMiB >= 0 && left.Accelerators >= 0
+}
+
 // Fits returns how many times need fits into r, at most limit.
 func (r Resources) Fits(need Resources, limit int) int {
 	n := limit
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -106,6 +106,7 @@
 		}
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
 		w.info, w.announced = info, true
+		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
 	}
 	s.replaced = replaced
@@ -122,6 +123,24 @@
 	return restarted
 }
 
+// withdrawStarts stops starts that do not fit on the worker any more because its
+// capacity has shrunk, those first that were not sent. Tasks at work stay.
+func (s *Scheduler) withdrawStarts(w *worker) {
+	used := w.used
+	for _, sent := range []bool{false, true} {
+		for _, m := range slices.Backward(w.snapshot()) {
+			if w.info.Capacity.Holds(used) {
+				return
+			}
+			if m.everSent != sent || m.stopping || m.phase == running || m.phase == restored {
+				continue
+			}
+			used = used.Sub(m.unit.step.spec.Occupies())
+			s.stopUnit(m.unit, "capacity of the worker has shrunk")
+		}
+	}
+}
+
 // sameInfo reports whether two announcements of a worker are equal.
 func sameInfo(a, b primrosespar.WorkerInfo) bool {
 	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place &&
