--- a/internal/fleet/scheduler/crashes_test.go
+++ b/internal/fleet/scheduler/crashes_test.go
@@ -96,6 +96,16 @@
 	return starts
 }
 
+// crashUnderName is crash with a next lifetime under the same name.
+func (h *harness) crashUnderName(worker primrosespar.Worker) {
+	h.now = h.now.Add(restartTime)
+	i := h.workerIndex(worker)
+	h.workers[i].StartedAt = h.now
+	h.scheduler.SetWorkers(h.workers, h.now)
+	h.now = h.now.Add(time.Second)
+	h.report(i, nil)
+}
+
 // TestDeadlyTaskIsGivenUp guards against one task that crashes worker after
 // worker without a bound.
 func TestDeadlyTaskIsGivenUp(t *testing.T) {
@@ -105,17 +115,21 @@
 		{Count: 3, Need: needAccelerators(8), Gang: true},
 		{Count: 1, Need: needAccelerators(1), LongRunning: true},
 	} {
-		h := newHarness(t, 2)
-		h.reportAllIdle()
-		h.scheduler.Submit(job("a", "plain", step), h.now)
-		crashUntilGivenUp(h, 0, func(h *harness, start scheduler.Order) *harness {
-			h.crash(start.Worker)
-			return h
-		})
-		for _, start := range h.started {
-			require.LessOrEqual(t, start.Run.Number, uint64(maxStartsOfDeadlyTask))
+		for name, crash := range map[string]func(*harness, primrosespar.Worker){
+			"new name": (*harness).crash, "same name": (*harness).crashUnderName,
+		} {
+			h := newHarness(t, 2)
+			h.reportAllIdle()
+			h.scheduler.Submit(job("a", "plain", step), h.now)
+			crashUntilGivenUp(h, 0, func(h *harness, start scheduler.Order) *harness {
+				crash(h, start.Worker)
+				return h
+			})
+			for _, start := range h.started {
+				require.LessOrEqual(t, start.Run.Number, uint64(maxStartsOfDeadlyTask), name)
+			}
+			require.Equal(t, primrosespar.JobFailed, h.state(), name)
 		}
-		require.Equal(t, primrosespar.JobFailed, h.state())
 	}
 }
 
@@ -138,18 +152,22 @@
 // TestCrashesNoticedByTheNextHolderCount guards against a deadly task whose
 // crashes no holder counts, because each is replaced before it notices them.
 func TestCrashesNoticedByTheNextHolderCount(t *testing.T) {
-	h := newHarness(t, 2)
-	h.reportAllIdle()
-	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1)}), h.now)
-	starts := crashUntilGivenUp(h, 0, func(h *harness, start scheduler.Order) *harness {
-		h.workers[h.workerIndex(start.Worker)].Worker += "+"
-		next := h.succeed()
-		next.now = next.now.Add(scheduler.DefaultTakeover + time.Second)
-		next.scheduler.SetWorkers(next.workers, next.now)
-		next.reportAllIdle()
-		return next
-	})
-	require.LessOrEqual(t, starts, maxStartsOfDeadlyTask)
+	for name, suffix := range map[string]primrosespar.Worker{"new name": "+", "same name": ""} {
+		h := newHarness(t, 2)
+		h.reportAllIdle()
+		h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1)}), h.now)
+		starts := crashUntilGivenUp(h, 0, func(h *harness, start scheduler.Order) *harness {
+			i := h.workerIndex(start.Worker)
+			h.workers[i].Worker += suffix
+			h.workers[i].StartedAt = h.now.Add(time.Second)
+			next := h.succeed()
+			next.now = next.now.Add(scheduler.DefaultTakeover + time.Second)
+			next.scheduler.SetWorkers(next.workers, next.now)
+			next.reportAllIdle()
+			return next
+		})
+		require.LessOrEqual(t, starts, maxStartsOfDeadlyTask, name)
+	}
 }
 
 // TestCrashAfterLeaseExpiryCounts guards against a deadly task whose workers
