Count the crash of a cordoned worker under a task

Cause: the end of a cordoned worker was taken for planned. A cordoned worker runs on until its runs have ended or been stopped; only then is it restarted. Class: an exemption that is wider than its reason.

Evidence: TestCrashOfCordonedWorkerCounts fails without the change with ten starts, where five are allowed.

Change: only workers that are draining, or whose runs are being stopped for the maintenance, are exempt.

--- a/internal/fleet/scheduler/crashes.go
+++ b/internal/fleet/scheduler/crashes.go
@@ -86,9 +86,9 @@
 	return runs
 }
 
-// plannedToEnd reports whether the end of the worker's lifetime was announced,
-// so that it is no crash.
-func (w *worker) plannedToEnd() bool { return w.info.Draining || w.cordoned || w.evacuating }
+// plannedToEnd reports whether the worker is about to leave or to be restarted,
+// so that its end is no crash.
+func (w *worker) plannedToEnd() bool { return w.info.Draining || w.evacuating }
 
 // recordCrash records that the worker's lifetime has ended with its runs, which
 // are still attached to it.
--- a/internal/fleet/scheduler/crashes_test.go
+++ b/internal/fleet/scheduler/crashes_test.go
@@ -195,6 +195,21 @@
 	require.LessOrEqual(t, starts, maxStartsOfDeadlyTask)
 }
 
+// TestCrashOfCordonedWorkerCounts guards against a deadly task whose crashes do
+// not count because a wave of maintenance is near: a cordoned worker runs on
+// until its runs have been stopped.
+func TestCrashOfCordonedWorkerCounts(t *testing.T) {
+	h := newHarness(t, 2)
+	h.reportAllIdle()
+	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1)}), h.now)
+	starts := crashUntilGivenUp(h, 0, func(h *harness, start scheduler.Order) *harness {
+		h.scheduler.SetCordoned(map[primrosespar.Worker]bool{start.Worker: true}, nil)
+		h.crash(start.Worker)
+		return h
+	})
+	require.LessOrEqual(t, starts, maxStartsOfDeadlyTask)
+}
+
 // TestSuspectedTaskStartsAlone guards against a deadly task whose further
 // crashes end the runs of other tasks, whichever is placed first.
 func TestSuspectedTaskStartsAlone(t *testing.T) {
