Leave one start of a deadly task for an order carried out twice

The order of one run got no answer, was repeated, and both were carried out late, by two lifetimes of a worker under one name.

Cause: five counted crashes use up all starts that the platform accepts, though an order without an answer may be carried out twice.

Change: a task is given up after four crashes of any kind; three that its start alone explains still suffice.

--- a/internal/fleet/scheduler/crashes.go
+++ b/internal/fleet/scheduler/crashes.go
@@ -14,8 +14,9 @@
 // either, with its gang if it belongs to one.
 const (
 	// maxCrashes limits the runs that ended with a worker. The platform accepts
-	// two starts after the third crash.
-	maxCrashes = 5
+	// two starts after the third crash. One of them is left for an order that is
+	// carried out twice.
+	maxCrashes = 4
 	// maxSuspicion limits the suspicion against a task. A crash that only its
 	// start explains adds blameWeight, any other crash 1.
 	maxSuspicion = 6
