--- a/cmd/standin/soakload.go
+++ b/cmd/standin/soakload.go
@@ -106,7 +106,12 @@
 		j.taskIDs = append(j.taskIDs, fmt.Sprintf("%s.0.0.%d", j.id, i))
 	}
 	body := map[string]any{"spec": fmt.Sprintf("ms=%d end=%s", 200+l.random.IntN(2500), outcome), "steps": steps}
-	if l.random.IntN(6) == 0 {
+	repeats := l.random.IntN(6) == 0
+	if deadly(j.id) {
+		j.taskIDs = []string{j.id + ".0.0.0"}
+		step["count"], step["gang"] = 1, false
+		body["spec"], body["steps"] = "end=crash", []any{step}
+	} else if repeats {
 		l.makeRepeated(j, body)
 	}
 	data, err := json.Marshal(body)
@@ -120,6 +125,10 @@
 	return j
 }
 
+// deadly reports whether the task of the job crashes each worker that starts it.
+// It depends on the ID, so that the other jobs of a seed stay as they were.
+func deadly(id string) bool { return strings.HasPrefix(id, "0") }
+
 // makeRepeated makes the job run twice, for the first time within
 // maxSoakStartDelay.
 func (l *soakLoad) makeRepeated(j *soakJob, body map[string]any) {
@@ -247,6 +256,8 @@
 				report("job %s: refused %d times and never accepted, but ran", j.id, j.refusals)
 			}
 		}
+	case j.state == "completed" && deadly(j.id):
+		report("job %s: reported as completed, but its task crashes its workers", j.id)
 	case j.state == "completed":
 		for _, task := range j.taskIDs {
 			if !l.soak.fleet.Succeeded(task) && !strings.Contains(j.body, `"gang":true`) {
@@ -255,7 +266,7 @@
 		}
 	case j.state == "cancelled" && !j.cancelled:
 		report("job %s: reported as cancelled, but no cancellation was requested", j.id)
-	case j.state == "failed" && !strings.Contains(j.body, "end=failed") && l.soak.Calm:
+	case j.state == "failed" && !strings.Contains(j.body, "end=failed") && !deadly(j.id) && l.soak.Calm:
 		report("job %s: reported as failed without a cause", j.id)
 	case j.state == "queued" || j.state == "active" || j.state == "":
 		report("job %s: still %q at the end", j.id, j.state)
