Bound what a host keeps of a holder whose reads fail

Cause: a host keeps an observation for each read that the holder has begun until one succeeds. In a long outage of the store they grow by two a second.

Change: the oldest is dropped beyond 64; the next successful read is compared with the newest.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -47,6 +47,9 @@
 	// minReadInterval is the minimum time between the beginnings of two reads,
 	// unless the holder announces a version.
 	minReadInterval = 200 * time.Millisecond
+	// maxObservations bounds the observations that are kept while the holder's
+	// reads fail.
+	maxObservations = 64
 )
 
 // Options configure a Follower.
@@ -220,6 +223,9 @@
 	} else {
 		f.observations = append(f.observations, observation{confirmation.Reads, sentAt})
 	}
+	if len(f.observations) > maxObservations {
+		f.observations = f.observations[1:]
+	}
 	return readAfter
 }
 
