Show crashes under a task in fleet explain

A job whose task crashes its workers is shown as failed with no failed runs; why was only in the holder's log.

--- a/fleetview.go
+++ b/fleetview.go
@@ -60,13 +60,15 @@
 // StepView is one step of one occurrence of a job. FailedRuns is the highest
 // number of failed runs of any of its tasks.
 type StepView struct {
-	Occurrence int      `json:"occurrence"`
-	Step       int      `json:"step"`
-	Tasks      int      `json:"tasks"`
-	Done       int      `json:"done"`
-	Running    int      `json:"running"`
-	FailedRuns int      `json:"failed_runs"`
-	Workers    []Worker `json:"workers,omitempty"`
+	Occurrence int `json:"occurrence"`
+	Step       int `json:"step"`
+	Tasks      int `json:"tasks"`
+	Done       int `json:"done"`
+	Running    int `json:"running"`
+	FailedRuns int `json:"failed_runs"`
+	// Crashes is the highest number of workers that crashed under one task.
+	Crashes int      `json:"crashes"`
+	Workers []Worker `json:"workers,omitempty"`
 	// Reason says why the first waiting task is not placed.
 	Reason string `json:"reason,omitempty"`
 }
--- a/internal/fleet/scheduler/crashes.go
+++ b/internal/fleet/scheduler/crashes.go
@@ -262,6 +262,16 @@
 	return crashes, suspicion
 }
 
+// mostCrashes returns the highest number of crashes under one task of the unit.
+func (u *unit) mostCrashes() int {
+	most := 0
+	for _, c := range u.crashes {
+		crashes, _ := u.crashesOf(c.index)
+		most = max(most, crashes)
+	}
+	return most
+}
+
 // deadlyTask returns the index of a task of the unit that crashes the workers
 // that start it, and the number of its crashes. It reports false if there is
 // none.
--- a/internal/fleet/scheduler/crashes_test.go
+++ b/internal/fleet/scheduler/crashes_test.go
@@ -246,6 +246,8 @@
 		require.True(t, ok, "run %d", run+1)
 		h.crash(start.Worker)
 	}
+	view, _ := h.scheduler.Explain("a", h.now)
+	require.Equal(t, 2, view.Steps[0].Crashes)
 }
 
 // TestOtherLossesOfWorkersFailNoTask guards against a job that is given up
--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -82,6 +82,7 @@
 		}
 		v.Running += len(u.members)
 		v.FailedRuns = max(v.FailedRuns, len(u.failedRuns))
+		v.Crashes = max(v.Crashes, u.mostCrashes())
 		for _, m := range u.members {
 			if len(v.Workers) < maxShownWorkers && !slices.Contains(v.Workers, m.worker.info.Worker) {
 				v.Workers = append(v.Workers, m.worker.info.Worker)
