Log how long the holder is unconfirmed and why runs are given up

Adds the decisions commit_unconfirmed (at most one a second) and late_end, the last report of a lost worker, and a gauge of the unconfirmed time. No logic changes.

Tests of internal/fleet pass.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -154,6 +154,9 @@
 		_, age := fleetDaemon.Catalog()
 		return age.Seconds()
 	})
+	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
+		return fleetDaemon.UnconfirmedTime().Seconds()
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -74,7 +74,7 @@
 }
 
 // Committer acquires the fleet lease for one process and commits under it. It
-// is not safe for concurrent use, except for Version.
+// is not safe for concurrent use, except for Version and ConfirmedAt.
 type Committer struct {
 	table    primrosespar.Table
 	clock    primrosespar.Clock
@@ -83,10 +83,15 @@
 	lease Holder
 	// version is the version of the lease row, for Version.
 	version atomic.Uint64
+	// confirmedAt is when the last call was sent that showed this process to
+	// hold the lease, for ConfirmedAt.
+	confirmedAt atomic.Pointer[time.Time]
 	// lastCommitTime is how long the last commit took.
 	lastCommitTime time.Duration
-	// lastReadTime is how long the last read of the lease row took.
+	// lastReadTime is how long the last read of the lease row took, which was
+	// sent at lastReadAt.
 	lastReadTime time.Duration
+	lastReadAt   time.Time
 }
 
 // New returns a Committer without a lease.
@@ -101,7 +106,7 @@
 	if err != nil {
 		return Holder{}, err
 	}
-	c.lastReadTime = c.clock.Since(startedAt)
+	c.lastReadTime, c.lastReadAt = c.clock.Since(startedAt), startedAt
 	var h Holder
 	if rows[0].Version > 0 {
 		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil {
@@ -134,10 +139,22 @@
 // may be called at any time.
 func (c *Committer) Version() primrosespar.Version { return primrosespar.Version(c.version.Load()) }
 
-// setLease records the lease row as written.
-func (c *Committer) setLease(lease Holder) {
+// ConfirmedAt returns when the last call was sent whose answer showed that this
+// process held the lease. No other host had acquired it by then. It may be
+// called at any time.
+func (c *Committer) ConfirmedAt() time.Time {
+	if at := c.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// setLease records the lease row as written, as a call that was sent at sentAt
+// has shown.
+func (c *Committer) setLease(lease Holder, sentAt time.Time) {
 	c.lease = lease
 	c.version.Store(uint64(lease.Version))
+	c.confirmedAt.Store(&sentAt)
 }
 
 // Commit stores the writes. If they exceed the limits of a transaction, they
@@ -189,7 +206,7 @@
 		switch {
 		case err == nil:
 			next.Version = versions[0]
-			c.setLease(next)
+			c.setLease(next, startedAt)
 			c.lastCommitTime = c.clock.Since(startedAt)
 			return nil
 		case code == primrosespar.CodeConflict && !outcomeUnknown:
@@ -251,7 +268,7 @@
 		cancel()
 		if err == nil {
 			if seen.sameWrite(next) {
-				c.setLease(seen)
+				c.setLease(seen, c.lastReadAt)
 				return nil
 			}
 			return c.conflictError(next)
@@ -273,7 +290,7 @@
 	if err != nil || !seen.sameWrite(next) {
 		return false
 	}
-	c.setLease(seen)
+	c.setLease(seen, c.lastReadAt)
 	return true
 }
 
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -62,6 +62,9 @@
 	// withdrawThreshold is how long a commit may take before the jobs that wait
 	// for the next one are refused. A store that is only slow answers within it.
 	withdrawThreshold = time.Second
+	// unconfirmedInterval is the time between two log lines while no commit is
+	// confirmed, and how old the last confirmed one is before the first of them.
+	unconfirmedInterval = time.Second
 	// endedJobRetention is how long the state of an ended job can be queried;
 	// the platform requires 120 s.
 	endedJobRetention = 150 * time.Second
@@ -173,6 +176,9 @@
 	next         *batch
 	inFlight     *batch
 	lastCommitAt time.Time
+	// unconfirmedLoggedAt is when the age of the last confirmed commit was last
+	// logged.
+	unconfirmedLoggedAt time.Time
 	// plannedAt is when the last plan was made, and planTime how long it took.
 	plannedAt time.Time
 	planTime  time.Duration
@@ -349,6 +355,7 @@
 // each plan.
 func (c *Controller) runPeriodicTasks() {
 	now := c.parts.Clock.Now()
+	c.logUnconfirmed(now)
 	c.withdrawSubmissions()
 	for _, id := range c.scheduler.Forget(now.Add(-endedJobRetention)) {
 		c.next.deleteJob(id)
--- a/internal/fleet/controller/polling.go
+++ b/internal/fleet/controller/polling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"primrosespar.example/primrosespar"
@@ -66,6 +67,26 @@
 	return time.Time{}
 }
 
+// logUnconfirmed logs, once per unconfirmedInterval, that no commit has been
+// confirmed for a while and at how many workers this holder still renews leases.
+func (c *Controller) logUnconfirmed(now time.Time) {
+	age := now.Sub(c.parts.Committer.ConfirmedAt())
+	if age < unconfirmedInterval || now.Sub(c.unconfirmedLoggedAt) < unconfirmedInterval {
+		return
+	}
+	c.unconfirmedLoggedAt = now
+	renewed := 0
+	for _, p := range c.pollers {
+		if p.LeaseExpiry().After(now) {
+			renewed++
+		}
+	}
+	c.parts.OnDecision(scheduler.Event{
+		Kind:   "commit_unconfirmed",
+		Detail: fmt.Sprintf("last commit confirmed %v ago, leases in force at %d workers", age.Round(time.Millisecond), renewed),
+	})
+}
+
 // applyWorkers passes a new list of workers to the scheduler, has restarted
 // workers polled again and stops the pollers of removed workers.
 func (c *Controller) applyWorkers(workers []primrosespar.WorkerInfo) {
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -95,6 +95,15 @@
 	return catalog.Version, d.follower.Age()
 }
 
+// UnconfirmedTime returns how long ago the last call was sent that showed this
+// host to hold the fleet lease, 0 while it runs no term.
+func (d *Daemon) UnconfirmedTime() time.Duration {
+	if d.term.Load() == nil {
+		return 0
+	}
+	return d.opts.Clock.Since(d.committer.ConfirmedAt())
+}
+
 var _ primrosespar.FleetViewer = (*Daemon)(nil)
 
 // Status implements primrosespar.FleetViewer.
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,7 +22,9 @@
 	// holder, so that it rejects the orders of earlier holders.
 	polled       bool
 	unresponsive bool
-	startedAt    time.Time
+	// reportedAt is when the worker last reported to this holder.
+	reportedAt time.Time
+	startedAt  time.Time
 	// leaseExpiry is when all runs on the worker have certainly ended unless it
 	// answers before.
 	leaseExpiry time.Time
@@ -210,7 +213,7 @@
 		}
 		s.handleRestart(w, report.StartedAt, now)
 	}
-	w.startedAt, w.unresponsive = report.StartedAt, false
+	w.startedAt, w.unresponsive, w.reportedAt = report.StartedAt, false, now
 	s.observeReport(w)
 	// The worker rejects orders of earlier holders from now on, but the lease
 	// that they gave is still valid.
@@ -252,6 +255,7 @@
 		s.endMember(m, ended.End, ended.Checkpoint, now)
 		return
 	}
+	s.logEvent("late_end", s.jobs[ended.Run.Task.Job], w, ended.Run.Number, string(ended.End))
 	if u := s.findUnit(ended.Run.Task); u != nil && !u.step.spec.LongRunning {
 		s.handleLateEnd(u, ended, now)
 	}
@@ -356,7 +360,7 @@
 		if w.extendLease(s.opts.LeaseExpiry(w.info.Worker)); !now.After(w.leaseExpiry) {
 			continue
 		}
-		s.logEvent("worker_lost", nil, w, 0, "lease expired")
+		s.logEvent("worker_lost", nil, w, 0, w.describeContact(now))
 		w.polled = false
 		expired := slices.DeleteFunc(w.snapshot(), func(m *member) bool { return m.inFlight || !m.mayRun() })
 		s.recordLostContact(w, expired, now)
@@ -366,6 +370,15 @@
 	}
 }
 
+// describeContact says what this holder knows of a worker whose lease has
+// expired, for the log.
+func (w *worker) describeContact(now time.Time) string {
+	if w.reportedAt.IsZero() {
+		return "lease expired, the worker has never reported to this holder"
+	}
+	return fmt.Sprintf("lease expired, last report %v ago", now.Sub(w.reportedAt).Round(time.Millisecond))
+}
+
 // HandleReplacement records that another worker answers at the address of the
 // named one, so that its runs are gone and no order can reach it. It may still
 // be announced for a while.
