End leases a set time after the last confirmed commit

Cause: a holder without the store repeats its commit without an answer and renews the leases of the workers that it reaches for as long as that lasts. The next holder assumed that renewals end within 2 s, by a figure of its own. Behind a cut of a region nobody fences the workers, so the runs outlive that wait. Class: a permission is used after a wait without an answer, while another process assumes that it has run out.

Change: lessor limits the end of each lease to 10 s after the last confirmed commit, counted on the worker's clock from a report that arrived before that commit was sent; suspensions, slow clocks and orders on their way do not make it longer. Polls are short while a lease is limited, so that it is renewed soon after the store is back. A start at a worker whose clock was read over 50 s ago reads it again first.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -22,6 +22,7 @@
 	"primrosespar.example/primrosespar/internal/entry/meter"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/viewer"
 	"primrosespar.example/primrosespar/internal/operator/handler"
@@ -38,10 +39,6 @@
 	// shutdownMargin is the part of the platform's grace period that is left
 	// for the process to exit.
 	shutdownMargin = 700 * time.Millisecond
-	// maxWorkerLease limits the lease of a worker, so that the runs of a lost
-	// worker start elsewhere within seconds. A change of the lease holder takes
-	// 2 s.
-	maxWorkerLease = 6 * time.Second
 	// memoryLimitShare is the share of the host's memory that the Go runtime
 	// gets as its soft limit.
 	memoryLimitShare = 0.6
@@ -138,7 +135,7 @@
 	fleetDaemon, err := daemon.New(daemon.Settings{
 		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
 		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
-		Lease: min(maxWorkerLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
+		Lease: min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 	}, backend,
 		daemon.WithClock(h.clock), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -83,15 +83,12 @@
 	lease Holder
 	// version is the version of the lease row, for Version.
 	version atomic.Uint64
-	// confirmedAt is when the last call was sent that showed this process to
-	// hold the lease, for ConfirmedAt.
+	// confirmedAt is when the last confirmed commit was sent, for ConfirmedAt.
 	confirmedAt atomic.Pointer[time.Time]
 	// lastCommitTime is how long the last commit took.
 	lastCommitTime time.Duration
-	// lastReadTime is how long the last read of the lease row took, which was
-	// sent at lastReadAt.
+	// lastReadTime is how long the last read of the lease row took.
 	lastReadTime time.Duration
-	lastReadAt   time.Time
 }
 
 // New returns a Committer without a lease.
@@ -106,7 +103,7 @@
 	if err != nil {
 		return Holder{}, err
 	}
-	c.lastReadTime, c.lastReadAt = c.clock.Since(startedAt), startedAt
+	c.lastReadTime = c.clock.Since(startedAt)
 	var h Holder
 	if rows[0].Version > 0 {
 		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil {
@@ -139,9 +136,9 @@
 // may be called at any time.
 func (c *Committer) Version() primrosespar.Version { return primrosespar.Version(c.version.Load()) }
 
-// ConfirmedAt returns when the last call was sent whose answer showed that this
-// process held the lease. No other host had acquired it by then. It may be
-// called at any time.
+// ConfirmedAt returns when the last confirmed commit was sent. A host that has
+// read the row of that commit, or a later one, read it after that time. It may
+// be called at any time.
 func (c *Committer) ConfirmedAt() time.Time {
 	if at := c.confirmedAt.Load(); at != nil {
 		return *at
@@ -149,8 +146,8 @@
 	return time.Time{}
 }
 
-// setLease records the lease row as written, as a call that was sent at sentAt
-// has shown.
+// setLease records the lease row as written by a commit that was sent at sentAt
+// or later.
 func (c *Committer) setLease(lease Holder, sentAt time.Time) {
 	c.lease = lease
 	c.version.Store(uint64(lease.Version))
@@ -212,14 +209,14 @@
 		case code == primrosespar.CodeConflict && !outcomeUnknown:
 			return c.conflictError(next)
 		case code == primrosespar.CodeConflict:
-			err := c.resolveOutcome(ctx, next)
+			err := c.resolveOutcome(ctx, next, firstAttemptAt)
 			// An attempt was given up before its answer came. The next commit
 			// waits longer for it.
 			c.lastCommitTime = c.clock.Since(firstAttemptAt)
 			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
-			if c.tookEffect(ctx, next) {
+			if c.tookEffect(ctx, next, firstAttemptAt) {
 				c.lastCommitTime = c.clock.Since(firstAttemptAt)
 				return nil
 			}
@@ -260,7 +257,7 @@
 
 // resolveOutcome reads the lease row to find out whether a commit without an
 // answer or another writer has changed it.
-func (c *Committer) resolveOutcome(ctx context.Context, next Holder) error {
+func (c *Committer) resolveOutcome(ctx context.Context, next Holder, firstAttemptAt time.Time) error {
 	backoff := minBackoff
 	for n := 0; ; n++ {
 		readCtx, cancel := context.WithTimeout(ctx, c.attemptTimeout(n))
@@ -268,7 +265,7 @@
 		cancel()
 		if err == nil {
 			if seen.sameWrite(next) {
-				c.setLease(seen, c.lastReadAt)
+				c.setLease(seen, firstAttemptAt)
 				return nil
 			}
 			return c.conflictError(next)
@@ -283,14 +280,14 @@
 // tookEffect reads the lease row and reports whether it shows the commit, which
 // got no answer. Reads do not wait for the transactions of others, which delay
 // another attempt while the store is slow.
-func (c *Committer) tookEffect(ctx context.Context, next Holder) bool {
+func (c *Committer) tookEffect(ctx context.Context, next Holder, firstAttemptAt time.Time) bool {
 	readCtx, cancel := context.WithTimeout(ctx, outcomeReadTimeout)
 	defer cancel()
 	seen, err := c.Read(readCtx)
 	if err != nil || !seen.sameWrite(next) {
 		return false
 	}
-	c.setLease(seen, c.lastReadAt)
+	c.setLease(seen, firstAttemptAt)
 	return true
 }
 
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// TestUnansweredCommitIsConfirmedFromItsFirstAttempt guards against a holder
+// that counts its leases from a read of the row, while the next holder counts
+// from its own earlier read of the same row.
+func TestUnansweredCommitIsConfirmedFromItsFirstAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &unresponsiveTable{Keeper: keeper.New(keeper.WithClock(clockwork.NewRealClock())), applied: true}
+		c := newCommitter(table, "a")
+		seen, err := c.Read(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, c.Acquire(t.Context(), seen))
+		time.Sleep(time.Second)
+		table.unanswered = 1
+		sentAt := time.Now()
+		require.NoError(t, c.Commit(t.Context(), write("1")))
+		require.Greater(t, time.Since(sentAt), 100*time.Millisecond)
+		require.Equal(t, sentAt, c.ConfirmedAt())
+		time.Sleep(time.Second)
+		sentAt = time.Now()
+		require.NoError(t, c.Commit(t.Context(), write("2")))
+		require.Equal(t, sentAt, c.ConfirmedAt())
+	})
+}
+
 // TestEarlierHolderNeverWrites guards against a paused holder that writes after
 // another host has acquired the lease.
 func TestEarlierHolderNeverWrites(t *testing.T) {
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -27,8 +27,8 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/maintainer"
-	"primrosespar.example/primrosespar/internal/fleet/poller"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
 
@@ -110,8 +110,9 @@
 type Options struct {
 	// Lease is how long a worker keeps its runs without a renewal.
 	Lease time.Duration
-	// Takeover is how long runs of an earlier holder may survive.
-	Takeover time.Duration
+	// EarlierCommitAt is a time by which the earlier holder had sent its last
+	// commit. The leases that it gave are counted from there.
+	EarlierCommitAt time.Time
 	// GangTimeout is how long a member of a gang waits for the others.
 	GangTimeout time.Duration
 	// MaxFirstPolls bounds the workers without runs whose first poll is in
@@ -125,8 +126,11 @@
 // WithLease sets how long a worker keeps its runs without a renewal.
 func WithLease(lease time.Duration) Option { return func(o *Options) { o.Lease = lease } }
 
-// WithTakeover sets how long runs of an earlier holder may survive.
-func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
+// WithEarlierCommitAt sets a time by which the earlier holder had sent its last
+// commit. The default is when the Controller is created.
+func WithEarlierCommitAt(at time.Time) Option {
+	return func(o *Options) { o.EarlierCommitAt = at }
+}
 
 // WithGangTimeout sets how long a member of a gang waits for the others; 0
 // keeps the default.
@@ -200,7 +204,7 @@
 
 // New returns a Controller for the term of the committer's lease.
 func New(parts Parts, opts ...Option) (*Controller, error) {
-	o := Options{Lease: poller.DefaultLease, Takeover: scheduler.DefaultTakeover, GangTimeout: scheduler.DefaultGangTimeout, MaxFirstPolls: DefaultMaxFirstPolls}
+	o := Options{Lease: lessor.DefaultLease, EarlierCommitAt: parts.Clock.Now(), GangTimeout: scheduler.DefaultGangTimeout, MaxFirstPolls: DefaultMaxFirstPolls}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -221,7 +225,9 @@
 		adviceInFlight:  map[netip.AddrPort]bool{},
 		maintainer:      maintainer.New(),
 	}
-	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock), scheduler.WithTakeover(o.Takeover),
+	takeover := lessor.TakeoverWait(o.Lease)
+	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock),
+		scheduler.WithTakeover(takeover), scheduler.WithTakeoverEnd(o.EarlierCommitAt.Add(takeover)),
 		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry))
 	return c, nil
 }
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -50,11 +50,6 @@
 	endTermTimeout = 1500 * time.Millisecond
 	// releaseTimeout bounds the write that releases the lease.
 	releaseTimeout = time.Second
-	// takeoverMargin is added to the workers' lease at a takeover: the earlier
-	// holder may have sent its last poll just before it lost the fleet lease.
-	takeoverMargin = 2 * time.Second
-	// minWorkerClockRate is the slowest rate of a worker's clock.
-	minWorkerClockRate = 0.98
 )
 
 // Settings configure the daemon of one host.
@@ -265,16 +260,17 @@
 	return nil
 }
 
-// runTerm runs one term. When ctx ends, the term has endTermTimeout to finish,
+// runTerm runs one term. The earlier holder had sent its last confirmed commit
+// by earlierCommitAt. When ctx ends, the term has endTermTimeout to finish,
 // and the lease is released if it does.
-func (d *Daemon) runTerm(ctx context.Context) error {
+func (d *Daemon) runTerm(ctx context.Context, earlierCommitAt time.Time) error {
 	term, err := controller.New(controller.Parts{
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock,
 		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
 	}, controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
-		controller.WithTakeover(time.Duration(float64(d.settings.Lease)/minWorkerClockRate)+takeoverMargin))
+		controller.WithEarlierCommitAt(earlierCommitAt))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -91,7 +91,9 @@
 	// OwnHeartbeat returns the heartbeat of this host.
 	OwnHeartbeat func() primrosespar.FleetHeartbeat
 	// Lead runs a term; it returns when the lease is lost or the context ends.
-	Lead func(ctx context.Context) error
+	// earlierCommitAt is a time by which the earlier holder had sent the last
+	// commit that was ever confirmed to it.
+	Lead func(ctx context.Context, earlierCommitAt time.Time) error
 	// OnHeartbeatReply receives each reply of the holder with the time at which
 	// the heartbeat was sent.
 	OnHeartbeatReply func(reply primrosespar.FleetHeartbeatReply, requestedAt time.Time)
@@ -299,6 +301,8 @@
 func (e *Elector) startTerm(ctx context.Context, terms *conc.WaitGroup) {
 	termCtx, stopTerm := context.WithCancel(ctx)
 	e.mu.Lock()
+	// The acquisition proves that this version of the row was the last one.
+	earlierCommitAt := e.versionSeenAt
 	e.leading, e.stopTerm, e.watching = true, stopTerm, false
 	e.peers, e.successionAt = map[netip.AddrPort]peer{}, time.Time{}
 	e.mu.Unlock()
@@ -306,7 +310,7 @@
 	e.parts.OnChange(self.Host, e.parts.Committer.Token(), "lease acquired")
 	terms.Go(func() {
 		defer stopTerm()
-		err := e.parts.Lead(termCtx)
+		err := e.parts.Lead(termCtx, earlierCommitAt)
 		e.mu.Lock()
 		e.leading, e.holderKnown = false, false
 		e.mu.Unlock()
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -52,6 +52,9 @@
 	peers   *fakePeers
 	elector *elector.Elector
 	led     atomic.Bool
+	// earlierCommitAt is when the elector takes the last commit of the holder to
+	// have been sent at the latest, in nanoseconds.
+	earlierCommitAt atomic.Int64
 }
 
 // newFixture acquires the lease for the holder and starts the elector.
@@ -71,7 +74,8 @@
 		OnHeartbeatReply: func(primrosespar.FleetHeartbeatReply, time.Time) {},
 		OnChange:         func(primrosespar.Host, primrosespar.Token, string) {},
 		OnError:          func(string, error) {},
-		Lead: func(ctx context.Context) error {
+		Lead: func(ctx context.Context, earlierCommitAt time.Time) error {
+			f.earlierCommitAt.Store(earlierCommitAt.UnixNano())
 			f.led.Store(true)
 			<-ctx.Done()
 			return ctx.Err()
@@ -141,6 +145,23 @@
 	}
 }
 
+// TestTermCountsFromTheLastCommit guards against a holder that gives up the runs
+// of the earlier one too early, because it counts from before its last commit,
+// or needlessly late.
+func TestTermCountsFromTheLastCommit(t *testing.T) {
+	runWithFixture(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		require.NoError(t, f.holder.Commit(ctx, nil))
+		committedAt := f.holder.ConfirmedAt()
+		time.Sleep(elector.HeartbeatInterval)
+		f.peers.setReply(silence)
+		time.Sleep(takeoverLimit)
+		require.True(t, f.led.Load())
+		counted := time.Unix(0, f.earlierCommitAt.Load()).Sub(committedAt)
+		require.GreaterOrEqual(t, counted, time.Duration(0))
+		require.LessOrEqual(t, counted, elector.HeartbeatInterval)
+	})
+}
+
 // TestHolderThatOnlyWritesKeepsItsLease guards against a takeover by a host
 // whose heartbeats fail while the holder goes on writing the lease row, at the
 // slowest rate that it keeps to.
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -25,20 +25,19 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 )
 
 // Timeouts and limits of the communication with one worker.
 const (
-	// DefaultLease is how long a worker keeps its runs without a renewal. It
-	// covers a change of holder, which takes about 2 s.
-	DefaultLease = 6 * time.Second
 	// pollWait is how long a poll waits at the worker for a run to end; the
 	// platform allows at most 2 s.
 	pollWait = 2 * time.Second
-	// sharedPollWait replaces pollWait while filler tasks share the worker with
-	// tasks that serve users: the tail latency in a report covers half a
-	// second.
-	sharedPollWait = 500 * time.Millisecond
+	// shortPollWait replaces pollWait while filler tasks share the worker with
+	// tasks that serve users, since the tail latency in a report covers half a
+	// second, and while the lease is limited, so that it is renewed soon after
+	// the next confirmed commit.
+	shortPollWait = 500 * time.Millisecond
 	// answerTimeout is how long the answer to a poll may take beyond its wait.
 	answerTimeout = 900 * time.Millisecond
 	// orderTimeout bounds a start, stop or throttle order.
@@ -48,16 +47,14 @@
 	// acknowledgeTimeout bounds the wait until reported ends are stored before
 	// the next poll.
 	acknowledgeTimeout = time.Second
-	// minWorkerClockRate is the slowest rate of a worker's clock.
-	minWorkerClockRate = 0.98
+	// maxReadingAge is how old the last reading of the worker's clock may be for
+	// a start. The lease gets shorter with its age.
+	maxReadingAge = 50 * time.Second
 	// acknowledgeWindow is how long after a report ends may be acknowledged. A
 	// worker that restarts under its name counts its ends from 1 again; it takes
 	// longer than this to restart and to run a task, so that no unread end of
 	// the new lifetime can be acknowledged.
 	acknowledgeWindow = 400 * time.Millisecond
-	// expiryMargin covers the time that a worker needs to kill runs whose lease
-	// has expired.
-	expiryMargin = 300 * time.Millisecond
 	// maxOrdersInFlight bounds the start and stop orders in flight to one
 	// worker.
 	maxOrdersInFlight = 3
@@ -81,6 +78,9 @@
 type Options struct {
 	// Lease is how long the worker keeps its runs without a renewal.
 	Lease time.Duration
+	// ConfirmedAt returns when the last confirmed commit of this holder was
+	// sent.
+	ConfirmedAt func() time.Time
 }
 
 // Option sets one option.
@@ -89,6 +89,12 @@
 // WithLease sets how long the worker keeps its runs without a renewal.
 func WithLease(lease time.Duration) Option { return func(o *Options) { o.Lease = lease } }
 
+// WithConfirmedAt sets the function that returns when the last confirmed commit
+// of this holder was sent. By default all commits are confirmed at once.
+func WithConfirmedAt(confirmedAt func() time.Time) Option {
+	return func(o *Options) { o.ConfirmedAt = confirmedAt }
+}
+
 // Poller polls one worker and sends it orders. It is safe for concurrent use.
 type Poller struct {
 	fleet      primrosespar.Fleet
@@ -119,10 +125,7 @@
 	lastSequence uint64
 	// reportedAt is when the last report was received.
 	reportedAt time.Time
-	// workerClock is the last reading of the worker's clock, received at
-	// workerClockAt.
-	workerClock   time.Duration
-	workerClockAt time.Time
+	lessor     *lessor.Lessor
 	// leaseExpiry is when the last lease that was sent has certainly expired.
 	leaseExpiry time.Time
 }
@@ -132,11 +135,12 @@
 	p := &Poller{
 		fleet: fleet, clock: clock, token: token, sink: sink, info: info, worker: info.Worker,
 		orderSlots: make(chan struct{}, maxOrdersInFlight), wake: make(chan struct{}, 1),
-		opts: Options{Lease: DefaultLease},
+		opts: Options{Lease: lessor.DefaultLease, ConfirmedAt: clock.Now},
 	}
 	for _, opt := range opts {
 		opt(&p.opts)
 	}
+	p.lessor = lessor.New(p.opts.Lease, p.opts.ConfirmedAt)
 	return p
 }
 
@@ -215,7 +219,7 @@
 func (p *Poller) beginLifetime(startedAt time.Time) {
 	p.startedAt = startedAt
 	p.stored, p.acknowledged, p.lastSequence, p.polled = 0, 0, 0, false
-	p.workerClockAt = time.Time{}
+	p.lessor.Forget()
 }
 
 // notify wakes the goroutine of Run after a change.
@@ -274,33 +278,32 @@
 	if p.stored > p.acknowledged && now.Sub(p.reportedAt) > acknowledgeWindow {
 		// The worker may have restarted. This poll confirms its lifetime, the
 		// next one acknowledges.
-		request.LeaseUntil = p.extendLease(now)
+		request.LeaseUntil = p.extendLease(now).Until
 		return request
 	}
 	if p.stored > p.acknowledged {
 		request.Acknowledged = p.stored
 	}
-	request.Wait = pollWait
-	if p.shared {
-		request.Wait = sharedPollWait
+	grant := p.extendLease(now)
+	request.LeaseUntil, request.Wait = grant.Until, pollWait
+	if p.shared || grant.Limited {
+		request.Wait = shortPollWait
 	}
-	request.LeaseUntil = p.extendLease(now)
 	return request
 }
 
-// extendLease returns the end of a lease that starts now, on the worker's
-// clock, and updates leaseExpiry. It returns 0, which leaves the lease as it
-// is, while the worker's clock is unknown. The caller holds the lock.
-func (p *Poller) extendLease(now time.Time) time.Duration {
-	if p.workerClockAt.IsZero() {
-		return 0
+// extendLease returns the lease to send now and updates leaseExpiry. Without one
+// to give it returns the zero value, which leaves the lease as it is. The caller
+// holds the lock.
+func (p *Poller) extendLease(now time.Time) lessor.Grant {
+	grant, ok := p.lessor.Extend(now)
+	if !ok {
+		return lessor.Grant{Limited: grant.Limited}
 	}
-	end := p.workerClock + now.Sub(p.workerClockAt) + p.opts.Lease
-	remaining := time.Duration(float64(end-p.workerClock) / minWorkerClockRate)
-	if leaseExpiry := p.workerClockAt.Add(remaining + expiryMargin); leaseExpiry.After(p.leaseExpiry) {
-		p.leaseExpiry = leaseExpiry
+	if grant.Expiry.After(p.leaseExpiry) {
+		p.leaseExpiry = grant.Expiry
 	}
-	return end
+	return grant
 }
 
 // handleReport records the answer to a poll and returns leaseExpiry.
@@ -314,10 +317,7 @@
 	}
 	p.unresponsive, p.polled = false, true
 	p.reportedAt = p.clock.Now()
-	// The worker read its clock after the poll was sent, and at the end of the
-	// wait if there was one. The time of the answer is later than that, which
-	// makes the lease shorter and the expiry later, so it is safe.
-	p.workerClock, p.workerClockAt = report.Clock, p.reportedAt
+	p.lessor.Observe(report.Clock, p.reportedAt)
 	for _, e := range report.Ended {
 		p.lastSequence = max(p.lastSequence, e.Sequence)
 	}
@@ -367,15 +367,41 @@
 // the worker, address, token and lease of the order.
 func (p *Poller) Start(ctx context.Context, start primrosespar.Start) {
 	p.sendOrder(ctx, func(ctx context.Context, info primrosespar.WorkerInfo) (time.Time, error) {
+		if err := p.refreshClock(ctx, info); err != nil {
+			return time.Time{}, err
+		}
 		p.mu.Lock()
-		leaseUntil := p.extendLease(p.clock.Now())
+		grant := p.extendLease(p.clock.Now())
 		leaseExpiry := p.leaseExpiry
 		p.mu.Unlock()
-		start.Worker, start.Address, start.Token, start.LeaseUntil = p.worker, info.Address, p.token, leaseUntil
+		start.Worker, start.Address, start.Token, start.LeaseUntil = p.worker, info.Address, p.token, grant.Until
 		return leaseExpiry, p.fleet.Start(ctx, start)
 	}, start.Run, true)
 }
 
+// refreshClock polls a worker that has been idle for so long that the reading of
+// its clock is too old for a lease. A failure means that no order was sent.
+func (p *Poller) refreshClock(ctx context.Context, info primrosespar.WorkerInfo) error {
+	p.mu.Lock()
+	fresh := p.lessor.Age(p.clock.Now()) <= maxReadingAge
+	p.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	request := primrosespar.Poll{Worker: p.worker, Address: info.Address, Token: p.token}
+	requestedAt := p.clock.Now()
+	report, err := p.fleet.Poll(ctx, request)
+	if primrosespar.CodeOf(err) == primrosespar.CodeWorkerLost {
+		return primrosespar.Fail(primrosespar.CodePeerUnavailable, "the worker did not report before the start").WithCause(err)
+	}
+	if err != nil {
+		return err
+	}
+	leaseExpiry := p.handleReport(request, report)
+	p.sink.OnReport(p.worker, report, requestedAt, leaseExpiry)
+	return nil
+}
+
 // Stop sends a stop order and passes the result to the sink.
 func (p *Poller) Stop(ctx context.Context, run primrosespar.Run) {
 	p.sendOrder(ctx, func(ctx context.Context, info primrosespar.WorkerInfo) (time.Time, error) {
--- a/internal/fleet/scheduler/crashes_test.go
+++ b/internal/fleet/scheduler/crashes_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
 
@@ -161,7 +162,7 @@
 			h.workers[i].Worker += suffix
 			h.workers[i].StartedAt = h.now.Add(time.Second)
 			next := h.succeed()
-			next.now = next.now.Add(scheduler.DefaultTakeover + time.Second)
+			next.now = next.now.Add(lessor.TakeoverWait(lessor.DefaultLease) + time.Second)
 			next.scheduler.SetWorkers(next.workers, next.now)
 			next.reportAllIdle()
 			return next
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -4,14 +4,11 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 )
 
 // Defaults and limits of scheduling decisions.
 const (
-	// DefaultTakeover is the time after which a run that an earlier holder
-	// started has certainly ended on a worker that does not respond: the
-	// longest lease, with the slowest worker clock.
-	DefaultTakeover = 11 * time.Second
 	// orderRetryDelay is the delay before an unanswered order is repeated.
 	orderRetryDelay = 150 * time.Millisecond
 	// stragglerDelay is how long the remaining members of a gang may take to
@@ -86,9 +83,14 @@
 type Options struct {
 	// WallClock converts a reading of the monotonic clock to wall-clock time.
 	WallClock func(now time.Time) time.Time
-	// Takeover is how long runs that an earlier holder started may live on a
-	// worker that does not respond.
+	// Takeover is how long runs under a lease of an earlier holder, or of an
+	// order that a later lifetime of the worker carries out, may live on a worker
+	// that does not respond.
 	Takeover time.Duration
+	// TakeoverEnd is when runs that earlier holders started have certainly ended
+	// on a worker that does not respond. The zero time means Takeover after the
+	// worker became known.
+	TakeoverEnd time.Time
 	// Reserve is the share of the guarantees that work which is not urgent
 	// leaves free.
 	Reserve float64
@@ -112,6 +114,10 @@
 // WithTakeover sets how long runs that an earlier holder started may live on.
 func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
 
+// WithTakeoverEnd sets when runs that earlier holders started have certainly
+// ended.
+func WithTakeoverEnd(end time.Time) Option { return func(o *Options) { o.TakeoverEnd = end } }
+
 // WithReserve sets the share of the guarantees that work which is not urgent
 // leaves free.
 func WithReserve(share float64) Option { return func(o *Options) { o.Reserve = share } }
@@ -132,7 +138,7 @@
 func applyOptions(opts []Option) Options {
 	o := Options{
 		WallClock:   func(now time.Time) time.Time { return now },
-		Takeover:    DefaultTakeover,
+		Takeover:    lessor.TakeoverWait(lessor.DefaultLease),
 		GangTimeout: DefaultGangTimeout,
 		Reserve:     DefaultReserve,
 		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -54,15 +54,14 @@
 }
 
 // ensureWorker returns the worker and adds it if it is not known. Until it
-// answers a poll, runs that an earlier holder started there may live on for the
-// takeover time.
+// answers a poll, runs that an earlier holder started there may live on until
+// TakeoverEnd.
 func (s *Scheduler) ensureWorker(name primrosespar.Worker, now time.Time) *worker {
 	w := s.workers[name]
 	if w == nil {
-		w = &worker{
-			info:        primrosespar.WorkerInfo{Worker: name},
-			members:     map[primrosespar.Run]*member{},
-			leaseExpiry: now.Add(s.opts.Takeover),
+		w = &worker{info: primrosespar.WorkerInfo{Worker: name}, members: map[primrosespar.Run]*member{}, leaseExpiry: s.opts.TakeoverEnd}
+		if w.leaseExpiry.IsZero() {
+			w.leaseExpiry = now.Add(s.opts.Takeover)
 		}
 		s.workers[name] = w
 	}
