Put a proxy on each link of the soak's hosts

Cause: the soak had a proxy between each host and the store only, one zone, and a check of runs that saw neither two runs behind a cut nor an end that is acknowledged after the next start. A whole region could not be cut off.

Change: hosts and workers belong to regions, and each link of a host to the store, the machine provider, a worker and another host has a proxy (internal/standin/partitioner). The store gives each host the addresses of its own proxies, and tells hosts apart by the address they call from. A cut leaves connections open and silent, in both directions or one; what is under way arrives when it ends. The rows of workers behind a cut are removed after three intervals.

internal/standin/recorder holds all runs with the exact times of starts, ends and acknowledgements, and finds both kinds of TWICE. It takes the place of the two checks at the start: these did not see an acknowledgement after the second start, and counted one after a lapse of the worker's lease, which the rule excepts. Leases are capped at the longest one and lapse on time, and a run ends when it was due, not when it is next looked at.

The messages of hosts to each other still carry their own addresses, so a resigning holder tells its successor past a cut.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -4,28 +4,30 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
-	"primrosespar.example/primrosespar/internal/standin/proxier"
+	"primrosespar.example/primrosespar/internal/standin/partitioner"
 	"primrosespar.example/primrosespar/platform/standin"
 )
 
+// maxPrintedViolations bounds the violations that a soak prints.
+const maxPrintedViolations = 10
+
 // Times of a soak.
 const (
 	// soakSettleTime is how long the hosts have to elect a lease holder.
 	soakSettleTime = 2 * time.Second
 	// soakDrainTimeout is how long the jobs may take to end after the faults.
 	soakDrainTimeout = 45 * time.Second
+	// soakNoteDelay is how long the hosts have to take note of the last ends.
+	soakNoteDelay = time.Second
 	// soakStopTimeout is how long the hosts may take to stop.
 	soakStopTimeout = 8 * time.Second
 )
@@ -38,138 +40,43 @@
 	Load    time.Duration `help:"How long jobs and faults come." default:"20s"`
 	Hosts   int           `help:"Number of hosts." default:"4"`
 	Workers int           `help:"Number of workers." default:"16"`
+	Regions int           `help:"Number of regions, each with a share of the hosts and workers." default:"3"`
+	Lease   time.Duration `help:"Longest lease of a worker." default:"6s"`
 	Rate    float64       `help:"Jobs a second." default:"6"`
 	Keep    string        `help:"Directory for the logs; a temporary one by default." type:"path"`
 	Calm    bool          `help:"Leave the faults out."`
 }
 
-// soakHost is one host with the proxy between it and the store.
-type soakHost struct {
-	name          string
-	callerAddress string
-	proxy         *proxier.Proxier
-	settingsPath  string
-
-	mu    sync.Mutex
-	child *process
-	// stopping is set from the signal that ends the process until its next
-	// start.
-	stopping bool
-}
-
 // soak is one run of the command.
 type soak struct {
 	soakCommand
 	fleet     *standin.Fleet
 	processes *processGroup
+	links     *partitioner.Partitioner
 	hosts     []*soakHost
 	client    *http.Client
 }
 
 // Run starts the hosts, runs the soak and fails if it found a violation.
 func (c *soakCommand) Run() error {
-	dir := c.Keep
-	if dir == "" {
-		var err error
-		if dir, err = os.MkdirTemp("", "soak"); err != nil {
-			return eris.Wrap(err, "create work directory")
-		}
-	} else if err := os.MkdirAll(dir, 0o700); err != nil {
-		return eris.Wrap(err, "create work directory")
-	}
-	fleet, err := standin.New(standin.WithWorkers(c.Workers))
+	dir, err := makeLogDir(c.Keep)
 	if err != nil {
 		return err
 	}
-	defer fleet.Close()
-	s := &soak{
-		soakCommand: *c, fleet: fleet, processes: &processGroup{dir: dir},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+	s, err := newSoak(*c, dir)
+	if err != nil {
+		return err
 	}
+	defer s.close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer s.processes.stop(soakStopTimeout)
-	for i := range c.Hosts {
-		if err := s.addHost(ctx, i, dir); err != nil {
-			return err
-		}
+	if err := s.startHosts(ctx); err != nil {
+		return err
 	}
-	defer func() {
-		for _, h := range s.hosts {
-			h.proxy.Close()
-		}
-	}()
 	time.Sleep(soakSettleTime)
 	return s.run(ctx, dir)
 }
 
-// addHost writes the settings of a host and starts it behind a proxy to the
-// store.
-func (s *soak) addHost(ctx context.Context, index int, dir string) error {
-	proxy, err := proxier.New(s.fleet.StoreAddress())
-	if err != nil {
-		return err
-	}
-	ip := fmt.Sprintf("127.0.1.%d", index+1)
-	firstPort, err := freePorts(ip, 4)
-	if err != nil {
-		return err
-	}
-	h := &soakHost{name: fmt.Sprintf("host-%d", index), proxy: proxy, callerAddress: fmt.Sprintf("%s:%d", ip, firstPort)}
-	h.settingsPath = filepath.Join(dir, h.name+".toml")
-	settings := s.fleet.Settings(standin.HostSettings{
-		Name: h.name, IP: ip, Callers: firstPort, Readiness: firstPort + 1, Peers: firstPort + 2, Store: proxy.Address(),
-	})
-	if err := os.WriteFile(h.settingsPath, []byte(settings), 0o600); err != nil {
-		return eris.Wrap(err, "write settings")
-	}
-	s.hosts = append(s.hosts, h)
-	return s.startHost(ctx, h)
-}
-
-// freePorts returns the first of n consecutive ports that are free when it
-// looks.
-func freePorts(ip string, n int) (int, error) {
-	const maxTries = 50
-	for range maxTries {
-		first, err := listen(ip + ":0")
-		if err != nil {
-			return 0, eris.Wrap(err, "find free port")
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		listeners := []net.Listener{first}
-		for offset := 1; offset < n; offset++ {
-			if l, err := listen(fmt.Sprintf("%s:%d", ip, port+offset)); err == nil {
-				listeners = append(listeners, l)
-			}
-		}
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-		if len(listeners) == n {
-			return port, nil
-		}
-	}
-	return 0, eris.New("found no consecutive free ports")
-}
-
-// listen listens on a loopback address.
-func listen(address string) (net.Listener, error) {
-	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-}
-
-// startHost starts the process of a host and waits until it logs that it has
-// started.
-func (s *soak) startHost(ctx context.Context, h *soakHost) error {
-	child, err := s.processes.start(ctx, h.name, s.Product, []string{"fleet", "--settings", h.settingsPath}, func(line []byte) bool {
-		return strings.Contains(string(line), "host has started")
-	})
-	h.mu.Lock()
-	h.child, h.stopping = child, false
-	h.mu.Unlock()
-	return err
-}
-
 // run runs jobs and faults at the same time, waits for the jobs to end, and
 // checks and prints the result.
 func (s *soak) run(ctx context.Context, dir string) error {
@@ -185,57 +92,39 @@
 	load.drain(ctx, soakDrainTimeout)
 	faults.checkWaves(soakDrainTimeout)
 	writes, reads := s.fleet.Store().Calls()
-	violations := s.fleet.Violations()
-	fmt.Printf("seed %d: %d jobs (%d accepted, %d refused, %d with a known state), %d starts, %d store writes, %d reads, %d violations, %s\n",
-		s.Seed, load.jobCount, load.accepted(), load.refused(), load.reported(), s.fleet.Starts(), writes, reads, len(violations),
-		time.Since(start).Round(time.Second))
-	for i, violation := range violations {
-		if i == 10 {
-			break
-		}
-		fmt.Println("  violation:", violation)
-	}
-	if len(violations) > 0 {
-		fmt.Println("  logs:", dir)
-		return eris.Errorf("seed %d: %d violations", s.Seed, len(violations))
-	}
-	if s.Keep == "" {
-		_ = os.RemoveAll(dir)
-	}
-	return nil
+	return s.report(fmt.Sprintf("seed %d: %d jobs (%d accepted, %d refused, %d with a known state), %d starts, %d store writes, %d reads, %s",
+		s.Seed, load.jobCount, load.accepted(), load.refused(), load.reported(), s.fleet.Starts(), writes, reads,
+		time.Since(start).Round(time.Second)), dir)
 }
 
-// signal sends a signal to the process of the host, if it is running.
-func (h *soakHost) signal(sig syscall.Signal) {
-	if child := h.runningProcess(); child != nil {
-		child.signal(sig)
+// makeLogDir creates the directory for the logs, a temporary one if none is
+// given.
+func makeLogDir(keep string) (string, error) {
+	if keep == "" {
+		dir, err := os.MkdirTemp("", "soak")
+		return dir, eris.Wrap(err, "create log directory")
 	}
+	return keep, eris.Wrap(os.MkdirAll(keep, 0o700), "create log directory")
 }
 
-// beginStop marks the process as stopping and returns it, or nil if it is not
-// running or already stopping.
-func (h *soakHost) beginStop() *process {
-	child := h.runningProcess()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if child == nil || h.stopping {
-		return nil
+// report prints the result and fails if there are violations. The logs and the
+// record of all runs stay then, and if they are to be kept.
+func (s *soak) report(result, dir string) error {
+	time.Sleep(soakNoteDelay)
+	violations := s.fleet.Violations()
+	fmt.Printf("%s, %d violations\n", result, len(violations))
+	for _, violation := range violations[:min(len(violations), maxPrintedViolations)] {
+		fmt.Println("  violation:", violation)
 	}
-	h.stopping = true
-	return child
-}
-
-// runningProcess returns the process of the host, or nil if it has ended.
-func (h *soakHost) runningProcess() *process {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.child == nil {
-		return nil
+	if len(violations) == 0 && s.Keep == "" {
+		return eris.Wrap(os.RemoveAll(dir), "remove logs")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "record.txt"), []byte(strings.Join(s.fleet.Record(), "\n")+"\n"), 0o600); err != nil {
+		return eris.Wrap(err, "write record")
 	}
-	select {
-	case <-h.child.done:
-		return nil
-	default:
-		return h.child
+	fmt.Println("  logs:", dir)
+	if len(violations) > 0 {
+		return eris.Errorf("%d violations", len(violations))
 	}
+	return nil
 }
--- a/cmd/standin/soakload.go
+++ b/cmd/standin/soakload.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -141,36 +140,11 @@
 	}
 }
 
-// call makes one call and returns the status and body of the response. The
-// status is 0 if there is no complete response.
-func (l *soakLoad) call(ctx context.Context, method, path, body string, hostIndex int) (int, string) {
-	ctx, cancel := context.WithTimeout(ctx, soakTimeout)
-	defer cancel()
-	h := l.soak.hosts[hostIndex%len(l.soak.hosts)]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.callerAddress+path, strings.NewReader(body))
-	if err != nil {
-		return 0, ""
-	}
-	req.Host = standin.QueueHost
-	req.Header.Set("X-Api-Key", standin.APIKey)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(soakTimeout.Milliseconds()))
-	resp, err := l.soak.client.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, string(data)
-}
-
 // submit submits a job and repeats the call at another host until it is
 // accepted or soakAttempts is reached.
 func (l *soakLoad) submit(ctx context.Context, j *soakJob, hostIndex int) {
 	for attempt := range soakAttempts {
-		status, _ := l.call(ctx, http.MethodPost, j.queuePrefix+j.id, j.body, hostIndex+attempt)
+		status, _ := l.soak.call(ctx, http.MethodPost, j.queuePrefix+j.id, j.body, hostIndex+attempt)
 		l.mu.Lock()
 		switch status {
 		case http.StatusOK:
@@ -196,7 +170,7 @@
 	j.cancelled = true
 	l.mu.Unlock()
 	for attempt := range soakAttempts {
-		status, _ := l.call(ctx, http.MethodDelete, j.queuePrefix+j.id, "", hostIndex+attempt)
+		status, _ := l.soak.call(ctx, http.MethodDelete, j.queuePrefix+j.id, "", hostIndex+attempt)
 		if status == http.StatusOK {
 			l.soak.fleet.RecordCancellation(j.id)
 			return
@@ -230,7 +204,7 @@
 
 // pollState requests the state of a job from a host.
 func (l *soakLoad) pollState(ctx context.Context, j *soakJob, hostIndex int) {
-	status, body := l.call(ctx, http.MethodGet, j.queuePrefix+j.id, "", hostIndex)
+	status, body := l.soak.call(ctx, http.MethodGet, j.queuePrefix+j.id, "", hostIndex)
 	if status == http.StatusGone && time.Since(j.acceptedAt) > soakVisibilityDelay {
 		l.soak.fleet.ReportViolation("job %s: accepted, but unknown %v later", j.id, time.Since(j.acceptedAt))
 		j.state = "failed"
