Show tasks that run twice while their region is cut off

Cause: as in KNOWN-RED 9: the holder behind the cut renews the leases of its workers for as long as the cut lasts, while the next holder starts their tasks again.

Change: bin/standin cut starts tasks of 14 s and of 7 s in the region of the holder, cuts that region off for 14 s and judges the runs.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,6 +9,7 @@
 //	standin demo
 //	standin trial --seed 1 --faults store --load 30s
 //	standin soak --seed 1 --load 30s
+//	standin cut --cut 14s
 //	standin compare --workers 350 --seeds 5 --plot waits.svg
 //
 // The first two print one JSON line with their addresses and run until SIGTERM.
@@ -42,6 +43,7 @@
 	Platform platformCommand `cmd:"" help:"Play the table, the object store, the host list and the workers."`
 	Upstream upstreamCommand `cmd:"" help:"Play service runners, one listener each."`
 	Compare  compareCommand  `cmd:"" help:"Compare policies of the fleet scheduler over seeds in virtual time."`
+	Cut      cutCommand      `cmd:"" help:"Cut the region of the lease holder off while its tasks run and judge the runs."`
 	Demo     demoCommand     `cmd:"" help:"Run both example deployments with faults and count what happened."`
 	Soak     soakCommand     `cmd:"" help:"Run hosts of the fleet scheduler under seeded faults and judge what callers and workers see."`
 	Trial    trialCommand    `cmd:"" help:"Run one deployment under seeded faults and judge the recorded history."`
