Count a missing run as a crash only in a new lifetime

Seen by callers: a job was shown as failed some seconds after it was accepted.

Cause: a run that an earlier holder had placed and that its worker did not list counted as a crash of the worker, also when the earlier holder was killed before it sent the start. The fourth gave the task up.

Change: the record of a run keeps a mark of the lifetime of each worker that it was placed in. A missing run counts only if the worker's lifetime has another mark. Ruled out: comparing the worker's start with the time of acceptance, which needs no stored byte, gives up long-lived and repeated jobs once all workers have restarted since (TestRestartBeforeStartIsNoCrash), and depends on the hosts' time of day. Two lifetimes share a mark in one of 127 cases; the budget has a start to spare for a crash that is overlooked so.

The same elsewhere: a worker that was cut off until its leases expired, and that the platform did not list, counts as crashed; the holder that counted it took this back, the next one did not. Harness: the next holder reads its jobs through the encoder and before the list of workers, as real ones do.

--- a/internal/fleet/encoder/encoder.go
+++ b/internal/fleet/encoder/encoder.go
@@ -54,7 +54,8 @@
 	Failed     []uint64
 	Checkpoint string
 	// Workers holds the workers of the current run's members, in the order of
-	// the tasks.
+	// the tasks. One more entry after them marks the lifetimes that the run was
+	// placed in, a character each; earlier releases ignore it.
 	Workers []primrosespar.Worker
 }
 
--- a/internal/fleet/scheduler/crashes.go
+++ b/internal/fleet/scheduler/crashes.go
@@ -52,6 +52,8 @@
 	unit  *unit
 	index int
 	run   uint64
+	// lifetime is the lifetime of the worker that the run was placed in.
+	lifetime lifetimeMark
 	// fresh is set if this holder sent the start order and the worker did not
 	// list the run later than startWindow after that, so that the start may have
 	// caused the crash.
@@ -61,7 +63,7 @@
 // newLostRun returns the run of a member.
 func newLostRun(m *member) lostRun {
 	fresh := m.phase != restored && m.seenAt.Before(m.unit.firstSentAt.Add(startWindow))
-	return lostRun{unit: m.unit, index: m.index - m.unit.firstIndex, run: m.run, fresh: fresh}
+	return lostRun{unit: m.unit, index: m.index - m.unit.firstIndex, run: m.run, lifetime: m.lifetime, fresh: fresh}
 }
 
 // lostRuns returns those of the runs on one worker that its crash may be related
@@ -165,9 +167,9 @@
 			delete(s.crashedAt, address)
 		}
 	}
-	for address, lost := range s.lostContacts {
+	for key, lost := range s.lostContacts {
 		if now.Sub(lost.at) >= crashMemory {
-			delete(s.lostContacts, address)
+			delete(s.lostContacts, key)
 		}
 	}
 }
--- a/internal/fleet/scheduler/crashes_test.go
+++ b/internal/fleet/scheduler/crashes_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
 
@@ -42,8 +43,16 @@
 func (h *harness) succeed() *harness {
 	next := newHarness(h.t, len(h.workers)/workersPerRack)
 	next.now, next.workers = h.now, h.workers
+	next.scheduler = scheduler.New()
+	next.scheduler.SetCatalog(testCatalog())
+	enc, err := encoder.New()
+	require.NoError(h.t, err)
 	for id, record := range h.records {
-		next.scheduler.Restore(*record.Submission, record.Progress, h.now)
+		data, err := enc.Progress(record.Progress)
+		require.NoError(h.t, err)
+		progress, err := enc.ParseProgress(data)
+		require.NoError(h.t, err)
+		next.scheduler.Restore(*record.Submission, progress, h.now)
 		next.records[id] = record
 	}
 	next.scheduler.SetWorkers(next.workers, next.now)
@@ -324,3 +333,94 @@
 	}
 	require.Equal(t, primrosespar.JobActive, h.state())
 }
+
+// TestUnsentStartIsNoCrash guards against a job that is given up although its
+// workers are sound: its holders were killed after they had stored a start and
+// before they sent it.
+func TestUnsentStartIsNoCrash(t *testing.T) {
+	for _, step := range []primrosespar.Step{
+		{Count: 2, Need: needAccelerators(1)},
+		{Count: 2, Need: needAccelerators(8), Gang: true},
+		{Count: 1, Need: needAccelerators(1), LongRunning: true},
+	} {
+		h := newHarness(t, 2)
+		h.reportAllIdle()
+		h.scheduler.Submit(job("a", "plain", step), h.now)
+		for range 2 * maxStartsOfDeadlyTask {
+			require.NotEmpty(t, h.plan().Starts)
+			h = h.succeed()
+			h.now = h.now.Add(time.Second)
+			h.reportAllIdle()
+		}
+		require.Equal(t, primrosespar.JobActive, h.state())
+		view, _ := h.scheduler.Explain("a", h.now)
+		require.Zero(t, view.Steps[0].Crashes)
+	}
+}
+
+// TestRestartBeforeStartIsNoCrash guards against a job that is given up because
+// its workers had restarted after it was accepted and before it was placed.
+func TestRestartBeforeStartIsNoCrash(t *testing.T) {
+	h := newHarness(t, 2)
+	h.reportAllIdle()
+	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1)}), h.now)
+	for range 2 * maxStartsOfDeadlyTask {
+		h.now = h.now.Add(time.Minute)
+		for i := range h.workers {
+			h.workers[i].StartedAt = h.now
+		}
+		h.scheduler.SetWorkers(h.workers, h.now)
+		h.reportAllIdle()
+		require.NotEmpty(t, h.plan().Starts)
+		h = h.succeed()
+		h.now = h.now.Add(time.Second)
+		h.reportAllIdle()
+	}
+	require.Equal(t, primrosespar.JobActive, h.state())
+}
+
+// TestCutOffWorkerIsNoCrashAcrossHolders guards against a job that is given up
+// because its workers were cut off until the leases had expired, while the
+// holder that had counted this as a crash was replaced.
+func TestCutOffWorkerIsNoCrashAcrossHolders(t *testing.T) {
+	h := newHarness(t, 2)
+	h.reportAllIdle()
+	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1)}), h.now)
+	all := h.workers
+	for run := range uint64(2 * maxStartsOfDeadlyTask) {
+		start, ok := h.startOne(run, 0)
+		require.True(t, ok, "run %d", run+1)
+		i := h.workerIndex(start.Worker)
+		h.workers = append(append([]primrosespar.WorkerInfo(nil), all[:i]...), all[i+1:]...)
+		h = h.succeed()
+		h.now = h.now.Add(scheduler.DefaultTakeover + time.Second)
+		h.plan()
+		h.workers = all
+		h = h.succeed()
+		h.report(i, nil, primrosespar.EndedRun{Sequence: run + 1, Run: start.Run, End: primrosespar.EndLeaseExpired})
+	}
+	require.Equal(t, primrosespar.JobActive, h.state())
+}
+
+// TestUnsentStartOnCutOffWorkerIsNoCrash guards against a crash that stays
+// counted to a start that was never sent: its worker was cut off before this
+// holder knew its address, and reports again in the same lifetime.
+func TestUnsentStartOnCutOffWorkerIsNoCrash(t *testing.T) {
+	h := newHarness(t, 2)
+	h.reportAllIdle()
+	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1)}), h.now)
+	starts := h.plan().Starts
+	require.Len(t, starts, 1)
+	all, i := h.workers, h.workerIndex(starts[0].Worker)
+	h.workers = append(append([]primrosespar.WorkerInfo(nil), all[:i]...), all[i+1:]...)
+	h = h.succeed()
+	h.now = h.now.Add(scheduler.DefaultTakeover + time.Second)
+	h.plan()
+	view, _ := h.scheduler.Explain("a", h.now)
+	require.Equal(t, 1, view.Steps[0].Crashes, "nothing tells it from a crash yet")
+	h.workers = all
+	h.scheduler.SetWorkers(h.workers, h.now)
+	h.report(i, nil)
+	view, _ = h.scheduler.Explain("a", h.now)
+	require.Zero(t, view.Steps[0].Crashes)
+}
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -234,7 +234,10 @@
 			continue
 		}
 		w := s.ensureWorker(name, now)
-		m := &member{unit: u, index: u.firstIndex + i, run: u.run, worker: w, phase: restored, answeredAt: now}
+		m := &member{
+			unit: u, index: u.firstIndex + i, run: u.run, worker: w, phase: restored, answeredAt: now,
+			lifetime: u.storedLifetime(stored, i),
+		}
 		s.attach(m)
 	}
 	if u.phase == encoder.Placed && len(u.members) == 0 {
@@ -371,16 +374,12 @@
 
 // progress returns the stored form of a unit.
 func (u *unit) progress() encoder.Unit {
-	progress := encoder.Unit{Phase: u.phase, Run: u.run, Failed: u.storedFailures(), Checkpoint: u.checkpoint}
+	progress := encoder.Unit{
+		Phase: u.phase, Run: u.run, Failed: u.storedFailures(), Checkpoint: u.checkpoint, Workers: u.storedWorkers(),
+	}
 	if u.phase == encoder.Done {
 		progress.Checkpoint = ""
 	}
-	if len(u.members) > 0 {
-		progress.Workers = make([]primrosespar.Worker, u.size)
-		for _, m := range u.members {
-			progress.Workers[m.index-u.firstIndex] = m.worker.info.Worker
-		}
-	}
 	return progress
 }
 
--- a/internal/fleet/scheduler/lostcontacts.go
+++ b/internal/fleet/scheduler/lostcontacts.go
@@ -16,6 +16,21 @@
 	runs      []lostRun
 }
 
+// contact identifies where a worker that lost contact may be heard of again: at
+// its address or, if this holder never knew it, under its name.
+type contact struct {
+	address netip.AddrPort
+	worker  primrosespar.Worker
+}
+
+// contact returns where the worker may be heard of again.
+func (w *worker) contact() contact {
+	if w.info.Address.IsValid() {
+		return contact{address: w.info.Address}
+	}
+	return contact{worker: w.info.Worker}
+}
+
 // recordLostContact records that the leases of runs on the worker have expired.
 // Until its address answers again a worker that the platform does not list any
 // more is taken for crashed.
@@ -24,16 +39,14 @@
 	if w.plannedToEnd() || len(runs) == 0 {
 		return
 	}
-	if address := w.info.Address; address.IsValid() {
-		lost := lostContact{at: now, worker: w.info.Worker, startedAt: w.info.StartedAt, runs: runs}
-		if w.startedAt.After(lost.startedAt) {
-			lost.startedAt = w.startedAt
-		}
-		if earlier, ok := s.lostContacts[address]; ok && earlier.worker == lost.worker {
-			lost.runs = append(earlier.runs, runs...)
-		}
-		s.lostContacts[address] = lost
+	lost := lostContact{at: now, worker: w.info.Worker, startedAt: w.info.StartedAt, runs: runs}
+	if w.startedAt.After(lost.startedAt) {
+		lost.startedAt = w.startedAt
+	}
+	if earlier, ok := s.lostContacts[w.contact()]; ok && earlier.worker == lost.worker {
+		lost.runs = append(earlier.runs, runs...)
 	}
+	s.lostContacts[w.contact()] = lost
 	if w.announced {
 		return
 	}
@@ -45,8 +58,9 @@
 // resolveLostContact counts the crash of the worker that lost contact at the
 // address, if any: a later lifetime answers there.
 func (s *Scheduler) resolveLostContact(address netip.AddrPort, now time.Time) {
-	if lost, ok := s.lostContacts[address]; ok {
-		delete(s.lostContacts, address)
+	key := contact{address: address}
+	if lost, ok := s.lostContacts[key]; ok {
+		delete(s.lostContacts, key)
 		s.countCrash(lost.worker, address, lost.runs, now)
 	}
 }
@@ -54,20 +68,26 @@
 // observeAnnouncement counts the crash of the worker that lost contact, if any,
 // if a later lifetime is announced at its address.
 func (s *Scheduler) observeAnnouncement(info primrosespar.WorkerInfo, now time.Time) {
-	if lost, ok := s.lostContacts[info.Address]; ok && info.StartedAt.After(lost.startedAt) {
+	if lost, ok := s.lostContacts[contact{address: info.Address}]; ok && info.StartedAt.After(lost.startedAt) {
 		s.resolveLostContact(info.Address, now)
 	}
 }
 
 // observeReport forgets the lost contact with a worker that was only cut off
-// and reports again.
+// and reports again. For a worker whose address was not known, the mark of the
+// run tells whether it is the same lifetime.
 func (s *Scheduler) observeReport(w *worker) {
-	lost, ok := s.lostContacts[w.info.Address]
-	if !ok || !lost.startedAt.Equal(w.startedAt) {
-		return
+	if key := w.contact(); s.lostContacts[key].startedAt.Equal(w.startedAt) {
+		for _, r := range s.lostContacts[key].runs {
+			s.forgetCrash(r)
+		}
+		delete(s.lostContacts, key)
 	}
-	for _, r := range lost.runs {
-		s.forgetCrash(r)
+	unknown := contact{worker: w.info.Worker}
+	for _, r := range s.lostContacts[unknown].runs {
+		if r.lifetime == markLifetime(w.startedAt) {
+			s.forgetCrash(r)
+		}
 	}
-	delete(s.lostContacts, w.info.Address)
+	delete(s.lostContacts, unknown)
 }
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -30,6 +30,8 @@
 	run    uint64
 	worker *worker
 	phase  memberPhase
+	// lifetime is the lifetime of the worker that the member was placed in.
+	lifetime lifetimeMark
 	// inFlight is set while an order for the member is in flight. unanswered is
 	// set when a start order got no answer and may still be carried out.
 	inFlight   bool
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -307,7 +307,7 @@
 	u.run++
 	u.placedAt, u.progressAt, u.firstEndAt, u.firstSentAt = now, now, time.Time{}, time.Time{}
 	for i, w := range workers {
-		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w})
+		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w, lifetime: markLifetime(w.startedAt)})
 		if u.suspected() {
 			w.probationUntil = now.Add(probationTime)
 		}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -49,7 +49,7 @@
 	// crashedAt holds when a worker last crashed at an address, and lostContacts
 	// the runs that may have ended with a worker.
 	crashedAt    map[netip.AddrPort]time.Time
-	lostContacts map[netip.AddrPort]lostContact
+	lostContacts map[contact]lostContact
 	// claimants are the units that hold claims on freed capacity.
 	claimants map[*unit]bool
 	// capacityVersion counts the events after which a blocked unit may fit.
@@ -162,7 +162,7 @@
 		urgentAccelerators: map[primrosespar.Account]int{},
 		acknowledged:       map[primrosespar.Worker]Acknowledgement{},
 		crashedAt:          map[netip.AddrPort]time.Time{},
-		lostContacts:       map[netip.AddrPort]lostContact{},
+		lostContacts:       map[contact]lostContact{},
 
 		claimants: map[*unit]bool{},
 		replaced:  map[primrosespar.Worker]time.Time{},
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -228,8 +228,8 @@
 	for run, m := range w.members {
 		if !listed[run] && !m.unanswered && !m.inFlight && !m.answeredAt.IsZero() && m.answeredAt.Before(requestedAt) {
 			s.logEvent("run_missing", m.unit.step.occurrence.job, w, m.run, "worker does not list the run")
-			if m.phase == restored {
-				// The worker may have restarted before this holder knew it.
+			if m.phase == restored && w.restartedSince(m.lifetime) {
+				// Otherwise an earlier holder may never have sent the start.
 				s.countRunCrash(w.info.Worker, newLostRun(m), false, now)
 			}
 			s.endMember(m, "", "", now)
@@ -247,12 +247,16 @@
 	if known {
 		return
 	}
+	u := s.findUnit(ended.Run.Task)
+	if u != nil {
+		s.observeEnd(u, ended)
+	}
 	if m := w.members[ended.Run]; m != nil {
 		s.logEvent("run_ended", m.unit.step.occurrence.job, w, m.run, string(ended.End))
 		s.endMember(m, ended.End, ended.Checkpoint, now)
 		return
 	}
-	if u := s.findUnit(ended.Run.Task); u != nil && !u.step.spec.LongRunning {
+	if u != nil && !u.step.spec.LongRunning {
 		s.handleLateEnd(u, ended, now)
 	}
 }
