Set a refused or unreadable job aside instead of ending the term

A job whose progress could not be decoded was said not to exist, and began anew when its submission arrived again.

Cause: a commit is refused as a whole, and each failed commit ends the term. Rows that could not be decoded were skipped when the jobs were loaded.

Change: the committer takes groups of writes and narrows a refused transaction by halves to the groups that the table refuses. If nothing is accepted, the lease row alone is tried; if that is refused too, the term ends as before. A job that was not accepted yet is rejected (set_aside, 422, not run), also by hosts that would use the inbox otherwise. One that was accepted, by the inbox or earlier, fails with a small record, and acknowledgements wait for that record. If the store refuses that record as well, the job is left as stored. A refused maintenance wave loses its orders only. Each of these is logged as job_set_aside or as an error. A stored job that cannot be decoded stays known and shown as active (its submission is deleted when it ends), is not scheduled, not begun anew, keeps its rows and can be cancelled.

--- a/code.go
+++ b/code.go
@@ -78,6 +78,7 @@
 	CodeStartTimeout     Code = 507
 	CodeGuaranteeReserve Code = 508
 	CodeBackfilled       Code = 509
+	CodeSetAside         Code = 510
 
 	CodeGuaranteesDontPack Code = 600
 	CodeVersionConflict    Code = 601
@@ -183,6 +184,7 @@
 		{CodeStartTimeout, "start_timeout", 0, exitOK, "Not all members were ready in time and all members were stopped."},
 		{CodeGuaranteeReserve, "guarantee_reserve", 0, exitOK, "Free accelerators are reserved for a guarantee of another account."},
 		{CodeBackfilled, "backfilled", 0, exitOK, "The job was placed ahead of an older job that does not fit yet."},
+		{CodeSetAside, "set_aside", 422, exitRefused, "The store refuses the rows of the job for good. A job that was not accepted before never runs."},
 
 		{CodeGuaranteesDontPack, "guarantees_dont_pack", 409, exitConflict, "The place cannot hold the guarantees of all accounts at once. Nothing was applied."},
 		{CodeVersionConflict, "version_conflict", 409, exitConflict, "The contract was amended after the version that the amendment names. Nothing was applied."},
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -10,17 +10,22 @@
 //	seen, err := c.Read(ctx)
 //	err = c.Acquire(ctx, seen)
 //	err = c.Commit(ctx, writes)
+//	refused, err := c.CommitGroups(ctx, groups)
 //	err = c.Release(ctx)
 //
-// Commit returns only once the outcome is known: a commit without an answer is
-// repeated unchanged until the table confirms or denies it. It fails with
+// Both return only once the outcome is known: a commit without an answer is
+// repeated unchanged until the table confirms or denies it. They fail with
 // CodeLeaseLost if another host has acquired the lease, and with the error of
 // the context if that ends first.
+//
+// CommitGroups narrows a transaction that the table refuses for good to the
+// groups of writes that it refuses. The others are stored.
 package committer
 
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -140,18 +145,91 @@
 	c.version.Store(uint64(lease.Version))
 }
 
-// Commit stores the writes. If they exceed the limits of a transaction, they
-// are split over several.
+// CommitGroups stores groups of writes, several in one transaction. A group that
+// exceeds the limits of a transaction is split over several, in order. It
+// returns the groups that the table refuses for good, by index, with the
+// reason. Of such a group a part may be stored if it needs several
+// transactions.
+func (c *Committer) CommitGroups(ctx context.Context, groups [][]primrosespar.Write) (map[int]error, error) {
+	if len(groups) == 0 {
+		return nil, c.commitNext(ctx, nil)
+	}
+	n := narrowing{groups: groups}
+	for first := 0; first < len(groups); {
+		last := first + fittingGroups(groups[first:])
+		if err := c.commitGroups(ctx, &n, first, last); err != nil {
+			return nil, err
+		}
+		first = last
+	}
+	if len(n.refused) > 0 && !n.accepted {
+		// The lease row itself may be what the table refuses.
+		if err := c.commitNext(ctx, nil); err != nil {
+			return nil, err
+		}
+	}
+	return n.refused, nil
+}
+
+// narrowing is a commit of several groups of writes.
+type narrowing struct {
+	groups [][]primrosespar.Write
+	// refused holds the groups that the table refuses, accepted is set once it
+	// has accepted a transaction.
+	refused  map[int]error
+	accepted bool
+}
+
+// fittingGroups returns how many of the groups fit into one transaction, at
+// least 1.
+func fittingGroups(groups [][]primrosespar.Write) int {
+	rows, size := 0, 0
+	for i, group := range groups {
+		rows += len(group)
+		for _, w := range group {
+			size += len(w.Value)
+		}
+		if i > 0 && (rows > MaxWrites || size > maxBytes) {
+			return i
+		}
+	}
+	return len(groups)
+}
+
+// commitGroups stores the groups from first up to last. If the table refuses
+// them together, it is tried with each half.
+func (c *Committer) commitGroups(ctx context.Context, n *narrowing, first, last int) error {
+	err := c.Commit(ctx, slices.Concat(n.groups[first:last]...))
+	switch {
+	case err == nil:
+		n.accepted = true
+		return nil
+	case primrosespar.CodeOf(err) != primrosespar.CodeBadRequest:
+		return err
+	case last-first == 1:
+		if n.refused == nil {
+			n.refused = map[int]error{}
+		}
+		n.refused[first] = err
+		return nil
+	}
+	middle := (first + last) / 2
+	if err := c.commitGroups(ctx, n, first, middle); err != nil {
+		return err
+	}
+	return c.commitGroups(ctx, n, middle, last)
+}
+
+// Commit stores the writes. If they exceed the limits of a transaction,
+// they are split over several.
 func (c *Committer) Commit(ctx context.Context, writes []primrosespar.Write) error {
 	for {
 		n, size := 0, 0
-		for n < len(writes) && n < MaxWrites && size < maxBytes {
+		for n < len(writes) && n < MaxWrites && (n == 0 || size+len(writes[n].Value) <= maxBytes) {
 			size += len(writes[n].Value)
 			n++
 		}
-		next := c.lease
-		next.Sequence++
-		if err := c.commitWithLease(ctx, next, writes[:n]); err != nil {
+		if err := c.commitNext(ctx, writes[:n]); err != nil {
 			return err
 		}
 		if writes = writes[n:]; len(writes) == 0 {
@@ -160,6 +238,13 @@
 	}
 }
 
+// commitNext makes the next transaction of the lease.
+func (c *Committer) commitNext(ctx context.Context, writes []primrosespar.Write) error {
+	next := c.lease
+	next.Sequence++
+	return c.commitWithLease(ctx, next, writes)
+}
+
 // Release releases the lease so that another host can acquire it at once.
 func (c *Committer) Release(ctx context.Context) error {
 	next := c.lease
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -186,3 +186,53 @@
 		require.Equal(t, 1, table.commits)
 	})
 }
+
+// pickyTable refuses transactions with certain keys for good.
+type pickyTable struct {
+	*keeper.Keeper
+	refused map[string]bool
+}
+
+// Commit implements primrosespar.Table.
+func (s *pickyTable) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
+	for _, w := range txn.Writes {
+		if s.refused[w.Key] {
+			return nil, primrosespar.Fail(primrosespar.CodeBadRequest, "refused")
+		}
+	}
+	return s.Keeper.Commit(ctx, txn)
+}
+
+// TestRefusedCommitIsNarrowed guards against writes that are not stored because
+// of others in their transaction, and against blaming them if it is the lease
+// row that the table refuses.
+func TestRefusedCommitIsNarrowed(t *testing.T) {
+	ctx := t.Context()
+	table := &pickyTable{Keeper: keeper.New(keeper.WithClock(clockwork.NewRealClock())), refused: map[string]bool{}}
+	c := newCommitter(table, "a")
+	seen, err := c.Read(ctx)
+	require.NoError(t, err)
+	require.NoError(t, c.Acquire(ctx, seen))
+	var groups [][]primrosespar.Write
+	for i := range 120 {
+		key := "progress/" + string(rune('A'+i))
+		groups = append(groups, []primrosespar.Write{{Key: key, Value: []byte("x")}, {Key: key + "2", Value: []byte("y")}})
+	}
+	for _, i := range []int{0, 7, 8, 119} {
+		table.refused[groups[i][1].Key] = true
+	}
+	refused, err := c.CommitGroups(ctx, groups)
+	require.NoError(t, err)
+	require.Len(t, refused, 4)
+	for i, group := range groups {
+		rows, err := table.Get(ctx, group[0].Key, group[1].Key)
+		require.NoError(t, err)
+		stored := !table.refused[group[1].Key]
+		require.Equal(t, !stored, refused[i] != nil, "group %d", i)
+		require.Equal(t, stored, rows[0].Version > 0 && rows[1].Version > 0, "group %d", i)
+	}
+	table.refused[primrosespar.FleetLeaseKey()] = true
+	refused, err = c.CommitGroups(ctx, groups[:1])
+	require.Empty(t, refused)
+	require.Equal(t, primrosespar.CodeBadRequest, primrosespar.CodeOf(err))
+}
--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -30,6 +30,10 @@
 	// are sent once they are stored.
 	waves             map[int]maintainer.Record
 	maintenanceOrders []maintainer.Order
+	// fromInbox are the jobs whose messages in the inbox are deleted with their
+	// records, refused those that the store refuses for good, with the reason.
+	fromInbox map[primrosespar.JobID]bool
+	refused   map[primrosespar.JobID]error
 }
 
 // newBatch returns an empty batch.
@@ -41,6 +45,8 @@
 		waves:        map[int]maintainer.Record{},
 		replies:      map[primrosespar.JobID][]func(error){},
 		submitted:    map[primrosespar.JobID]bool{},
+		fromInbox:    map[primrosespar.JobID]bool{},
+		refused:      map[primrosespar.JobID]error{},
 	}
 }
 
@@ -192,41 +198,73 @@
 	}
 }
 
+// writeGroup is the writes of a commit that are stored or refused together.
+type writeGroup struct {
+	// job is the job that the writes belong to, if any, and wave the maintenance
+	// wave.
+	job    primrosespar.JobID
+	wave   int
+	writes []primrosespar.Write
+}
+
 // encodeBatch returns the writes of the batch in the order in which they have
-// to be stored.
-func (c *Controller) encodeBatch(b *batch) ([]primrosespar.Write, error) {
-	var writes []primrosespar.Write
+// to be stored. Records that cannot be encoded go to the refused ones of the
+// batch.
+func (c *Controller) encodeBatch(b *batch) []writeGroup {
+	groups := make([]writeGroup, 0, len(b.order)+len(b.waves)+1)
 	for _, id := range b.order {
-		r := b.records[id]
-		progress, err := c.encoder.Progress(r.Progress)
+		writes, err := c.encodeRecord(b, b.records[id])
 		if err != nil {
-			return nil, err
-		}
-		finished := r.Progress.State.Ended() && len(r.Progress.Occurrences) == 0
-		if !finished && r.Submission != nil {
-			// The submission comes first: a large batch is split, and progress
-			// without its submission could not be taken over.
-			submission, err := c.encoder.Submission(*r.Submission)
-			if err != nil {
-				return nil, err
-			}
-			writes = append(writes, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Value: submission})
-		}
-		writes = append(writes, primrosespar.Write{Key: primrosespar.ProgressKey(id), Value: progress})
-		if finished && r.Submission == nil {
-			// An ended job no longer needs its submission.
-			writes = append(writes, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Delete: true})
+			b.refused[id] = err
+			continue
 		}
+		groups = append(groups, writeGroup{job: id, writes: writes})
 	}
 	for _, number := range slices.Sorted(maps.Keys(b.waves)) {
 		w, err := c.encodeWave(b.waves[number])
 		if err != nil {
-			return nil, err
+			c.refuseWave(b, number, err)
+			continue
 		}
-		writes = append(writes, w)
+		groups = append(groups, writeGroup{wave: number, writes: []primrosespar.Write{w}})
 	}
+	var deletions []primrosespar.Write
 	for _, key := range slices.Sorted(maps.Keys(b.deletedKeys)) {
-		writes = append(writes, primrosespar.Write{Key: key, Delete: true})
+		deletions = append(deletions, primrosespar.Write{Key: key, Delete: true})
+	}
+	if len(deletions) > 0 {
+		groups = append(groups, writeGroup{writes: deletions})
+	}
+	return groups
+}
+
+// encodeRecord returns the writes of the record of a job.
+func (c *Controller) encodeRecord(b *batch, r scheduler.Record) ([]primrosespar.Write, error) {
+	var writes []primrosespar.Write
+	progress, err := c.encoder.Progress(r.Progress)
+	if err != nil {
+		return nil, err
+	}
+	finished := r.Progress.State.Ended() && len(r.Progress.Occurrences) == 0
+	if !finished && r.Submission != nil {
+		// The submission comes first: a large batch is split, and progress
+		// without its submission could not be taken over.
+		submission, err := c.encoder.Submission(*r.Submission)
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, primrosespar.Write{Key: primrosespar.SubmissionKey(r.Job), Value: submission})
+	}
+	writes = append(writes, primrosespar.Write{Key: primrosespar.ProgressKey(r.Job), Value: progress})
+	if finished && r.Submission == nil {
+		// An ended job no longer needs its submission.
+		writes = append(writes, primrosespar.Write{Key: primrosespar.SubmissionKey(r.Job), Delete: true})
+	}
+	if message := primrosespar.FleetInboxSubmitKey(r.Job); b.deletedKeys[message] {
+		// If the store refuses the job, its message stays as well.
+		writes = append(writes, primrosespar.Write{Key: message, Delete: true})
+		delete(b.deletedKeys, message)
+		b.fromInbox[r.Job] = true
 	}
 	return writes, nil
 }
@@ -245,20 +283,25 @@
 	}
 	b := c.next.takePortion(committer.MaxWrites)
 	c.inFlight, c.lastCommitAt = b, now
-	writes, err := c.encodeBatch(b)
-	if err != nil {
-		c.termErr = err
-		return
+	groups := c.encodeBatch(b)
+	writes := make([][]primrosespar.Write, 0, len(groups))
+	for _, g := range groups {
+		writes = append(writes, g.writes)
 	}
 	c.commitStartedAt.Store(int64(now.Sub(c.startedAt)) + 1)
 	c.goTask("commit", func() {
-		err := c.parts.Committer.Commit(c.ctx, writes)
-		c.enqueue(func() { c.handleCommitResult(b, err) })
+		refused, err := c.parts.Committer.CommitGroups(c.ctx, writes)
+		c.enqueue(func() {
+			for i, reason := range refused {
+				c.refuseGroup(b, groups[i], reason)
+			}
+			c.handleCommitResult(b, err)
+		})
 	})
 }
 
 // handleCommitResult handles the result of the commit in flight. A failed
-// commit ends the term.
+// commit ends the term; what the store refuses costs its job only.
 func (c *Controller) handleCommitResult(b *batch, err error) {
 	c.commitStartedAt.Store(0)
 	if err != nil {
@@ -267,6 +310,7 @@
 	}
 	c.inFlight = nil
 	c.parts.OnStoreAnswer()
+	c.setAsideRefused(b)
 	for id, r := range b.records {
 		c.committedStates[id] = r.Progress.State
 	}
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// load restores the jobs and maintenance waves of earlier holders. Rows that
+// load restores the jobs and maintenance waves of earlier holders. Waves that
 // cannot be decoded are reported and skipped.
 func (c *Controller) load(ctx context.Context) error {
 	submissions, err := c.scan(ctx, primrosespar.SubmissionPrefix())
@@ -147,24 +147,36 @@
 		jobs[primrosespar.JobID(strings.TrimPrefix(row.Key, primrosespar.SubmissionPrefix()))] = job
 	}
 	for _, row := range progress {
-		p, err := c.encoder.ParseProgress(row.Value)
-		if err != nil {
-			c.parts.OnError("load", eris.Wrap(err, row.Key))
-			continue
-		}
 		id := primrosespar.JobID(strings.TrimPrefix(row.Key, primrosespar.ProgressPrefix()))
-		job, ok := jobs[id]
-		if !ok && !p.State.Ended() {
-			c.parts.OnError("load", eris.Errorf("job %q has progress but no submission", id))
-			continue
-		}
+		job, known := jobs[id]
 		job.ID = id
-		c.scheduler.Restore(job, p, now)
-		c.committedStates[id] = p.State
+		c.restore(job, known, row, now)
 	}
 	return nil
 }
 
+// restore restores a job of an earlier holder from the row of its progress. A
+// row that cannot be decoded costs that job only.
+func (c *Controller) restore(job primrosespar.Submission, known bool, row primrosespar.Row, now time.Time) {
+	p, err := c.encoder.ParseProgress(row.Value)
+	switch {
+	case err != nil && known:
+		// Submissions are deleted when their jobs end.
+		p.State = primrosespar.JobActive
+	case err != nil:
+		p.State = primrosespar.JobFailed
+	case !known && !p.State.Ended():
+		err = eris.Errorf("job %q has progress but no submission", job.ID)
+	}
+	if err != nil {
+		c.parts.OnError("load", eris.Wrap(err, row.Key))
+		c.scheduler.RestoreUnreadable(job, p.State, err.Error(), now)
+	} else {
+		c.scheduler.Restore(job, p, now)
+	}
+	c.committedStates[job.ID] = p.State
+}
+
 // scan reads all rows with the prefix and retries failed reads until the
 // context ends.
 func (c *Controller) scan(ctx context.Context, prefix string) ([]primrosespar.Row, error) {
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -31,6 +31,9 @@
 	waitingUnits      int
 	dirty             bool
 	submissionUnsaved bool
+	// setAside is set once the store has refused the record or if the rows of an
+	// earlier holder cannot be decoded. Only the state of the job is stored then.
+	setAside bool
 }
 
 // occurrence is one run through the steps of a job.
@@ -344,7 +347,7 @@
 func (j *job) record() Record {
 	progress := encoder.Progress{State: j.state, Arrived: j.arrived.UnixMilli(), Finished: j.finished, Created: j.created}
 	for _, o := range j.occurrences {
-		if j.state.Ended() && !o.hasMembers() {
+		if j.setAside || j.state.Ended() && !o.hasMembers() {
 			continue
 		}
 		progress.Occurrences = append(progress.Occurrences, o.progress())
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -212,15 +212,7 @@
 			return false
 		}
 	}
-	for _, u := range j.units() {
-		s.dropClaim(u)
-		for _, m := range slices.Clone(u.members) {
-			s.detach(m)
-		}
-	}
-	delete(s.jobs, id)
-	s.liveJobs = slices.DeleteFunc(s.liveJobs, func(other *job) bool { return other == j })
-	s.dirtyJobs = slices.DeleteFunc(s.dirtyJobs, func(other *job) bool { return other == j })
+	s.remove(j)
 	s.logEvent("job_withdrawn", j, nil, 0, "the store does not answer")
 	return true
 }
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -115,7 +115,7 @@
 	for {
 		err := s.callHolder(ctx, local, remote)
 		code := primrosespar.CodeOf(err)
-		if err == nil || code == primrosespar.CodeStoreUnavailable {
+		if err == nil || isFinal(code) {
 			return withUnknownOutcome(err, outcomeUnknown)
 		}
 		outcomeUnknown = outcomeUnknown || code == primrosespar.CodeOutcomeUnknown
@@ -127,6 +127,12 @@
 	}
 }
 
+// isFinal reports whether a refusal by the holder is final, so that the inbox
+// must not be used.
+func isFinal(code primrosespar.Code) bool {
+	return code == primrosespar.CodeStoreUnavailable || code == primrosespar.CodeSetAside
+}
+
 // withUnknownOutcome turns a refusal into an unknown outcome if an earlier
 // attempt may have taken effect.
 func withUnknownOutcome(err error, outcomeUnknown bool) error {
--- a/internal/fleet/submitter/submitter_test.go
+++ b/internal/fleet/submitter/submitter_test.go
@@ -118,3 +118,14 @@
 	require.NoError(t, err)
 	require.Empty(t, rows)
 }
+
+// TestRejectedJobIsNotLeftInTheInbox guards against a job that the holder has
+// rejected for good and that the inbox then accepts.
+func TestRejectedJobIsNotLeftInTheInbox(t *testing.T) {
+	s, table := newSubmitter(t, primrosespar.Fail(primrosespar.CodeSetAside, "refused"))
+	err := s.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q"})
+	require.Equal(t, primrosespar.CodeSetAside, primrosespar.CodeOf(err))
+	rows, err := table.Scan(t.Context(), primrosespar.FleetInboxPrefix(), "", 10)
+	require.NoError(t, err)
+	require.Empty(t, rows)
+}
