Send no order on a permission that has run out

Cause: the orders of a batch were sent when its commit's answer was read, however long ago the commit was sent; the provider need not compare tokens. The same class as the renewals of the cut-off holder: a permission that is used after a wait.

Change: the committer measures the age of its last confirmed commit by the boot clock too, since the monotonic clock stands still in a suspension. Orders to workers leave within 4 s of it, maintenance orders within 1 s; later ones wait for the next commit. A start without a lease to give is not sent. The window for acknowledgements counts suspensions.

--- a/clock.go
+++ b/clock.go
@@ -15,3 +15,10 @@
 	// Sleep blocks for d.
 	Sleep(d time.Duration)
 }
+
+// Stopwatch measures elapsed time including the time for which the machine was
+// suspended. The monotonic reading of a Clock may stand still then.
+type Stopwatch interface {
+	// Elapsed returns the time since an arbitrary moment. It never decreases.
+	Elapsed() time.Duration
+}
--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -24,6 +24,7 @@
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+	"primrosespar.example/primrosespar/internal/fleet/stopwatch"
 	"primrosespar.example/primrosespar/internal/fleet/viewer"
 	"primrosespar.example/primrosespar/internal/operator/handler"
 	"primrosespar.example/primrosespar/internal/record/spooler"
@@ -135,10 +136,10 @@
 	fleetDaemon, err := daemon.New(daemon.Settings{
 		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
 		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
-		Lease: min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
+		Lease: min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout, TurnInterval: h.settings.TurnInterval,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 	}, backend,
-		daemon.WithClock(h.clock), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
+		daemon.WithClock(h.clock), daemon.WithStopwatch(stopwatch.New()), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -84,21 +84,55 @@
 	table    primrosespar.Table
 	clock    primrosespar.Clock
 	identity Identity
+	opts     Options
 	// lease is the lease row as this process last wrote it.
 	lease Holder
 	// version is the version of the lease row, for Version.
 	version atomic.Uint64
-	// confirmedAt is when the last confirmed commit was sent, for ConfirmedAt.
-	confirmedAt atomic.Pointer[time.Time]
+	// confirmed is when the last confirmed commit was sent, for ConfirmedAt and
+	// Unconfirmed.
+	confirmed atomic.Pointer[instant]
 	// lastCommitTime is how long the last commit took.
 	lastCommitTime time.Duration
 	// lastReadTime is how long the last read of the lease row took.
 	lastReadTime time.Duration
 }
 
+// instant is a moment by the clock and by the stopwatch of this process.
+type instant struct {
+	at      time.Time
+	elapsed time.Duration
+}
+
+// Options configure a Committer.
+type Options struct {
+	// Stopwatch measures the age of commits. Without one, the time for which
+	// the machine was suspended does not count.
+	Stopwatch primrosespar.Stopwatch
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// WithStopwatch sets the stopwatch that measures the age of commits.
+func WithStopwatch(s primrosespar.Stopwatch) Option { return func(o *Options) { o.Stopwatch = s } }
+
 // New returns a Committer without a lease.
-func New(table primrosespar.Table, clock primrosespar.Clock, identity Identity) *Committer {
-	return &Committer{table: table, clock: clock, identity: identity}
+func New(table primrosespar.Table, clock primrosespar.Clock, identity Identity, opts ...Option) *Committer {
+	c := &Committer{table: table, clock: clock, identity: identity}
+	for _, opt := range opts {
+		opt(&c.opts)
+	}
+	return c
+}
+
+// now returns the present moment.
+func (c *Committer) now() instant {
+	n := instant{at: c.clock.Now()}
+	if c.opts.Stopwatch != nil {
+		n.elapsed = c.opts.Stopwatch.Elapsed()
+	}
+	return n
 }
 
 // Read reads the lease row.
@@ -145,18 +179,29 @@
 // read the row of that commit, or a later one, read it after that time. It may
 // be called at any time.
 func (c *Committer) ConfirmedAt() time.Time {
-	if at := c.confirmedAt.Load(); at != nil {
-		return *at
+	if confirmed := c.confirmed.Load(); confirmed != nil {
+		return confirmed.at
 	}
 	return time.Time{}
 }
 
+// Unconfirmed returns how long ago the last confirmed commit was sent, with the
+// time for which the machine was suspended since. It may be called at any time.
+func (c *Committer) Unconfirmed() time.Duration {
+	confirmed := c.confirmed.Load()
+	if confirmed == nil {
+		return 0
+	}
+	now := c.now()
+	return max(now.at.Sub(confirmed.at), now.elapsed-confirmed.elapsed)
+}
+
 // setLease records the lease row as written by a commit that was sent at sentAt
 // or later.
-func (c *Committer) setLease(lease Holder, sentAt time.Time) {
+func (c *Committer) setLease(lease Holder, sentAt instant) {
 	c.lease = lease
 	c.version.Store(uint64(lease.Version))
-	c.confirmedAt.Store(&sentAt)
+	c.confirmed.Store(&sentAt)
 }
 
 // CommitGroups stores groups of writes, several in one transaction. A group that
@@ -280,16 +325,16 @@
 	}
 	backoff := minBackoff
 	outcomeUnknown := false
-	firstAttemptAt := c.clock.Now()
+	firstAttemptAt := c.now()
 	for n := 0; ; n++ {
-		startedAt := c.clock.Now()
+		startedAt := c.now()
 		versions, err := c.attempt(ctx, n, txn)
 		code := primrosespar.CodeOf(err)
 		switch {
 		case err == nil:
 			next.Version = versions[0]
 			c.setLease(next, startedAt)
-			c.lastCommitTime = c.clock.Since(startedAt)
+			c.lastCommitTime = c.clock.Since(startedAt.at)
 			return nil
 		case code == primrosespar.CodeConflict && !outcomeUnknown:
 			return c.conflictError(next)
@@ -297,12 +342,12 @@
 			err := c.resolveOutcome(ctx, next, firstAttemptAt)
 			// An attempt was given up before its answer came. The next commit
 			// waits longer for it.
-			c.lastCommitTime = c.clock.Since(firstAttemptAt)
+			c.lastCommitTime = c.clock.Since(firstAttemptAt.at)
 			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
 			if c.tookEffect(ctx, next, firstAttemptAt) {
-				c.lastCommitTime = c.clock.Since(firstAttemptAt)
+				c.lastCommitTime = c.clock.Since(firstAttemptAt.at)
 				return nil
 			}
 		case code != primrosespar.CodeStoreUnavailable:
@@ -342,7 +387,7 @@
 
 // resolveOutcome reads the lease row to find out whether a commit without an
 // answer or another writer has changed it.
-func (c *Committer) resolveOutcome(ctx context.Context, next Holder, firstAttemptAt time.Time) error {
+func (c *Committer) resolveOutcome(ctx context.Context, next Holder, firstAttemptAt instant) error {
 	backoff := minBackoff
 	for n := 0; ; n++ {
 		readCtx, cancel := context.WithTimeout(ctx, c.attemptTimeout(n))
@@ -365,7 +410,7 @@
 // tookEffect reads the lease row and reports whether it shows the commit, which
 // got no answer. Reads do not wait for the transactions of others, which delay
 // another attempt while the store is slow.
-func (c *Committer) tookEffect(ctx context.Context, next Holder, firstAttemptAt time.Time) bool {
+func (c *Committer) tookEffect(ctx context.Context, next Holder, firstAttemptAt instant) bool {
 	readCtx, cancel := context.WithTimeout(ctx, outcomeReadTimeout)
 	defer cancel()
 	seen, err := c.Read(readCtx)
--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -8,6 +8,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/maintainer"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
@@ -325,11 +326,16 @@
 	now := c.parts.Clock.Now()
 	for _, start := range b.starts {
 		p := c.pollers[start.Worker]
-		if p != nil && c.scheduler.ShouldSend(start, now) {
-			p.Start(c.ctx, primrosespar.Start{
-				Run: start.Run, Spec: start.Spec, Checkpoint: start.Checkpoint, Ticket: start.Ticket,
-			})
+		if p == nil || !c.scheduler.ShouldSend(start, now) {
+			continue
+		}
+		if !c.mayOrder() {
+			c.scheduler.HandleStartResult(start, primrosespar.CodePeerUnavailable, now)
+			continue
 		}
+		p.Start(c.ctx, primrosespar.Start{
+			Run: start.Run, Spec: start.Spec, Checkpoint: start.Checkpoint, Ticket: start.Ticket,
+		})
 	}
 	for _, o := range b.maintenanceOrders {
 		c.goTask("maintenance order", func() { c.sendMaintenanceOrder(o) })
@@ -341,6 +347,12 @@
 	}
 }
 
+// mayOrder reports whether the last confirmed commit is recent enough for orders
+// to workers. A process that was suspended has to commit again first.
+func (c *Controller) mayOrder() bool {
+	return c.parts.Committer.Unconfirmed() <= lessor.RenewalTime
+}
+
 // failPendingReplies answers the callers that still wait when the term ends.
 // The outcome of the commit in flight is unknown; the next batch was never
 // sent.
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -94,6 +94,8 @@
 	Host      primrosespar.Host
 	Clock     primrosespar.Clock
 	Committer *committer.Committer
+	// Stopwatch measures the age of permissions; it may be nil.
+	Stopwatch primrosespar.Stopwatch
 	// Catalog returns the current catalog, or nil before the first one is read.
 	Catalog func() *primrosespar.Catalog
 	// WallClock converts a reading of Clock to wall-clock time.
@@ -113,6 +115,9 @@
 	// EarlierCommitAt is a time by which the earlier holder had sent its last
 	// commit. The leases that it gave are counted from there.
 	EarlierCommitAt time.Time
+	// TurnInterval is the time between maintenance orders of two holders for
+	// one machine.
+	TurnInterval time.Duration
 	// GangTimeout is how long a member of a gang waits for the others.
 	GangTimeout time.Duration
 	// MaxFirstPolls bounds the workers without runs whose first poll is in
@@ -132,6 +137,12 @@
 	return func(o *Options) { o.EarlierCommitAt = at }
 }
 
+// WithTurnInterval sets the time between maintenance orders of two holders for
+// one machine.
+func WithTurnInterval(interval time.Duration) Option {
+	return func(o *Options) { o.TurnInterval = interval }
+}
+
 // WithGangTimeout sets how long a member of a gang waits for the others; 0
 // keeps the default.
 func WithGangTimeout(timeout time.Duration) Option {
@@ -223,7 +234,8 @@
 		startedAt:       parts.Clock.Now(),
 		adviceHosts:     make([]netip.AddrPort, 1),
 		adviceInFlight:  map[netip.AddrPort]bool{},
-		maintainer:      maintainer.New(),
+		maintainer: maintainer.New(maintainer.WithRepeatFrom(
+			o.EarlierCommitAt.Add(maxMaintenancePermission + maintenanceTimeout + o.TurnInterval))),
 	}
 	takeover := lessor.TakeoverWait(o.Lease)
 	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock),
@@ -337,14 +349,18 @@
 	for _, e := range changes.Events {
 		c.parts.OnDecision(e)
 	}
+	mayOrder := c.mayOrder()
 	for _, stop := range changes.Stops {
-		if p := c.pollers[stop.Worker]; p != nil {
+		switch p := c.pollers[stop.Worker]; {
+		case p != nil && mayOrder:
 			p.Stop(c.ctx, stop.Run)
+		case p != nil:
+			c.scheduler.HandleStopResult(stop, primrosespar.CodePeerUnavailable, now)
 		}
 	}
 	for _, throttle := range changes.Throttles {
 		p := c.pollers[throttle.Worker]
-		if p == nil {
+		if p == nil || !mayOrder {
 			c.scheduler.HandleThrottleResult(throttle, primrosespar.CodePeerUnavailable, now)
 			continue
 		}
--- a/internal/fleet/controller/maintenance.go
+++ b/internal/fleet/controller/maintenance.go
@@ -25,6 +25,10 @@
 	// maintenanceTimeout bounds an order or a report to the provider of the
 	// machines.
 	maintenanceTimeout = time.Second
+	// maxMaintenancePermission is how old the last confirmed commit may be for a
+	// maintenance order to leave. The provider need not compare tokens, so a
+	// later holder waits as long before it repeats an order.
+	maxMaintenancePermission = time.Second
 )
 
 // startMaintenance starts the goroutines that read waves and machines until the
@@ -94,6 +98,14 @@
 // sendMaintenanceOrder sends one maintenance order and passes the result to the
 // maintainer.
 func (c *Controller) sendMaintenanceOrder(order maintainer.Order) {
+	if age := c.parts.Committer.Unconfirmed(); age > maxMaintenancePermission {
+		c.enqueue(func() {
+			c.parts.OnDecision(scheduler.Event{Kind: "upkeep_withheld", Detail: fmt.Sprintf(
+				"wave %d, machine %s: last commit confirmed %v ago", order.Wave, order.Machine, age.Round(time.Millisecond))})
+			c.maintainer.Withhold(order, c.parts.Clock.Now())
+		})
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, maintenanceTimeout)
 	defer cancel()
 	err := c.parts.Maintenance.Maintain(ctx, primrosespar.MaintenanceOrder{
--- a/internal/fleet/controller/polling.go
+++ b/internal/fleet/controller/polling.go
@@ -50,7 +50,8 @@
 func (c *Controller) startPoller(info primrosespar.WorkerInfo) *workerPoller {
 	ctx, cancel := context.WithCancel(c.ctx)
 	p := &workerPoller{
-		Poller: poller.New(c.parts.Fleet, c.parts.Clock, info, c.Token(), pollSink{c}, poller.WithLease(c.opts.Lease), poller.WithConfirmedAt(c.parts.Committer.ConfirmedAt)),
+		Poller: poller.New(c.parts.Fleet, c.parts.Clock, info, c.Token(), pollSink{c}, poller.WithLease(c.opts.Lease),
+			poller.WithConfirmedAt(c.parts.Committer.ConfirmedAt), poller.WithStopwatch(c.parts.Stopwatch)),
 		cancel: cancel,
 	}
 	c.pollers[info.Worker] = p
@@ -70,7 +71,7 @@
 // logUnconfirmed logs, once per unconfirmedInterval, that no commit has been
 // confirmed for a while and at how many workers this holder still renews leases.
 func (c *Controller) logUnconfirmed(now time.Time) {
-	age := now.Sub(c.parts.Committer.ConfirmedAt())
+	age := c.parts.Committer.Unconfirmed()
 	if age < unconfirmedInterval || now.Sub(c.unconfirmedLoggedAt) < unconfirmedInterval {
 		return
 	}
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -64,6 +64,9 @@
 	MaxFirstPolls int
 	// Lease is how long a worker keeps its runs without a renewal.
 	Lease time.Duration
+	// TurnInterval is the time between maintenance orders of two holders for
+	// one machine.
+	TurnInterval time.Duration
 	// GangTimeout is how long a member of a gang waits for the others; 0 is the
 	// default.
 	GangTimeout time.Duration
@@ -87,6 +90,8 @@
 // Options configure a Daemon.
 type Options struct {
 	Clock primrosespar.Clock
+	// Stopwatch measures the age of permissions.
+	Stopwatch primrosespar.Stopwatch
 	// OnDecision receives the decisions of the scheduler, OnChange each change
 	// of the holder or catalog that the host knows, and OnError errors that do
 	// not stop the daemon.
@@ -103,6 +108,10 @@
 // WithClock sets the clock; it is required.
 func WithClock(clock primrosespar.Clock) Option { return func(o *Options) { o.Clock = clock } }
 
+// WithStopwatch sets the stopwatch that measures the age of permissions. Without
+// one, the time for which the machine was suspended does not count.
+func WithStopwatch(s primrosespar.Stopwatch) Option { return func(o *Options) { o.Stopwatch = s } }
+
 // WithLog sets the functions that receive decisions, changes and errors.
 func WithLog(onDecision func(scheduler.Event), onChange func(what, detail string), onError func(part string, err error)) Option {
 	return func(o *Options) { o.OnDecision, o.OnChange, o.OnError = onDecision, onChange, onError }
@@ -152,7 +161,7 @@
 	}
 	d.committer = committer.New(backend.Table, d.opts.Clock, committer.Identity{
 		Host: settings.Host, Incarnation: incarnation, Address: settings.PeerAddress,
-	})
+	}, committer.WithStopwatch(d.opts.Stopwatch))
 	d.elector = elector.New(elector.Parts{
 		Committer: d.committer, Peers: d.messenger, Clock: d.opts.Clock,
 		OwnHeartbeat: d.ownHeartbeat, Lead: d.runTerm, OnHeartbeatReply: d.handleHeartbeatReply, OnChange: d.logHolderChange, OnError: d.opts.OnError,
@@ -265,12 +274,12 @@
 // and the lease is released if it does.
 func (d *Daemon) runTerm(ctx context.Context, earlierCommitAt time.Time) error {
 	term, err := controller.New(controller.Parts{
-		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock,
+		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock, Stopwatch: d.opts.Stopwatch,
 		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
 	}, controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
-		controller.WithEarlierCommitAt(earlierCommitAt))
+		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithTurnInterval(d.settings.TurnInterval))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -101,7 +101,7 @@
 	if d.term.Load() == nil {
 		return 0
 	}
-	return d.opts.Clock.Since(d.committer.ConfirmedAt())
+	return d.committer.Unconfirmed()
 }
 
 var _ primrosespar.FleetViewer = (*Daemon)(nil)
--- a/internal/fleet/lessor/lessor.go
+++ b/internal/fleet/lessor/lessor.go
@@ -25,10 +25,10 @@
 	// DefaultLease is how long a worker keeps its runs without a renewal. It
 	// covers a change of holder, which takes about 2 s.
 	DefaultLease = 6 * time.Second
-	// renewalTime is how long after its last confirmed commit a holder goes on
+	// RenewalTime is how long after its last confirmed commit a holder goes on
 	// renewing leases in full. Longer outages of the store lose work, and a
 	// later holder waits as much longer for workers that it cannot reach.
-	renewalTime = 4 * time.Second
+	RenewalTime = 4 * time.Second
 	// slowestClockRate is the slowest rate of a worker's clock.
 	slowestClockRate = 0.98
 	// expiryMargin covers the time that a worker needs to kill runs whose lease
@@ -39,7 +39,7 @@
 // TakeoverWait returns how long after the last commit of an earlier holder its
 // leases may be in force on a worker that this holder cannot reach.
 func TakeoverWait(lease time.Duration) time.Duration {
-	return slowest(lease+renewalTime) + expiryMargin
+	return slowest(lease+RenewalTime) + expiryMargin
 }
 
 // slowest returns the time in which the slowest clock of a worker advances by d.
@@ -114,7 +114,7 @@
 		return Grant{}, false
 	}
 	grant := Grant{Until: l.latest.after(now) + l.lease, Expiry: now.Add(slowest(l.lease) + expiryMargin)}
-	if limit := l.confirmed.after(confirmedAt) + l.lease + renewalTime; limit < grant.Until {
+	if limit := l.confirmed.after(confirmedAt) + l.lease + RenewalTime; limit < grant.Until {
 		grant.Until, grant.Limited = limit, true
 	}
 	if limit := confirmedAt.Add(TakeoverWait(l.lease)); limit.Before(grant.Expiry) {
--- a/internal/fleet/maintainer/maintainer.go
+++ b/internal/fleet/maintainer/maintainer.go
@@ -189,7 +189,7 @@
 			case slices.Contains(stored.Finished, machine):
 				wm.phase = finished
 			case slices.Contains(stored.Started, machine):
-				wm.phase, wm.mayHaveStarted = ordered, true
+				wm.phase, wm.mayHaveStarted, wm.retryAt = ordered, true, m.opts.RepeatFrom
 			}
 			added.machines = append(added.machines, wm)
 		}
@@ -417,6 +417,20 @@
 	}
 }
 
+// Withhold records that an order was not sent, since the permission to send it
+// has run out.
+func (m *Maintainer) Withhold(o Order, now time.Time) {
+	w := m.waves[o.Wave]
+	if w == nil {
+		return
+	}
+	for _, wm := range w.machines {
+		if wm.machine == o.Machine && wm.phase == ordered {
+			wm.inFlight, wm.retryAt = false, now.Add(retryDelay)
+		}
+	}
+}
+
 // HandleReportResult handles the result of a report. It returns the record to
 // store if the completion of the wave was reported, else false.
 func (m *Maintainer) HandleReportResult(r Report, ok bool, now time.Time) (Record, bool) {
--- a/internal/fleet/maintainer/maintainer_test.go
+++ b/internal/fleet/maintainer/maintainer_test.go
@@ -155,6 +155,22 @@
 	require.False(t, f.maintainer.Active())
 }
 
+// TestNextHolderDoesNotRepeatOrdersAtOnce guards against orders for one machine
+// from two holders in turn: the earlier one may have sent its order a moment ago.
+func TestNextHolderDoesNotRepeatOrdersAtOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := maintainer.New(maintainer.WithRepeatFrom(now.Add(5 * time.Second)))
+	m.Restore(maintainer.Record{Number: 7, Started: []primrosespar.Machine{"a"}, Deadline: now.Add(time.Minute)})
+	m.SetWaves([]primrosespar.Wave{{Number: 7, Machines: []primrosespar.Machine{"a", "b"}, Window: time.Minute, MaxUnavailable: 2}}, now)
+	machines := []primrosespar.MachineState{{Machine: "a", Worker: "w-a", Up: true}, {Machine: "b", Worker: "w-b", Up: true}}
+	m.SetMachines(machines, now)
+	fleet := &fakeFleet{}
+	require.Equal(t, []maintainer.Order{{Wave: 7, Machine: "b"}}, m.Plan(fleet, now).Orders, "no holder has ordered it")
+	now = now.Add(5 * time.Second)
+	m.SetMachines(machines, now)
+	require.Equal(t, []maintainer.Order{{Wave: 7, Machine: "a"}}, m.Plan(fleet, now).Orders)
+}
+
 // TestNextHolderCountsStartedMachines guards against a new holder that does not
 // count machines whose order an earlier holder has sent, and so takes down too
 // many.
--- a/internal/fleet/maintainer/options.go
+++ b/internal/fleet/maintainer/options.go
@@ -25,6 +25,8 @@
 type Options struct {
 	// Downtime is how long a machine is unavailable for its maintenance.
 	Downtime time.Duration
+	// RepeatFrom is when orders of earlier holders may be repeated.
+	RepeatFrom time.Time
 }
 
 // Option sets one option.
@@ -32,3 +34,6 @@
 
 // WithDowntime sets how long a machine is unavailable for its maintenance.
 func WithDowntime(downtime time.Duration) Option { return func(o *Options) { o.Downtime = downtime } }
+
+// WithRepeatFrom sets when orders of earlier holders may be repeated.
+func WithRepeatFrom(t time.Time) Option { return func(o *Options) { o.RepeatFrom = t } }
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -81,6 +81,9 @@
 	// ConfirmedAt returns when the last confirmed commit of this holder was
 	// sent.
 	ConfirmedAt func() time.Time
+	// Stopwatch measures the age of reports. Without one, the time for which the
+	// machine was suspended does not count.
+	Stopwatch primrosespar.Stopwatch
 }
 
 // Option sets one option.
@@ -95,6 +98,10 @@
 	return func(o *Options) { o.ConfirmedAt = confirmedAt }
 }
 
+// WithStopwatch sets the stopwatch that measures the age of reports; nil has no
+// effect.
+func WithStopwatch(s primrosespar.Stopwatch) Option { return func(o *Options) { o.Stopwatch = s } }
+
 // Poller polls one worker and sends it orders. It is safe for concurrent use.
 type Poller struct {
 	fleet      primrosespar.Fleet
@@ -123,9 +130,11 @@
 	stored       uint64
 	acknowledged uint64
 	lastSequence uint64
-	// reportedAt is when the last report was received.
-	reportedAt time.Time
-	lessor     *lessor.Lessor
+	// reportedAt is when the last report was received, reportedElapsed the
+	// reading of the stopwatch then.
+	reportedAt      time.Time
+	reportedElapsed time.Duration
+	lessor          *lessor.Lessor
 	// leaseExpiry is when the last lease that was sent has certainly expired.
 	leaseExpiry time.Time
 }
@@ -275,7 +284,7 @@
 		// soon.
 		return request
 	}
-	if p.stored > p.acknowledged && now.Sub(p.reportedAt) > acknowledgeWindow {
+	if p.stored > p.acknowledged && p.reportAge(now) > acknowledgeWindow {
 		// The worker may have restarted. This poll confirms its lifetime, the
 		// next one acknowledges.
 		request.LeaseUntil = p.extendLease(now).Until
@@ -292,6 +301,19 @@
 	return request
 }
 
+// elapsed returns the reading of the stopwatch.
+func (p *Poller) elapsed() time.Duration {
+	if p.opts.Stopwatch == nil {
+		return 0
+	}
+	return p.opts.Stopwatch.Elapsed()
+}
+
+// reportAge returns the age of the last report. The caller holds the lock.
+func (p *Poller) reportAge(now time.Time) time.Duration {
+	return max(now.Sub(p.reportedAt), p.elapsed()-p.reportedElapsed)
+}
+
 // extendLease returns the lease to send now and updates leaseExpiry. Without one
 // to give it returns the zero value, which leaves the lease as it is. The caller
 // holds the lock.
@@ -316,7 +338,7 @@
 		p.acknowledged = max(p.acknowledged, request.Acknowledged)
 	}
 	p.unresponsive, p.polled = false, true
-	p.reportedAt = p.clock.Now()
+	p.reportedAt, p.reportedElapsed = p.clock.Now(), p.elapsed()
 	p.lessor.Observe(report.Clock, p.reportedAt)
 	for _, e := range report.Ended {
 		p.lastSequence = max(p.lastSequence, e.Sequence)
@@ -374,6 +396,9 @@
 		grant := p.extendLease(p.clock.Now())
 		leaseExpiry := p.leaseExpiry
 		p.mu.Unlock()
+		if grant.Until == 0 {
+			return time.Time{}, primrosespar.Fail(primrosespar.CodeWorkerLate, "there is no lease to give to the worker")
+		}
 		start.Worker, start.Address, start.Token, start.LeaseUntil = p.worker, info.Address, p.token, grant.Until
 		return leaseExpiry, p.fleet.Start(ctx, start)
 	}, start.Run, true)
