Judge a run that stands still by its pace and estimate

Seen by callers: a job with a task of more than 250 s never ended.

Cause: a run without a new percent for 2.5 s was taken to stand still. Percents are whole numbers, so a percent of a longer task takes longer than that.

Change: internal/fleet/pacer measures the time of a percent and allows ten times that, and twelve times the estimate before it is known; the shortest time stays 2.5 s. A changed checkpoint is progress. A run that used a processor and does not any more gets three times only. From the second stop of a unit that no worker is to blame for, the time doubles, so that a task ends however wrong its estimate is, or without one. A worker is quarantined at once only if the run had worked there; otherwise two different jobs have to fail or stall on it.

--- a/fleet.go
+++ b/fleet.go
@@ -184,7 +184,8 @@
 	Checkpoint string
 	Percent    float64
 	// Tail is the tail latency over the last half second of a task that serves
-	// users.
+	// users. For other tasks it only tells, where the platform reports it,
+	// whether they use a processor.
 	Tail time.Duration
 }
 
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -91,6 +91,10 @@
 	// gatheredAt is when the last member of a run was first known to be on its
 	// worker. A gang makes no progress before that.
 	gatheredAt time.Time
+	// stalls counts the runs that were stopped without progress, other than on
+	// workers that are likely to be at fault. Each after the first doubles the
+	// time that the next run may take, since the estimate may be wrong.
+	stalls int
 	// avoid holds the workers where a run failed.
 	avoid map[primrosespar.Worker]bool
 	// withinGuarantee is set if the unit runs within the guarantee of its
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -7,6 +7,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/pacer"
 )
 
 // memberPhase is the phase of a member of a run.
@@ -47,6 +48,7 @@
 	answeredAt time.Time
 	percent    float64
 	percentAt  time.Time
+	pace       pacer.Pacer
 	// seenAt is when the worker last listed the run.
 	seenAt time.Time
 	// tailLatency is the tail latency that the run last reported.
@@ -201,6 +203,7 @@
 	}
 	m.phase, m.unanswered = running, false
 	m.percentAt = now
+	m.pace = pacer.New(m.unit.step.spec.Estimate, now)
 	m.unit.gatheredAt = now
 }
 
@@ -210,11 +213,7 @@
 	if m.unit.step.spec.Filler && m.throttlePercent < fullPercent {
 		return false
 	}
-	since := m.percentAt
-	if m.unit.gatheredAt.After(since) {
-		since = m.unit.gatheredAt
-	}
-	return now.Sub(since) > stallTime && m.seenAt.Sub(since) > minStallObserved
+	return m.pace.Stalled(m.unit.gatheredAt, now, m.unit.stalls-1)
 }
 
 // handleRefusal handles a start order that was refused.
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -17,12 +17,6 @@
 	// stragglerDelay is how long the remaining members of a gang may take to
 	// end by themselves after the first one ended.
 	stragglerDelay = 700 * time.Millisecond
-	// stallTime is how long a run may make no progress before it is stopped.
-	// Tasks report progress at each poll, at most 2 s apart.
-	stallTime = 2500 * time.Millisecond
-	// minStallObserved is the part of stallTime that reports have to cover, so
-	// that at least one further poll lists the run without progress.
-	minStallObserved = 1500 * time.Millisecond
 	// quarantineTime is how long a faulty worker gets no new work.
 	quarantineTime = 8 * time.Second
 	// quarantineFailures is the number of different jobs that have to fail on a
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -378,12 +378,7 @@
 		return
 	}
 	if u.stalled(now) {
-		for _, m := range u.members {
-			if m.stalled(now) {
-				u.avoidWorker(m.worker)
-				s.quarantine(m.worker, now, "a run made no progress")
-			}
-		}
+		s.recordStall(u, now)
 		s.stopUnit(u, "run made no progress")
 	}
 }
--- a/internal/fleet/scheduler/stall_test.go
+++ b/internal/fleet/scheduler/stall_test.go
@@ -86,3 +86,101 @@
 	h.now = h.now.Add(500 * time.Millisecond)
 	require.Len(t, h.plan().Stops, 1)
 }
+
+// work lets job a work for a time that its worker reports each second, a percent
+// after each given time, and starts it again when it is stopped. It returns the
+// events of the time.
+func (h *harness) work(start scheduler.Order, d, percentTime time.Duration) (scheduler.Order, []scheduler.Event) {
+	var events []scheduler.Event
+	began := h.now
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.now = h.now.Add(time.Second)
+		h.reportOnly(start, float64(h.now.Sub(began)/percentTime))
+		changes := h.plan()
+		events = append(events, changes.Events...)
+		for _, stop := range changes.Stops {
+			h.scheduler.HandleStopResult(stop, primrosespar.CodeOK, h.now)
+			h.now = h.now.Add(200 * time.Millisecond)
+			h.reportAllIdle()
+		}
+		h.acceptStarts(changes.Starts)
+		if last := h.started[len(h.started)-1]; last.Run.Number > start.Run.Number {
+			start, began = last, h.now
+		}
+	}
+	return start, events
+}
+
+// reportOnly lets all workers report, that of the run with its percent.
+func (h *harness) reportOnly(start scheduler.Order, percent float64) {
+	for i := range h.workers {
+		if i == h.workerIndex(start.Worker) {
+			h.report(i, activeRuns(start, percent))
+		} else {
+			h.report(i, nil)
+		}
+	}
+}
+
+// count returns the number of events of the kind.
+func count(events []scheduler.Event, kind string) int {
+	n := 0
+	for _, e := range events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLongTaskIsNotStopped guards against a long task that is stopped because
+// its percent changes seldom, also where it works more slowly than estimated.
+func TestLongTaskIsNotStopped(t *testing.T) {
+	for _, slowness := range []time.Duration{1, 3, 8} {
+		for _, estimate := range []time.Duration{5 * time.Minute, 3 * time.Hour} {
+			h := newHarness(t, 1)
+			h.reportAllIdle()
+			start := h.submitAndStart(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1), Estimate: estimate}))[0]
+			_, events := h.work(start, 20*time.Minute, slowness*estimate/100)
+			require.Zero(t, count(events, "run_stopped"), "estimate %v, %d times as slow", estimate, slowness)
+		}
+	}
+}
+
+// TestTaskWithWrongEstimateWorks guards against a long task that never ends
+// because its estimate is far too short, and against the quarantine of sound
+// workers for it.
+func TestTaskWithWrongEstimateWorks(t *testing.T) {
+	h := newHarness(t, 1)
+	h.reportAllIdle()
+	start := h.submitAndStart(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1), Estimate: time.Second}))[0]
+	start, events := h.work(start, 15*time.Minute, 108*time.Second)
+	require.Zero(t, count(events, "worker_quarantined"))
+	_, events = h.work(start, 3*time.Hour, 108*time.Second)
+	require.Zero(t, count(events, "run_stopped"))
+}
+
+// TestStallQuarantinesWorker guards against a worker on which tasks stand still
+// and that gets more of them.
+func TestStallQuarantinesWorker(t *testing.T) {
+	for name, jobs := range map[string][]string{"after work": {"a"}, "of two jobs": {"a", "b"}} {
+		h := newHarness(t, 1)
+		h.reportAllIdle()
+		var active []primrosespar.ActiveRun
+		for _, id := range jobs {
+			start := h.submitAndStart(job(id, "plain", primrosespar.Step{Count: 1, Need: needAccelerators(1)}))[0]
+			active = append(active, activeRuns(start, 0)...)
+		}
+		index := h.workerIndex(h.started[0].Worker)
+		quarantined := 0
+		for i := range 10 {
+			h.now = h.now.Add(time.Second)
+			if len(jobs) == 1 {
+				active[0].Percent = 10 * float64(min(i, 3))
+			}
+			h.report(index, active)
+			quarantined += count(h.plan().Events, "worker_quarantined")
+		}
+		require.Equal(t, 1, quarantined, name)
+	}
+}
--- a/internal/fleet/scheduler/throttling.go
+++ b/internal/fleet/scheduler/throttling.go
@@ -177,5 +177,6 @@
 	m.throttleInFlight, m.throttledAt = false, now
 	if code == primrosespar.CodeOK {
 		m.throttlePercent, m.percentAt = throttle.Percent, now
+		m.pace.Restart(now)
 	}
 }
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -310,6 +310,7 @@
 		m.markRunning(now)
 	}
 	m.seenAt = now
+	m.pace.Observe(active, now)
 	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
 	if active.Checkpoint != "" && m.run == m.unit.run {
@@ -400,7 +401,30 @@
 	}
 	w.failedJobs[j.submission.ID] = true
 	if len(w.failedJobs) >= quarantineFailures {
-		s.quarantine(w, now, "runs of several jobs failed")
+		s.quarantine(w, now, "runs of several jobs failed or made no progress")
+	}
+}
+
+// recordStall records that a run made no progress. If it had worked on its
+// worker before, that worker is likely to be at fault; if not, it counts as a
+// failure of the job there, once for each unit.
+func (s *Scheduler) recordStall(u *unit, now time.Time) {
+	proven := false
+	for _, m := range u.members {
+		if !m.stalled(now) {
+			continue
+		}
+		u.avoidWorker(m.worker)
+		switch {
+		case m.pace.Proven():
+			proven = true
+			s.quarantine(m.worker, now, "a run made no progress")
+		case u.stalls == 0:
+			s.recordFailure(m.worker, u.step.occurrence.job, now)
+		}
+	}
+	if !proven {
+		u.stalls++
 	}
 }
 
