Store the progress of large jobs in pieces of 128 tasks

Cause: the progress of a job was one row with an entry for each task, which the platform refuses above 65,536 bytes. All units of all steps were created when the job was accepted.

A job whose live occurrences have more than 128 tasks has a small row for itself and rows for the pieces in which something was started; only those that have changed are written. Pieces are stored before the row of their job, in portions that leave room for others, and a start waits for the pieces of its step. Pieces without an occurrence are deleted by the next holder. Units are created when they are used and released when they are done. Of failed runs the last 8 numbers are kept and the others counted, of long-running tasks only the count, and old rows are trimmed when they are read. Two scans of all units at each plan and at each end of a task are gone. A worker report that names a negative step or task is ignored.

TestRowsKeepTheirNames filled the new field that chooses the form. It checks the old form as before, and the new rows and their keys as well.

--- a/fleet.go
+++ b/fleet.go
@@ -116,6 +116,15 @@
 	Repeat Repeat
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s Submission) Tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // JobState is the state of a submitted job as its caller sees it.
 type JobState string
 
--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -8,6 +8,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/maintainer"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
@@ -32,8 +33,12 @@
 	maintenanceOrders []maintainer.Order
 	// fromInbox are the jobs whose messages in the inbox are deleted with their
 	// records, refused those that the store refuses for good, with the reason.
-	fromInbox map[primrosespar.JobID]bool
-	refused   map[primrosespar.JobID]error
+	// pieces are those of records that do not fit into the transaction.
+	pieces map[primrosespar.JobID]map[encoder.PieceKey][]encoder.Unit
+	// piecesAhead are the pieces that were taken from the records.
+	piecesAhead map[primrosespar.JobID][]encoder.PieceKey
+	fromInbox   map[primrosespar.JobID]bool
+	refused     map[primrosespar.JobID]error
 }
 
 // newBatch returns an empty batch.
@@ -45,13 +50,16 @@
 		waves:        map[int]maintainer.Record{},
 		replies:      map[primrosespar.JobID][]func(error){},
 		submitted:    map[primrosespar.JobID]bool{},
+		pieces:       map[primrosespar.JobID]map[encoder.PieceKey][]encoder.Unit{},
+		piecesAhead:  map[primrosespar.JobID][]encoder.PieceKey{},
 		fromInbox:    map[primrosespar.JobID]bool{},
 		refused:      map[primrosespar.JobID]error{},
 	}
 }
 
 // add merges the changes into the batch. A later record of a job replaces the
-// earlier one but keeps its submission.
+// earlier one but keeps its submission and the pieces that have not changed
+// again.
 func (b *batch) add(changes scheduler.Changes) {
 	for _, r := range changes.Records {
 		previous, known := b.records[r.Job]
@@ -60,6 +68,14 @@
 		}
 		if r.Submission == nil {
 			r.Submission = previous.Submission
+		} else {
+			// The rows of an earlier job with this ID are replaced.
+			delete(b.deletedKeys, primrosespar.ProgressKey(r.Job))
+			delete(b.deletedKeys, primrosespar.SubmissionKey(r.Job))
+		}
+		if r.Progress.Split {
+			r.Whole = r.Whole || previous.Whole
+			b.mergePieces(&r, previous.Progress.Pieces)
 		}
 		b.records[r.Job] = r
 	}
@@ -69,6 +85,25 @@
 	}
 }
 
+// mergePieces adds the pieces of the previous record of the job that are not
+// dropped or changed again.
+func (b *batch) mergePieces(r *scheduler.Record, previous map[encoder.PieceKey][]encoder.Unit) {
+	if len(previous) > 0 {
+		maps.Copy(previous, r.Progress.Pieces)
+		r.Progress.Pieces = previous
+	}
+	for _, key := range r.Dropped {
+		delete(r.Progress.Pieces, key)
+		b.deletedKeys[primrosespar.ProgressPieceKey(r.Job, key.String())] = true
+	}
+	if len(b.deletedKeys) > 0 {
+		for key := range r.Progress.Pieces {
+			delete(b.deletedKeys, primrosespar.ProgressPieceKey(r.Job, key.String()))
+		}
+	}
+	r.Dropped = nil
+}
+
 // takePortion moves the records that matter most, and what waits for them alone,
 // to a new batch of one transaction. It answers a store that takes most of a
 // second for a transaction: a start or an answer to a caller then does not wait
@@ -81,18 +116,17 @@
 	rows := 0
 	for _, id := range b.byImportance() {
 		r := b.records[id]
-		n := 1
-		if r.Submission != nil || r.Progress.State.Ended() {
-			// The row of the submission is written or deleted too.
-			n++
-		}
-		if rows += n; rows > maxRows {
+		n := recordRows(r)
+		if rows+n > maxRows {
+			rows += b.takePieces(id, portion, maxRows-rows)
 			kept = append(kept, id)
 			continue
 		}
+		rows += n
 		portion.records[id] = r
 		portion.order = append(portion.order, id)
 		delete(b.records, id)
+		delete(b.piecesAhead, id)
 	}
 	b.order = kept
 	for id, replies := range b.replies {
@@ -104,13 +138,54 @@
 	}
 	b.starts, portion.starts = splitStarts(b.starts, b.records)
 	if len(b.records) == 0 {
-		portion.acknowledged, portion.deletedKeys, portion.waves, portion.maintenanceOrders = b.acknowledged, b.deletedKeys, b.waves, b.maintenanceOrders
+		portion.acknowledged, portion.waves, portion.maintenanceOrders = b.acknowledged, b.waves, b.maintenanceOrders
 		rest := newBatch()
-		b.acknowledged, b.deletedKeys, b.waves, b.maintenanceOrders = rest.acknowledged, rest.deletedKeys, rest.waves, nil
+		b.acknowledged, b.waves, b.maintenanceOrders = rest.acknowledged, rest.waves, nil
+		b.takeDeletions(portion, max(1, maxRows-rows))
 	}
 	return portion
 }
 
+// recordRows returns the number of rows of a record.
+func recordRows(r scheduler.Record) int {
+	n := 1 + len(r.Progress.Pieces)
+	if r.Submission != nil || r.Progress.State.Ended() {
+		// The row of the submission is written or deleted too.
+		n++
+	}
+	return n
+}
+
+// takePieces moves pieces of a record that does not fit into the portion, at most
+// limit, and returns their number. The rest of the record follows them.
+func (b *batch) takePieces(id primrosespar.JobID, portion *batch, limit int) int {
+	pieces := b.records[id].Progress.Pieces
+	if limit <= 0 || len(pieces) == 0 {
+		return 0
+	}
+	keys := slices.SortedFunc(maps.Keys(pieces), encoder.PieceKey.Compare)
+	keys = keys[:min(limit, len(keys))]
+	taken := make(map[encoder.PieceKey][]encoder.Unit, len(keys))
+	for _, key := range keys {
+		taken[key] = pieces[key]
+		delete(pieces, key)
+	}
+	portion.pieces[id] = taken
+	b.piecesAhead[id] = append(b.piecesAhead[id], keys...)
+	return len(keys)
+}
+
+// takeDeletions moves at most limit deletions to the portion.
+func (b *batch) takeDeletions(portion *batch, limit int) {
+	for key := range b.deletedKeys {
+		if len(portion.deletedKeys) == limit {
+			return
+		}
+		portion.deletedKeys[key] = true
+		delete(b.deletedKeys, key)
+	}
+}
+
 // byImportance returns the jobs of the records: first those that a caller waits
 // for, then those with tasks to start or that have ended, which callers see only
 // once it is stored, by priority, then the others, each in the order in which
@@ -136,10 +211,25 @@
 	return ids
 }
 
-// splitStarts returns the starts that still wait for a record, and the others.
+// splitStarts returns the starts that still wait for a record or for pieces of
+// their step, and the others.
 func splitStarts(starts []scheduler.Order, records map[primrosespar.JobID]scheduler.Record) (waiting, ready []scheduler.Order) {
+	waitingSteps := map[primrosespar.JobID]map[[2]int]bool{}
 	for _, start := range starts {
-		if _, waits := records[start.Run.Task.Job]; waits {
+		task := start.Run.Task
+		r, waits := records[task.Job]
+		if waits && r.Progress.Split {
+			steps, known := waitingSteps[task.Job]
+			if !known {
+				steps = map[[2]int]bool{}
+				for key := range r.Progress.Pieces {
+					steps[[2]int{key.Occurrence, key.Step}] = true
+				}
+				waitingSteps[task.Job] = steps
+			}
+			waits = r.Submission != nil || r.Whole || steps[[2]int{task.Occurrence, task.Step}]
+		}
+		if waits {
 			waiting = append(waiting, start)
 		} else {
 			ready = append(ready, start)
@@ -155,6 +245,10 @@
 	delete(b.replies, id)
 	delete(b.submitted, id)
 	delete(b.records, id)
+	for _, key := range b.piecesAhead[id] {
+		b.deletedKeys[primrosespar.ProgressPieceKey(id, key.String())] = true
+	}
+	delete(b.piecesAhead, id)
 	b.order = slices.DeleteFunc(b.order, func(other primrosespar.JobID) bool { return other == id })
 	return replies
 }
@@ -211,7 +305,15 @@
 // to be stored. Records that cannot be encoded go to the refused ones of the
 // batch.
 func (c *Controller) encodeBatch(b *batch) []writeGroup {
-	groups := make([]writeGroup, 0, len(b.order)+len(b.waves)+1)
+	groups := make([]writeGroup, 0, len(b.order)+len(b.pieces)+len(b.waves)+1)
+	for _, id := range slices.Sorted(maps.Keys(b.pieces)) {
+		writes, err := c.encodePieces(id, b.pieces[id])
+		if err != nil {
+			b.refused[id] = err
+			continue
+		}
+		groups = append(groups, writeGroup{job: id, writes: writes})
+	}
 	for _, id := range b.order {
 		writes, err := c.encodeRecord(b, b.records[id])
 		if err != nil {
@@ -238,17 +340,33 @@
 	return groups
 }
 
+// encodePieces returns the writes of pieces of a job.
+func (c *Controller) encodePieces(id primrosespar.JobID, pieces map[encoder.PieceKey][]encoder.Unit) ([]primrosespar.Write, error) {
+	var writes []primrosespar.Write
+	for _, key := range slices.SortedFunc(maps.Keys(pieces), encoder.PieceKey.Compare) {
+		data, err := c.encoder.Piece(pieces[key])
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, primrosespar.Write{Key: primrosespar.ProgressPieceKey(id, key.String()), Value: data})
+	}
+	return writes, nil
+}
+
 // encodeRecord returns the writes of the record of a job.
 func (c *Controller) encodeRecord(b *batch, r scheduler.Record) ([]primrosespar.Write, error) {
-	var writes []primrosespar.Write
+	writes, err := c.encodePieces(r.Job, r.Progress.Pieces)
+	if err != nil {
+		return nil, err
+	}
 	progress, err := c.encoder.Progress(r.Progress)
 	if err != nil {
 		return nil, err
 	}
 	finished := r.Progress.State.Ended() && len(r.Progress.Occurrences) == 0
 	if !finished && r.Submission != nil {
-		// The submission comes first: a large batch is split, and progress
-		// without its submission could not be taken over.
+		// The submission comes before the progress: a large batch is split, and
+		// progress without its submission could not be taken over.
 		submission, err := c.encoder.Submission(*r.Submission)
 		if err != nil {
 			return nil, err
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
 // Submit stores a job. It returns nil once the job is stored, also if it was
@@ -146,24 +147,55 @@
 		}
 		jobs[primrosespar.JobID(strings.TrimPrefix(row.Key, primrosespar.SubmissionPrefix()))] = job
 	}
+	pieces := map[primrosespar.JobID][]primrosespar.Row{}
 	for _, row := range progress {
-		id := primrosespar.JobID(strings.TrimPrefix(row.Key, primrosespar.ProgressPrefix()))
+		if id, _, isPiece := splitProgressKey(row.Key); isPiece {
+			pieces[id] = append(pieces[id], row)
+		}
+	}
+	for _, row := range progress {
+		id, _, isPiece := splitProgressKey(row.Key)
+		if isPiece {
+			continue
+		}
 		job, known := jobs[id]
 		job.ID = id
-		c.restore(job, known, row, now)
+		c.restore(job, known, row, pieces[id], now)
+		delete(pieces, id)
+	}
+	for _, rows := range pieces {
+		c.deletePieces(rows)
 	}
 	return nil
 }
 
-// restore restores a job of an earlier holder from the row of its progress. A
+// splitProgressKey returns the job that a row of progress belongs to, and its
+// piece if it is one.
+func splitProgressKey(key string) (id primrosespar.JobID, piece string, isPiece bool) {
+	text, piece, isPiece := strings.Cut(strings.TrimPrefix(key, primrosespar.ProgressPrefix()), "/")
+	return primrosespar.JobID(text), piece, isPiece
+}
+
+// deletePieces deletes pieces that belong to no occurrence. Their job was split
+// or has dropped an occurrence, and the commit of that was cut short.
+func (c *Controller) deletePieces(rows []primrosespar.Row) {
+	for _, row := range rows {
+		c.next.deletedKeys[row.Key] = true
+	}
+}
+
+// restore restores a job of an earlier holder from the rows of its progress. A
 // row that cannot be decoded costs that job only.
-func (c *Controller) restore(job primrosespar.Submission, known bool, row primrosespar.Row, now time.Time) {
+func (c *Controller) restore(job primrosespar.Submission, known bool, row primrosespar.Row, pieces []primrosespar.Row, now time.Time) {
 	p, err := c.encoder.ParseProgress(row.Value)
+	if err == nil {
+		err = c.parsePieces(&p, pieces)
+	}
 	switch {
-	case err != nil && known:
+	case err != nil && p.State == "" && known:
 		// Submissions are deleted when their jobs end.
 		p.State = primrosespar.JobActive
-	case err != nil:
+	case err != nil && p.State == "":
 		p.State = primrosespar.JobFailed
 	case !known && !p.State.Ended():
 		err = eris.Errorf("job %q has progress but no submission", job.ID)
@@ -177,6 +209,31 @@
 	c.committedStates[job.ID] = p.State
 }
 
+// parsePieces decodes the pieces of the occurrences of a split job and deletes
+// the others.
+func (c *Controller) parsePieces(p *encoder.Progress, rows []primrosespar.Row) error {
+	occurrences := map[int]bool{}
+	for _, o := range p.Occurrences {
+		occurrences[o.Index] = p.Split
+	}
+	p.Pieces = make(map[encoder.PieceKey][]encoder.Unit, len(rows))
+	for _, row := range rows {
+		_, text, _ := splitProgressKey(row.Key)
+		key, err := encoder.ParsePieceKey(text)
+		if err != nil {
+			return err
+		}
+		if !occurrences[key.Occurrence] {
+			c.deletePieces([]primrosespar.Row{row})
+			continue
+		}
+		if p.Pieces[key], err = c.encoder.ParsePiece(row.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // scan reads all rows with the prefix and retries failed reads until the
 // context ends.
 func (c *Controller) scan(ctx context.Context, prefix string) ([]primrosespar.Row, error) {
--- a/internal/fleet/controller/setaside.go
+++ b/internal/fleet/controller/setaside.go
@@ -34,7 +34,12 @@
 func (c *Controller) setAsideRefused(b *batch) {
 	now := c.parts.Clock.Now()
 	for id, reason := range b.refused {
-		r := b.records[id]
+		r, complete := b.records[id]
+		if !complete {
+			// The rest of the record waits for the pieces that are refused.
+			r = c.next.records[id]
+			b.fromInbox[id] = c.next.deletedKeys[primrosespar.FleetInboxSubmitKey(id)]
+		}
 		replies := b.replies[id]
 		delete(b.records, id)
 		delete(b.replies, id)
--- a/internal/fleet/encoder/encoder.go
+++ b/internal/fleet/encoder/encoder.go
@@ -1,13 +1,15 @@
 // Package encoder encodes submitted jobs, their progress and the progress of
 // maintenance waves as table rows, and decodes them. A job has two rows: the
 // submission, which never changes, and the progress, which is written at each
-// decision on the job.
+// decision on the job. The units of a job with many tasks are in further rows,
+// its pieces, of which only those that have changed are written.
 //
 // # Usage
 //
 //	e, err := encoder.New()
 //	data, err := e.Progress(progress)
 //	progress, err := e.ParseProgress(data)
+//	data, err := e.Piece(progress.Pieces[key])
 //
 // Progress rows are CBOR arrays without field names, to keep them small because
 // they are written most often. Submissions are CBOR maps.
@@ -62,8 +64,12 @@
 type Occurrence struct {
 	_     struct{} `cbor:",toarray"`
 	Index int
-	// Steps holds the units of each step, in order.
+	// Steps holds the units of each step, in order. It is empty if the job is
+	// split.
 	Steps [][]Unit
+	// Counted is set if the job is split and the occurrence is among the
+	// finished ones, but still has runs.
+	Counted bool `cbor:"-"`
 }
 
 // Progress is the part of a job that changes.
@@ -79,6 +85,12 @@
 	Finished    int
 	Created     int
 	Occurrences []Occurrence
+	// Split is set if the units are in Pieces, which have rows of their own, by
+	// step and range of tasks. No units means that all of a piece are done. Units
+	// in no piece wait for their first run. A gang has a unit in each of its
+	// pieces with the workers of that range.
+	Split  bool                `cbor:"-"`
+	Pieces map[PieceKey][]Unit `cbor:"-"`
 }
 
 // Wave is the progress of one wave of maintenance.
@@ -129,14 +141,21 @@
 	return submission, eris.Wrap(err, "decode submission")
 }
 
-// Progress encodes the progress of a job.
+// Progress encodes the progress of a job, without its pieces if it is split.
 func (e *Encoder) Progress(progress Progress) ([]byte, error) {
+	if progress.Split {
+		return e.splitProgress(progress)
+	}
 	data, err := e.encoder.Marshal(progress)
 	return data, eris.Wrap(err, "encode progress")
 }
 
-// ParseProgress decodes the progress of a job.
+// ParseProgress decodes the progress of a job, without its pieces if it is
+// split.
 func (e *Encoder) ParseProgress(data []byte) (Progress, error) {
+	if len(data) > 0 && data[0] == splitHeader {
+		return e.parseSplitProgress(data)
+	}
 	var progress Progress
 	err := e.decoder.Unmarshal(data, &progress)
 	return progress, eris.Wrap(err, "decode progress")
--- a/internal/fleet/scheduler/advice.go
+++ b/internal/fleet/scheduler/advice.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
 // Limits and estimates for requests to the advice service.
@@ -91,7 +90,7 @@
 		if st.denied[w.info.Worker] || st.hasValidTicket(w, now) || !w.eligibleWithoutAdvice(u, r.terms.Service, now) {
 			continue
 		}
-		limit := len(st.units) * u.size
+		limit := st.spec.Count
 		if n := w.roomUpTo(u, w.freeFor(u), limit); n > 0 {
 			withRoom = append(withRoom, candidate{worker: w, room: n})
 		} else if n := w.roomUpTo(u, w.info.Capacity, limit); reclaim && n > 0 {
@@ -128,15 +127,7 @@
 }
 
 // waitingTasks returns the number of tasks of the step that wait for a worker.
-func (st *step) waitingTasks() int {
-	n := 0
-	for _, u := range st.units {
-		if u.phase == encoder.Waiting {
-			n += u.size
-		}
-	}
-	return n
-}
+func (st *step) waitingTasks() int { return st.waitingUnits * st.unitSize() }
 
 // approvalRate estimates the share of workers that the advice service approves.
 func (s *Scheduler) approvalRate() float64 {
--- a/internal/fleet/scheduler/crashes.go
+++ b/internal/fleet/scheduler/crashes.go
@@ -125,7 +125,7 @@
 		u.crashes = append(u.crashes, crash{index: r.index, run: r.run})
 	}
 	u.crashes[i].blamed = u.crashes[i].blamed || blamed
-	s.markDirty(u.step.occurrence.job)
+	s.markUnitDirty(u)
 	task := u.task(r.index)
 	crashes, _ := u.crashesOf(r.index)
 	s.events = append(s.events, Event{
@@ -146,7 +146,7 @@
 	before := len(r.unit.crashes)
 	r.unit.crashes = slices.DeleteFunc(r.unit.crashes, r.matches)
 	if len(r.unit.crashes) != before {
-		s.markDirty(r.unit.step.occurrence.job)
+		s.markUnitDirty(r.unit)
 	}
 }
 
@@ -177,7 +177,7 @@
 func (s *Scheduler) clearCrashes(u *unit, now time.Time) {
 	if len(u.crashes) > 0 && now.Sub(u.placedAt) > crashWindow {
 		u.crashes = nil
-		s.markDirty(u.step.occurrence.job)
+		s.markUnitDirty(u)
 	}
 }
 
@@ -232,9 +232,16 @@
 	runMask    = 1<<indexShift - 1
 )
 
+// earlierMark marks the stored number of failed runs before those whose numbers
+// are stored.
+const earlierMark = blameMark
+
 // storedFailures returns the failed runs and the crashes in their stored form.
 func (u *unit) storedFailures() []uint64 {
 	stored := slices.Clone(u.failedRuns)
+	if u.earlierFailedRuns > 0 {
+		stored = append(stored, earlierMark|uint64(u.earlierFailedRuns))
+	}
 	for _, c := range u.crashes {
 		number := crashMark | uint64(c.index)<<indexShift | c.run
 		if c.blamed {
@@ -247,14 +254,20 @@
 
 // restoreFailures sets the failed runs and the crashes from their stored form.
 func (u *unit) restoreFailures(stored []uint64) {
-	u.failedRuns, u.crashes = nil, nil
+	u.failedRuns, u.earlierFailedRuns, u.crashes = nil, 0, nil
 	for _, number := range stored {
-		if number&crashMark == 0 {
+		switch {
+		case number&crashMark != 0:
+			u.crashes = append(u.crashes, parseCrash(number))
+		case number&earlierMark != 0:
+			u.earlierFailedRuns = int(number & runMask)
+		default:
 			u.failedRuns = append(u.failedRuns, number)
-			continue
 		}
-		u.crashes = append(u.crashes, crash{
-			index: int(number >> indexShift & indexMask), run: number & runMask, blamed: number&blameMark != 0,
-		})
 	}
 }
+
+// parseCrash returns the crash with the stored number.
+func parseCrash(number uint64) crash {
+	return crash{index: int(number >> indexShift & indexMask), run: number & runMask, blamed: number&blameMark != 0}
+}
--- a/internal/fleet/scheduler/draining.go
+++ b/internal/fleet/scheduler/draining.go
@@ -122,8 +122,8 @@
 	}
 	unavailable := disrupted
 	for _, other := range u.step.units {
-		if other != u && !other.available() {
-			unavailable += other.size
+		if other != u && (other == nil || !other.available()) {
+			unavailable += u.size
 		}
 	}
 	return unavailable+u.size <= spec.MaxUnavailable
--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -74,30 +74,31 @@
 
 // viewStep returns the state of a step.
 func (s *Scheduler) viewStep(st *step, rankedSteps map[*step]rankedStep, terms *primrosespar.QueueTerms, now time.Time) primrosespar.StepView {
-	v := primrosespar.StepView{Occurrence: st.occurrence.index, Step: st.index, Tasks: st.spec.Count}
-	var firstWaiting *unit
+	v := primrosespar.StepView{
+		Occurrence: st.occurrence.index, Step: st.index, Tasks: st.spec.Count, FailedRuns: st.mostFailedRuns, Crashes: st.mostCrashes,
+	}
 	for _, u := range st.units {
+		if u == nil {
+			continue
+		}
 		if u.phase == encoder.Done {
 			v.Done += u.size
 		}
 		v.Running += len(u.members)
-		v.FailedRuns = max(v.FailedRuns, len(u.failedRuns))
+		v.FailedRuns = max(v.FailedRuns, u.failedRunCount())
 		v.Crashes = max(v.Crashes, u.mostCrashes())
 		for _, m := range u.members {
 			if len(v.Workers) < maxShownWorkers && !slices.Contains(v.Workers, m.worker.info.Worker) {
 				v.Workers = append(v.Workers, m.worker.info.Worker)
 			}
 		}
-		if firstWaiting == nil && u.phase == encoder.Waiting {
-			firstWaiting = u
-		}
 	}
-	if firstWaiting != nil && !st.occurrence.job.state.Ended() {
+	if i, _ := st.nextWaiting(0); i < st.unitCount() && !st.occurrence.job.state.Ended() {
 		r, ok := rankedSteps[st]
 		if !ok {
 			r = rankedStep{step: st, terms: terms}
 		}
-		v.Reason = s.waitReason(firstWaiting, &r, now)
+		v.Reason = s.waitReason(st.at(i), &r, now)
 	}
 	return v
 }
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -34,6 +34,12 @@
 	// setAside is set once the store has refused the record or if the rows of an
 	// earlier holder cannot be decoded. Only the state of the job is stored then.
 	setAside bool
+	// split is set if the units are stored in pieces. recorded is the number of
+	// created occurrences that the last record named. droppedPieces are pieces of
+	// dropped occurrences that still have rows.
+	split         bool
+	recorded      int
+	droppedPieces []encoder.PieceKey
 }
 
 // occurrence is one run through the steps of a job.
@@ -45,6 +51,8 @@
 	// criticalPaths holds, by step, the estimated duration of the longest chain
 	// of dependent steps that begins there or later.
 	criticalPaths []time.Duration
+	// counted is set once the occurrence is counted as finished.
+	counted bool
 }
 
 // step is a step of an occurrence.
@@ -52,7 +60,22 @@
 	occurrence *occurrence
 	index      int
 	spec       *primrosespar.Step
-	units      []*unit
+	// units holds the units that have been used, by index. Those that have not
+	// are nil; all of them are while the slice is nil. done stands for those that
+	// are done and have no members.
+	units []*unit
+	done  *unit
+	// firstWaiting is an index before which no unit is in the phase Waiting.
+	firstWaiting int
+	// memberCount counts the members on workers.
+	memberCount int
+	// changedPieces and storedPieces say which pieces of a split job have changed
+	// since the last record, and which have rows.
+	changedPieces []bool
+	storedPieces  []bool
+	// mostFailedRuns and mostCrashes are those of the units that done stands for.
+	mostFailedRuns int
+	mostCrashes    int
 	// unfinished counts the units that are not done.
 	unfinished int
 	// waitingUnits counts the units in the phase Waiting.
@@ -77,8 +100,10 @@
 
 	phase encoder.Phase
 	run   uint64
-	// failedRuns holds the numbers of the runs that failed.
-	failedRuns []uint64
+	// failedRuns holds the numbers of the last runs that failed, and
+	// earlierFailedRuns counts those before them.
+	failedRuns        []uint64
+	earlierFailedRuns int
 	// crashes are the runs that ended with a worker.
 	crashes    []crash
 	checkpoint string
@@ -170,25 +195,22 @@
 	u.phase = phase
 	u.step.waitingUnits += delta
 	u.step.occurrence.job.waitingUnits += delta
+	if phase == encoder.Waiting {
+		u.step.firstWaiting = min(u.step.firstWaiting, u.firstIndex)
+	}
+	u.touch()
 }
 
-// newStep creates a step and its units.
+// newStep creates a step, whose units are created when they are used.
 func newStep(o *occurrence, index int, now time.Time) *step {
 	spec := &o.job.submission.Steps[index]
 	st := &step{occurrence: o, index: index, spec: spec}
 	if len(spec.After) == 0 {
 		st.readySince = now
 	}
-	if spec.Gang {
-		st.units = []*unit{{step: st, size: spec.Count}}
-	} else {
-		for i := range spec.Count {
-			st.units = append(st.units, &unit{step: st, firstIndex: i, size: 1})
-		}
-	}
-	st.unfinished = len(st.units)
-	st.waitingUnits = len(st.units)
-	o.job.waitingUnits += len(st.units)
+	st.unfinished = st.unitCount()
+	st.waitingUnits = st.unitCount()
+	o.job.waitingUnits += st.unitCount()
 	return st
 }
 
@@ -203,17 +225,19 @@
 	if o == nil {
 		o = s.addOccurrence(j, stored.Index, now)
 	}
+	o.counted = stored.Counted
 	for i, units := range stored.Steps {
 		if i >= len(o.steps) {
 			break
 		}
 		for k, storedUnit := range units {
-			if k < len(o.steps[i].units) {
-				s.restoreUnit(o.steps[i].units[k], storedUnit, now)
+			if k < o.steps[i].unitCount() {
+				u := o.steps[i].at(k)
+				s.restoreUnit(u, storedUnit, now)
+				o.steps[i].release(u)
 			}
 		}
 	}
-	s.releaseSteps(o, now)
 	return o
 }
 
@@ -221,17 +245,17 @@
 func (s *Scheduler) restoreUnit(u *unit, stored encoder.Unit, now time.Time) {
 	u.run, u.checkpoint = stored.Run, stored.Checkpoint
 	u.restoreFailures(stored.Failed)
+	u.trimFailures()
 	u.setPhase(stored.Phase)
-	if u.run > 0 {
+	if u.run > 0 || u.phase == encoder.Done {
 		u.step.occurrence.job.started = true
 	}
 	if u.phase == encoder.Done {
 		u.step.unfinished--
 	}
-	if len(stored.Workers) == 0 {
-		return
+	if len(stored.Workers) > 0 {
+		u.placedAt, u.progressAt = now, now
 	}
-	u.placedAt, u.progressAt = now, now
 	for i, name := range stored.Workers {
 		if name == "" || i >= u.size {
 			continue
@@ -274,12 +298,16 @@
 	return true
 }
 
-// units returns the units of all occurrences of the job.
+// units returns the units of all occurrences of the job that have been used.
 func (j *job) units() []*unit {
 	var units []*unit
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			units = append(units, st.units...)
+			for _, u := range st.units {
+				if u != nil {
+					units = append(units, u)
+				}
+			}
 		}
 	}
 	return units
@@ -288,10 +316,8 @@
 // hasMembers reports whether any member is on a worker.
 func (o *occurrence) hasMembers() bool {
 	for _, st := range o.steps {
-		for _, u := range st.units {
-			if len(u.members) > 0 {
-				return true
-			}
+		if st.memberCount > 0 {
+			return true
 		}
 	}
 	return false
@@ -305,15 +331,24 @@
 	u.step.unfinished--
 	s.markDirty(j)
 	s.dropClaim(u)
-	if j.state.Ended() {
+	u.step.release(u)
+	o := u.step.occurrence
+	if j.state.Ended() || o.counted || u.step.unfinished > 0 {
 		return
 	}
-	o := u.step.occurrence
 	s.releaseSteps(o, now)
-	if !o.done() {
-		return
+	if o.done() {
+		s.completeOccurrence(o, now)
 	}
+}
+
+// completeOccurrence counts an occurrence whose steps are done, and completes the
+// job if it was the last one.
+func (s *Scheduler) completeOccurrence(o *occurrence, now time.Time) {
+	j := o.job
+	o.counted = true
 	j.finished++
+	s.markDirty(j)
 	if j.finished >= max(1, j.submission.Repeat.Count) {
 		s.endJob(j, primrosespar.JobCompleted, now)
 	}
@@ -338,23 +373,30 @@
 	for _, o := range j.occurrences {
 		if !o.done() || o.hasMembers() {
 			kept = append(kept, o)
+		} else if pieces := o.takeStoredPieces(); len(pieces) > 0 {
+			j.droppedPieces = append(j.droppedPieces, pieces...)
+			s.markDirty(j)
 		}
 	}
 	j.occurrences = kept
 }
 
 // record returns the record to store for the job.
-func (j *job) record() Record {
+func (j *job) record(inlineTasks int) Record {
 	progress := encoder.Progress{State: j.state, Arrived: j.arrived.UnixMilli(), Finished: j.finished, Created: j.created}
+	r := Record{Job: j.submission.ID, Progress: progress}
+	if j.submissionUnsaved {
+		r.Submission = &j.submission
+	}
+	if j.splitIfLarge(inlineTasks); j.split {
+		j.recordPieces(&r)
+		return r
+	}
 	for _, o := range j.occurrences {
 		if j.setAside || j.state.Ended() && !o.hasMembers() {
 			continue
 		}
-		progress.Occurrences = append(progress.Occurrences, o.progress())
-	}
-	r := Record{Job: j.submission.ID, Progress: progress}
-	if j.submissionUnsaved {
-		r.Submission = &j.submission
+		r.Progress.Occurrences = append(r.Progress.Occurrences, o.progress())
 	}
 	return r
 }
@@ -363,9 +405,11 @@
 func (o *occurrence) progress() encoder.Occurrence {
 	progress := encoder.Occurrence{Index: o.index}
 	for _, st := range o.steps {
-		units := make([]encoder.Unit, 0, len(st.units))
-		for _, u := range st.units {
-			units = append(units, u.progress())
+		units := make([]encoder.Unit, st.unitCount())
+		for i, u := range st.units {
+			if u != nil {
+				units[i] = u.progress()
+			}
 		}
 		progress.Steps = append(progress.Steps, units)
 	}
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -91,7 +91,9 @@
 	m.worker.used = m.worker.used.Add(m.unit.step.spec.Occupies())
 	m.worker.ordersDue = true
 	m.worker.reindex()
+	m.unit.step.memberCount++
 	m.unit.step.occurrence.job.memberCount++
+	m.unit.touch()
 	s.countUrgentAccelerators(m, 1)
 	s.countFillerRuns(m, 1)
 }
@@ -102,7 +104,9 @@
 	m.worker.memberList = removeMember(m.worker.memberList, m)
 	m.worker.used = m.worker.used.Sub(m.unit.step.spec.Occupies())
 	m.worker.reindex()
+	m.unit.step.memberCount--
 	m.unit.step.occurrence.job.memberCount--
+	m.unit.touch()
 	m.unit.members = removeMember(m.unit.members, m)
 	s.countUrgentAccelerators(m, -1)
 	s.countFillerRuns(m, -1)
@@ -266,9 +270,7 @@
 	u := m.unit
 	s.detach(m)
 	s.markDirty(u.step.occurrence.job)
-	if checkpoint != "" {
-		u.checkpoint = checkpoint
-	}
+	u.setCheckpoint(checkpoint)
 	if u.phase == encoder.Placed && m.run == u.run {
 		s.recordEnd(u, m, end, now)
 	}
@@ -300,13 +302,39 @@
 	}
 }
 
+// setCheckpoint keeps the checkpoint, unless there is none or it is too long to
+// be stored. The unit then resumes from an earlier one.
+func (u *unit) setCheckpoint(checkpoint string) {
+	if checkpoint != "" && len(checkpoint) <= encoder.MaxCheckpoint {
+		u.checkpoint = checkpoint
+	}
+}
+
 // countFailure counts a failed run once, however many members report it.
 func (u *unit) countFailure(run uint64) {
 	if !slices.Contains(u.failedRuns, run) {
 		u.failedRuns = append(u.failedRuns, run)
+		u.trimFailures()
 	}
 }
 
+// trimFailures keeps the numbers of the last failed runs only; the ends of
+// earlier ones were acknowledged long ago. The failures of a long-running task
+// have no limit, and no number is kept.
+func (u *unit) trimFailures() {
+	kept := encoder.MaxFailedRuns
+	if u.step.spec.LongRunning {
+		kept = 0
+	}
+	if n := len(u.failedRuns) - kept; n > 0 {
+		u.failedRuns = slices.Delete(u.failedRuns, 0, n)
+		u.earlierFailedRuns += n
+	}
+}
+
+// failedRunCount returns the number of runs that failed.
+func (u *unit) failedRunCount() int { return u.earlierFailedRuns + len(u.failedRuns) }
+
 // avoidWorker excludes the worker from the next run.
 func (u *unit) avoidWorker(w *worker) {
 	if u.avoid == nil {
@@ -334,7 +362,7 @@
 		return
 	}
 	attempts := s.terms(j).Attempts
-	if !u.step.spec.LongRunning && attempts > 0 && len(u.failedRuns) >= attempts {
+	if !u.step.spec.LongRunning && attempts > 0 && u.failedRunCount() >= attempts {
 		u.setPhase(encoder.Failed)
 		s.endJob(j, primrosespar.JobFailed, now)
 	}
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
 // Defaults and limits of scheduling decisions.
@@ -99,6 +100,9 @@
 	// sent to a worker, answered or not, has certainly expired. It returns the
 	// zero time if none was sent.
 	LeaseExpiry func(primrosespar.Worker) time.Time
+	// InlineTasks is the most tasks of the live occurrences of a job whose
+	// progress is one row. That of larger jobs is split into pieces.
+	InlineTasks int
 }
 
 // Option sets one option.
@@ -128,6 +132,9 @@
 	return func(o *Options) { o.LeaseExpiry = expiry }
 }
 
+// WithInlineTasks sets the most tasks of a job whose progress is one row.
+func WithInlineTasks(tasks int) Option { return func(o *Options) { o.InlineTasks = tasks } }
+
 // applyOptions returns the defaults with the options applied.
 func applyOptions(opts []Option) Options {
 	o := Options{
@@ -135,6 +142,7 @@
 		Takeover:    DefaultTakeover,
 		GangTimeout: DefaultGangTimeout,
 		Reserve:     DefaultReserve,
+		InlineTasks: encoder.PieceTasks,
 		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
 	}
 	for _, opt := range opts {
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -212,8 +212,8 @@
 
 // hasWaiting reports whether a unit of the step may start now.
 func (st *step) hasWaiting(now time.Time) bool {
-	for _, u := range st.units {
-		if u.waiting(now) {
+	for i, u := st.nextWaiting(0); i < st.unitCount(); i, u = st.nextWaiting(i + 1) {
+		if u == nil || u.waiting(now) {
 			return true
 		}
 	}
@@ -232,8 +232,8 @@
 // has not come.
 func (s *Scheduler) placeStep(r *rankedStep, from int, blockedSizes map[blockedShape]int, now time.Time) (*unit, int) {
 	r.singleTaskWorkers = nil
-	for i := from; i < len(r.step.units); i++ {
-		u := r.step.units[i]
+	for i, _ := r.step.nextWaiting(from); i < r.step.unitCount(); i, _ = r.step.nextWaiting(i + 1) {
+		u := r.step.at(i)
 		if !u.waiting(now) {
 			continue
 		}
@@ -345,8 +345,13 @@
 		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
+				if st.memberCount == 0 {
+					continue
+				}
 				for _, u := range st.units {
-					s.checkUnit(u, now)
+					if u != nil {
+						s.checkUnit(u, now)
+					}
 				}
 			}
 		}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -109,7 +109,13 @@
 	Job primrosespar.JobID
 	// Submission is set in the first record of a job only.
 	Submission *primrosespar.Submission
-	Progress   encoder.Progress
+	// Progress holds only the pieces that have changed since the last record.
+	// They must be stored before or together with the rest of the record.
+	Progress encoder.Progress
+	// Whole is set if the pieces have no meaning without the rest of the record.
+	Whole bool
+	// Dropped are pieces whose rows are to be deleted after that.
+	Dropped []encoder.PieceKey
 	// Priority is the priority of the job's queue; 0 comes first.
 	Priority int
 }
@@ -227,25 +233,29 @@
 	if j.state.Ended() {
 		j.endedAt = now
 		s.liveJobs = s.liveJobs[:len(s.liveJobs)-1]
-		s.restoreEnded(j, progress, now)
-		return
 	}
 	for _, stored := range progress.Occurrences {
 		s.restoreOccurrence(j, stored, now)
 	}
-}
-
-// restoreEnded restores the runs of an ended job that may still be active, so
-// that they are stopped.
-func (s *Scheduler) restoreEnded(j *job, progress encoder.Progress, now time.Time) {
-	for _, stored := range progress.Occurrences {
-		o := s.restoreOccurrence(j, stored, now)
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				s.stopUnit(u, "job ended")
-			}
+	s.restorePieces(j, progress.Pieces, now)
+	for _, o := range j.occurrences {
+		s.releaseSteps(o, now)
+	}
+	if j.state.Ended() {
+		// Its runs may still be active.
+		for _, u := range j.units() {
+			s.stopUnit(u, "job ended")
 		}
 	}
+	if j.split = progress.Split; j.split {
+		j.recorded = j.created
+		s.settleOccurrences(j, now)
+		return
+	}
+	for _, o := range j.occurrences {
+		// The last end of an occurrence is stored together with its count.
+		o.counted = o.done()
+	}
 }
 
 // Cancel cancels a job and reports whether the job is known. A job that has
@@ -307,17 +317,19 @@
 	}
 }
 
+// markUnitDirty marks the unit and the record of its job to be stored.
+func (s *Scheduler) markUnitDirty(u *unit) {
+	u.touch()
+	s.markDirty(u.step.occurrence.job)
+}
+
 // endJob sets the job's final state and stops its runs.
 func (s *Scheduler) endJob(j *job, state primrosespar.JobState, now time.Time) {
 	j.state = state
 	j.endedAt = now
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				s.dropClaim(u)
-				s.stopUnit(u, "job "+string(state))
-			}
-		}
+	for _, u := range j.units() {
+		s.dropClaim(u)
+		s.stopUnit(u, "job "+string(state))
 	}
 	for i, other := range s.liveJobs {
 		if other == j {
@@ -351,7 +363,7 @@
 func (s *Scheduler) collectChanges() Changes {
 	c := Changes{Acknowledged: s.acknowledged, Events: s.events, AdviceRequests: s.adviceRequests, Throttles: s.throttles}
 	for _, j := range s.dirtyJobs {
-		r := j.record()
+		r := j.record(s.opts.InlineTasks)
 		r.Priority = s.terms(j).Priority
 		c.Records = append(c.Records, r)
 		j.dirty = false
--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -82,6 +82,10 @@
 	replacements int
 	// unsent are changes that are stored and whose orders have not been sent.
 	unsent scheduler.Changes
+	// inlineTasks is the most tasks of a job whose progress is one row; pieces
+	// are those of the others.
+	inlineTasks int
+	pieces      map[primrosespar.JobID]map[encoder.PieceKey][]byte
 }
 
 // Parameters of the model.
@@ -91,13 +95,15 @@
 	modelStopTime = 500 * time.Millisecond
 )
 
-// newStateMachine returns a state machine with one holder.
-func newStateMachine(t *rapid.T) *stateMachine {
+// newStateMachine returns a state machine with one holder that keeps the
+// progress of jobs with more than inlineTasks tasks in pieces.
+func newStateMachine(t *rapid.T, inlineTasks int) *stateMachine {
 	m := &stateMachine{
 		t: t, now: time.Unix(1_000_000, 0), stored: map[primrosespar.JobID]scheduler.Record{},
 		acknowledgedDone: map[primrosespar.TaskName]bool{}, acknowledgedFailures: map[primrosespar.TaskName]int{},
 		failures:      map[primrosespar.TaskName]map[uint64]bool{},
 		leaseExpiries: map[primrosespar.Worker]time.Time{},
+		inlineTasks:   inlineTasks, pieces: map[primrosespar.JobID]map[encoder.PieceKey][]byte{},
 	}
 	workers := newHarness(&testing.T{}, 1).workers
 	for _, info := range workers[:modelWorkers] {
@@ -114,7 +120,8 @@
 	m.term++
 	m.token++
 	m.unsent = scheduler.Changes{}
-	m.scheduler = scheduler.New(scheduler.WithLeaseExpiry(func(w primrosespar.Worker) time.Time { return m.leaseExpiries[w] }))
+	m.scheduler = scheduler.New(scheduler.WithInlineTasks(m.inlineTasks),
+		scheduler.WithLeaseExpiry(func(w primrosespar.Worker) time.Time { return m.leaseExpiries[w] }))
 	m.scheduler.SetCatalog(testCatalog())
 	enc, err := encoder.New()
 	require.NoError(m.t, err)
@@ -127,6 +134,11 @@
 		require.NoError(m.t, err)
 		progress, err := enc.ParseProgress(data)
 		require.NoError(m.t, err)
+		progress.Pieces = map[encoder.PieceKey][]encoder.Unit{}
+		for key, data := range m.pieces[record.Job] {
+			progress.Pieces[key], err = enc.ParsePiece(data)
+			require.NoError(m.t, err)
+		}
 		m.scheduler.Restore(*record.Submission, progress, m.now)
 	}
 	// A holder plans before it has read the list of workers.
@@ -155,6 +167,7 @@
 			record.Submission = m.stored[record.Job].Submission
 		}
 		m.stored[record.Job] = record
+		m.storePieces(record)
 		if record.Progress.State == primrosespar.JobFailed {
 			m.checkFailed(record.Job)
 		}
@@ -171,6 +184,22 @@
 	}
 }
 
+// storePieces stores the changed pieces of a record and deletes the dropped ones.
+func (m *stateMachine) storePieces(record scheduler.Record) {
+	enc, err := encoder.New()
+	require.NoError(m.t, err)
+	if m.pieces[record.Job] == nil {
+		m.pieces[record.Job] = map[encoder.PieceKey][]byte{}
+	}
+	for key, units := range record.Progress.Pieces {
+		m.pieces[record.Job][key], err = enc.Piece(units)
+		require.NoError(m.t, err)
+	}
+	for _, key := range record.Dropped {
+		delete(m.pieces[record.Job], key)
+	}
+}
+
 // checkFailed fails the test if no task of a failed job has used up its
 // attempts.
 func (m *stateMachine) checkFailed(id primrosespar.JobID) {
@@ -688,7 +717,17 @@
 // unresponsive, restart, are replaced or cordoned, and the holder changes.
 func TestAtMostOneRunPerTask(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newStateMachine(t)
+		m := newStateMachine(t, encoder.PieceTasks)
+		m.pollAll()
+		t.Repeat(m.actions())
+	})
+}
+
+// TestAtMostOneRunPerTaskInPieces is TestAtMostOneRunPerTask with the progress
+// of each job in pieces.
+func TestAtMostOneRunPerTaskInPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newStateMachine(t, 0)
 		m.pollAll()
 		t.Repeat(m.actions())
 	})
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -264,7 +264,7 @@
 		s.completeUnit(u, now)
 	case ended.End == primrosespar.EndFailed && u.phase != encoder.Done:
 		u.countFailure(ended.Run.Number)
-		s.markDirty(u.step.occurrence.job)
+		s.markUnitDirty(u)
 		if u.phase == encoder.Waiting {
 			s.requeue(u, now)
 		}
@@ -278,17 +278,17 @@
 		return nil
 	}
 	for _, o := range j.occurrences {
-		if o.index != task.Occurrence || task.Step >= len(o.steps) {
+		if o.index != task.Occurrence || task.Step < 0 || task.Step >= len(o.steps) {
 			continue
 		}
-		units := o.steps[task.Step].units
+		st := o.steps[task.Step]
 		switch {
-		case task.Index >= o.steps[task.Step].spec.Count:
+		case task.Index < 0 || task.Index >= st.spec.Count:
 			return nil
-		case o.steps[task.Step].spec.Gang:
-			return units[0]
+		case st.spec.Gang:
+			return st.at(0)
 		default:
-			return units[task.Index]
+			return st.at(task.Index)
 		}
 	}
 	return nil
@@ -308,8 +308,8 @@
 	m.seenAt = now
 	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
-	if active.Checkpoint != "" && m.run == m.unit.run {
-		m.unit.checkpoint = active.Checkpoint
+	if m.run == m.unit.run {
+		m.unit.setCheckpoint(active.Checkpoint)
 	}
 	if active.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = active.Percent, now
--- a/key.go
+++ b/key.go
@@ -78,6 +78,10 @@
 // ProgressKey returns the key of the row of the progress of a submitted job.
 func ProgressKey(id JobID) string { return ProgressPrefix() + string(id) }
 
+// ProgressPieceKey returns the key of the row of a piece of the progress of a
+// submitted job.
+func ProgressPieceKey(id JobID, piece string) string { return ProgressKey(id) + "/" + piece }
+
 // FleetInboxPrefix returns the prefix of the keys of the messages to the holder
 // of the fleet lease from hosts that cannot reach it.
 func FleetInboxPrefix() string { return "fleet_mail/" }
--- a/names_test.go
+++ b/names_test.go
@@ -142,7 +142,19 @@
 		"Address", "Host", "Incarnation", "Sequence", "Token",
 	}, decodedPaths(t, holder))
 
-	data, err = e.Progress(filled[encoder.Progress]())
+	progress := filled[encoder.Progress]()
+	data, err = e.Progress(progress)
+	require.NoError(t, err)
+	require.Equal(t, []string{"0", "1", "2", "3", "4.0.0", "4.0.1", "5"}, decodedPaths(t, data))
+	for key, units := range progress.Pieces {
+		require.Equal(t, "progress/x/000001.001.001", primrosespar.ProgressPieceKey("x", key.String()))
+		data, err = e.Piece(units)
+		require.NoError(t, err)
+		require.Equal(t, []string{"0.0.0", "0.0.1", "0.0.2.0", "0.0.3", "0.0.4.0"}, decodedPaths(t, data))
+	}
+	// The row of a job that is not split.
+	progress.Split = false
+	data, err = e.Progress(progress)
 	require.NoError(t, err)
 	require.Equal(t, []string{
 		"0", "1", "2", "3", "4.0.0", "4.0.1.0.0.0", "4.0.1.0.0.1", "4.0.1.0.0.2.0", "4.0.1.0.0.3", "4.0.1.0.0.4.0",
