Bound the memory of the index of free accelerators

Cause: the size of an allocation is taken from a worker's row.

Change: workers with more than 4,096 free accelerators share a counter, and Room, which is an upper bound, returns its limit while there is one.

--- a/internal/fleet/indexer/indexer.go
+++ b/internal/fleet/indexer/indexer.go
@@ -15,11 +15,16 @@
 //	}
 package indexer
 
+// maxCounted bounds the free accelerators by which workers are told apart, and
+// with them the memory, which must not depend on what a worker says of itself.
+const maxCounted = 4096
+
 // Indexer counts workers by free accelerators. The zero value counts none. It
 // is not safe for concurrent use.
 type Indexer struct {
 	// workers holds the number of workers by free accelerators. Overcommitted
-	// workers count as having none.
+	// workers count as having none, those with more than maxCounted as having
+	// maxCounted.
 	workers []int
 	free    int
 }
@@ -38,6 +43,7 @@
 func (x *Indexer) count(free, delta int) {
 	free = max(free, 0)
 	x.free += delta * free
+	free = min(free, maxCounted)
 	for len(x.workers) <= free {
 		x.workers = append(x.workers, 0)
 	}
@@ -54,6 +60,9 @@
 	if accelerators <= 0 {
 		return limit
 	}
+	if len(x.workers) > maxCounted && x.workers[maxCounted] > 0 {
+		return limit
+	}
 	room := 0
 	for free := accelerators; free < len(x.workers) && room < limit; free++ {
 		room += x.workers[free] * (free / accelerators)
--- a/internal/fleet/indexer/indexer_test.go
+++ b/internal/fleet/indexer/indexer_test.go
@@ -1,6 +1,7 @@
 package indexer_test
 
 import (
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -37,3 +38,21 @@
 		require.Equal(t, min(room, limit), x.Room(need, limit))
 	})
 }
+
+// TestMemoryIsBoundedByAnyCapacity guards against a worker whose announced
+// accelerators set the memory of the holder.
+func TestMemoryIsBoundedByAnyCapacity(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var x indexer.Indexer
+	x.Add(1 << 22)
+	x.Add(8)
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+	require.Equal(t, 1<<22+8, x.Free())
+	require.Equal(t, 5, x.Room(1<<20, 5), "the bound may be too high, never too low")
+	require.Equal(t, 1, x.Room(8, 1))
+	x.Move(1<<22, 8)
+	require.Equal(t, 16, x.Free())
+	require.Equal(t, 2, x.Room(8, 5))
+}
