Find no unit for the number of a task that no job has

What callers would see: a worker that lists an end with a negative step or index, under the id of a known job, ends the term of the holder; it lists the end again for the next one, and nothing is scheduled any more.

Cause: findUnit checked the upper bounds of the numbers only. Workers name the tasks, so the decoder's check is not the only one needed.

Change: findUnit checks both bounds.

Evidence: go test ./internal/fleet/scheduler -run Impossible failed before the change: TestReportOfImpossibleTasksIsHarmless "index out of range [-]" in findUnit. It passes now.

--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -799,3 +800,33 @@
 	h.scheduler.Submit(job("v", "urgent", primrosespar.Step{Count: 1, Need: needAccelerators(8)}), h.now)
 	require.Len(t, h.plan().Starts, 1)
 }
+
+// TestReportOfImpossibleTasksIsHarmless guards against a report that names
+// tasks which cannot exist and panics: the report would end each term.
+func TestReportOfImpossibleTasksIsHarmless(t *testing.T) {
+	h := newHarness(t, 1)
+	h.reportAllIdle()
+	gang := job("b", "plain", primrosespar.Step{Count: 2, Gang: true, Need: needAccelerators(1)})
+	h.submitAndStart(gang)
+	starts := h.submitAndStart(job("a", "plain", primrosespar.Step{Count: 2, Need: needAccelerators(1)}))
+	require.Len(t, starts, 2)
+	numbers := []int{math.MinInt, -1, 0, 2, math.MaxInt}
+	var active []primrosespar.ActiveRun
+	var ended []primrosespar.EndedRun
+	for _, id := range []primrosespar.JobID{"a", "b", "", "none"} {
+		for _, occurrence := range numbers {
+			for _, step := range numbers {
+				for _, index := range numbers {
+					run := primrosespar.Run{Task: primrosespar.TaskName{Job: id, Occurrence: occurrence, Step: step, Index: index}, Number: math.MaxUint64}
+					active = append(active, primrosespar.ActiveRun{Run: run})
+					ended = append(ended, primrosespar.EndedRun{Sequence: uint64(len(ended) + 1), Run: run, End: "odd"})
+				}
+			}
+		}
+	}
+	require.NotPanics(t, func() { h.report(0, active, ended...) })
+	h.plan()
+	state, known := h.scheduler.State("a")
+	require.True(t, known)
+	require.Equal(t, primrosespar.JobActive, state)
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -271,19 +271,20 @@
 	}
 }
 
-// findUnit returns the unit of a task, or nil.
+// findUnit returns the unit of a task, or nil. Workers name the tasks, so the
+// numbers may be anything.
 func (s *Scheduler) findUnit(task primrosespar.TaskName) *unit {
 	j := s.jobs[task.Job]
 	if j == nil {
 		return nil
 	}
 	for _, o := range j.occurrences {
-		if o.index != task.Occurrence || task.Step >= len(o.steps) {
+		if o.index != task.Occurrence || task.Step < 0 || task.Step >= len(o.steps) {
 			continue
 		}
 		units := o.steps[task.Step].units
 		switch {
-		case task.Index >= o.steps[task.Step].spec.Count:
+		case task.Index < 0 || task.Index >= o.steps[task.Step].spec.Count:
 			return nil
 		case o.steps[task.Step].spec.Gang:
 			return units[0]
