Let a report that panics cost its worker, not the term

What callers would see: a report that panics in the scheduler, for whatever reason, ends the term; the worker sends it to the next holder again, and nothing is scheduled any more.

Cause: reports are handled on the loop of the controller, where a panic ends the term, since the state of the scheduler may be half changed.

Change: a panic while a report is handled is logged and the worker given up until it restarts: it gets no work, is not polled, so that its runs end with its lease, and no end of the report is acknowledged. So a half applied report neither repeats a task that has ended and was noted, nor runs one twice.

--- a/internal/fleet/controller/polling.go
+++ b/internal/fleet/controller/polling.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/panics"
+
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/poller"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
@@ -101,10 +104,26 @@
 // OnReport implements poller.Sink.
 func (s pollSink) OnReport(worker primrosespar.Worker, report primrosespar.WorkerReport, requestedAt, leaseExpiry time.Time) {
 	s.c.enqueue(func() {
-		s.c.scheduler.HandleReport(worker, report, requestedAt, leaseExpiry, s.c.parts.Clock.Now())
+		recovered := panics.Try(func() {
+			s.c.scheduler.HandleReport(worker, report, requestedAt, leaseExpiry, s.c.parts.Clock.Now())
+		})
+		if recovered != nil {
+			s.c.isolate(worker, recovered.AsError())
+		}
 	})
 }
 
+// isolate gives up a worker whose report could not be handled, until it
+// restarts. It is not polled any more, so its runs end with its lease, and no
+// end of the report is acknowledged.
+func (c *Controller) isolate(worker primrosespar.Worker, err error) {
+	c.parts.OnError("report", eris.Wrapf(err, "the report of worker %s panicked", worker))
+	c.scheduler.Isolate(worker)
+	if p := c.pollers[worker]; p != nil {
+		p.Isolate()
+	}
+}
+
 // OnPollError implements poller.Sink.
 func (s pollSink) OnPollError(worker primrosespar.Worker, leaseExpiry time.Time, err error) {
 	s.c.enqueue(func() {
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -109,6 +109,8 @@
 	// unresponsive while the last poll has failed.
 	polled       bool
 	unresponsive bool
+	// isolated workers are not polled until they restart.
+	isolated bool
 	// startedAt is the lifetime of the worker that the fields below belong to.
 	startedAt time.Time
 	// stored is the sequence up to which ends of runs are stored, acknowledged
@@ -210,10 +212,18 @@
 	p.notify()
 }
 
+// Isolate ends the polls, and with them the renewal of the worker's lease, until
+// the worker restarts.
+func (p *Poller) Isolate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isolated = true
+}
+
 // beginLifetime discards what belongs to an earlier lifetime of the worker,
 // which numbers the ends of its runs from 1 again. The caller holds the lock.
 func (p *Poller) beginLifetime(startedAt time.Time) {
-	p.startedAt = startedAt
+	p.startedAt, p.isolated = startedAt, false
 	p.stored, p.acknowledged, p.lastSequence, p.polled = 0, 0, 0, false
 	p.workerClockAt = time.Time{}
 }
@@ -230,7 +240,7 @@
 func (p *Poller) needsPoll() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.busy || !p.polled || p.lastSequence > p.acknowledged
+	return !p.isolated && (p.busy || !p.polled || p.lastSequence > p.acknowledged)
 }
 
 // poll polls the worker once and passes the result to the sink.
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -181,6 +181,15 @@
 	}
 }
 
+// Isolate gives up a worker whose report could not be handled: it gets no work,
+// and no end that it listed is acknowledged, since it may not have been applied.
+func (s *Scheduler) Isolate(name primrosespar.Worker) {
+	delete(s.acknowledged, name)
+	if w := s.workers[name]; w != nil {
+		w.unresponsive = true
+	}
+}
+
 // ExtendLease records that a start order was sent with a lease which has
 // certainly expired at leaseExpiry, whether or not the order was answered.
 func (s *Scheduler) ExtendLease(name primrosespar.Worker, leaseExpiry time.Time) {
