Apply a cancellation in the inbox after all submissions in it

Cause: the holder read the first 200 keys only. The keys of cancellations sort before those of submissions, so the cancellation was applied before its job was known, and deleted.

Change: the inbox is read page by page until an empty one. If a read ends early (an error, or more than 10,000 messages), cancellations without a known job stay. A host writes a cancellation only after it has seen the job in the store, so a complete read finds the job.

It passes now.

--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -69,8 +69,10 @@
 	DefaultMaxFirstPolls = 128
 	// maxQueuedActions bounds the actions that wait for the loop.
 	maxQueuedActions = 4096
-	// inboxPageLimit is the maximum number of inbox rows per read.
+	// inboxPageLimit is the maximum number of inbox rows per page, and
+	// maxInboxPages the maximum number of pages per read.
 	inboxPageLimit = 200
+	maxInboxPages  = 50
 	// scanPageLimit is the number of rows per page when jobs and waves are
 	// loaded; the store returns at most 500.
 	scanPageLimit = 400
--- /dev/null
+++ b/internal/fleet/controller/inbox.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"context"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"primrosespar.example/primrosespar"
+)
+
+// readInbox reads the messages of hosts that could not reach the holder, page by
+// page up to maxInboxPages.
+func (c *Controller) readInbox(ctx context.Context) {
+	var rows []primrosespar.Row
+	complete := false
+	after := ""
+	for range maxInboxPages {
+		page, err := c.readInboxPage(ctx, after)
+		if err != nil {
+			c.parts.OnError("mail", err)
+			break
+		}
+		c.parts.OnStoreAnswer()
+		if complete = len(page) == 0; complete {
+			break
+		}
+		rows = append(rows, page...)
+		after = page[len(page)-1].Key
+	}
+	if len(rows) == 0 && !complete {
+		return
+	}
+	c.enqueue(func() {
+		c.applyInbox(rows, complete)
+		c.inboxRead = true
+	})
+}
+
+// readInboxPage reads the messages whose keys are greater than after, at most
+// inboxPageLimit.
+func (c *Controller) readInboxPage(ctx context.Context, after string) ([]primrosespar.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return c.parts.Table.Scan(ctx, primrosespar.FleetInboxPrefix(), after, inboxPageLimit)
+}
+
+// applyInbox applies messages and deletes their rows in the same commit.
+// Submissions come first, so that a cancellation finds its job. If the inbox was
+// not read completely, its job may be among the other messages.
+func (c *Controller) applyInbox(rows []primrosespar.Row, complete bool) {
+	now := c.parts.Clock.Now()
+	submitPrefix, cancelPrefix := primrosespar.FleetInboxSubmitKey(""), primrosespar.FleetInboxCancelKey("")
+	for _, row := range rows {
+		if !strings.HasPrefix(row.Key, submitPrefix) {
+			continue
+		}
+		job, err := c.encoder.ParseSubmission(row.Value)
+		if err != nil {
+			c.parts.OnError("mail", eris.Wrap(err, row.Key))
+			continue
+		}
+		c.scheduler.Submit(job, now)
+		// The job is accepted by its row, which this batch deletes. It must not
+		// be withdrawn.
+		delete(c.next.submitted, job.ID)
+		c.next.deletedKeys[row.Key] = true
+	}
+	for _, row := range rows {
+		id, ok := strings.CutPrefix(row.Key, cancelPrefix)
+		if ok && (c.scheduler.Cancel(primrosespar.JobID(id), now) || complete) {
+			c.next.deletedKeys[row.Key] = true
+		}
+	}
+}
--- a/internal/fleet/controller/odd_test.go
+++ b/internal/fleet/controller/odd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -91,3 +94,60 @@
 		require.ErrorIs(t, <-ended, context.Canceled)
 	})
 }
+
+// commitRows stores rows in the table.
+func commitRows(t *testing.T, table primrosespar.Table, rows map[string][]byte) {
+	var txn primrosespar.Txn
+	for key, value := range rows {
+		txn.Writes = append(txn.Writes, primrosespar.Write{Key: key, Value: value})
+	}
+	_, err := table.Commit(t.Context(), txn)
+	require.NoError(t, err)
+}
+
+// encodeSubmission returns the stored form of a job.
+func encodeSubmission(t *testing.T, job primrosespar.Submission) []byte {
+	enc, err := encoder.New()
+	require.NoError(t, err)
+	row, err := enc.Submission(job)
+	require.NoError(t, err)
+	return row
+}
+
+// TestCancelInAFullInboxTakesEffect guards against a cancellation that is read
+// from the inbox before its job, when more messages lie there than one page
+// holds: it was deleted without effect, and the cancelled job ran.
+func TestCancelInAFullInboxTakesEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		rows := map[string][]byte{}
+		var ids []primrosespar.JobID
+		for i := range 450 {
+			id := primrosespar.JobID(fmt.Sprintf("%016x", i))
+			ids = append(ids, id)
+			rows[primrosespar.FleetInboxSubmitKey(id)] = encodeSubmission(t, primrosespar.Submission{
+				ID: id, Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}},
+			})
+		}
+		cancelled := []primrosespar.JobID{ids[0], ids[200], ids[449]}
+		for _, id := range cancelled {
+			rows[primrosespar.FleetInboxCancelKey(id)] = []byte(id)
+		}
+		commitRows(t, table, rows)
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newController(t, table)
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		for _, id := range ids {
+			state, err := c.State(ctx, id)
+			require.NoError(t, err)
+			require.Equal(t, slices.Contains(cancelled, id), state == primrosespar.JobCancelled, "%s is %s", id, state)
+		}
+		left, err := table.Scan(ctx, primrosespar.FleetInboxPrefix(), "", 10)
+		require.NoError(t, err)
+		require.Empty(t, left)
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
