Let an odd row of the scheduler's tables cost that row

What callers would see: a stored job that cannot be (a step after step -1, 2 to the power of 40 tasks) ends each term while the jobs are loaded, or the process with its memory, and nothing is scheduled any more. An unreadable message in the inbox is logged every two seconds, and 200 of them hide all that lie behind them. A gang of 4,096 tasks with 2^63-1 accelerators each overflows the sums that guarantees are judged by.

Cause: rows were checked for their form, not for what they describe.

Change: Submission.Validate bounds what the scheduler can carry. Rows, messages and jobs of other hosts are checked with it; a caller gets 400 before anything is stored, since a job that the holder refuses would go on to the inbox. A job whose restoration panics is left out. Messages that cannot be applied stay, since a later release may have written them, and are reported once in a term.

--- a/fleet.go
+++ b/fleet.go
@@ -116,6 +116,38 @@
 	Repeat Repeat
 }
 
+// Limits of a submission, beyond which the scheduler cannot carry it or sums of
+// its numbers overflow. What callers may submit is narrower.
+const (
+	maxSubmissionTasks = 1 << 20
+	maxOccurrences     = 1 << 20
+	maxTaskResource    = 1 << 40
+)
+
+// Validate returns CodeOutOfRange unless the scheduler can carry the job.
+func (s Submission) Validate() error {
+	if s.Repeat.Count < 0 || s.Repeat.Count > maxOccurrences {
+		return Fail(CodeOutOfRange, "%d repetitions are out of range", s.Repeat.Count)
+	}
+	tasks := 0
+	largest := Resources{maxTaskResource, maxTaskResource, maxTaskResource}
+	for i, step := range s.Steps {
+		if step.Count < 1 || step.Count > maxSubmissionTasks-tasks {
+			return Fail(CodeOutOfRange, "step %d: %d tasks are out of range", i, step.Count)
+		}
+		tasks += step.Count
+		if !step.Need.Holds(Resources{}) || !largest.Holds(step.Need) {
+			return Fail(CodeOutOfRange, "step %d: resources %+v are out of range", i, step.Need)
+		}
+		for _, predecessor := range step.After {
+			if predecessor < 0 || predecessor >= len(s.Steps) {
+				return Fail(CodeOutOfRange, "step %d comes after step %d, which does not exist", i, predecessor)
+			}
+		}
+	}
+	return nil
+}
+
 // JobState is the state of a submitted job as its caller sees it.
 type JobState string
 
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -191,7 +191,10 @@
 	// inboxRead is set once the inbox was read for the first time; until then
 	// jobs may be missing from the count of waiting jobs.
 	inboxRead bool
-	waiting   atomic.Pointer[map[primrosespar.Queue]int]
+	// oddMessages are the keys of the messages that were reported because they
+	// cannot be applied.
+	oddMessages map[string]bool
+	waiting     atomic.Pointer[map[primrosespar.Queue]int]
 }
 
 // New returns a Controller for the term of the committer's lease.
@@ -215,6 +218,7 @@
 		startedAt:       parts.Clock.Now(),
 		adviceHosts:     make([]netip.AddrPort, 1),
 		adviceInFlight:  map[netip.AddrPort]bool{},
+		oddMessages:     map[string]bool{},
 		maintainer:      maintainer.New(),
 	}
 	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock), scheduler.WithTakeover(o.Takeover),
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -57,6 +57,18 @@
 // newControllerOf is newController with the given source of workers, which may
 // be their fleet too.
 func newControllerOf(t *testing.T, table primrosespar.Table, workers primrosespar.Source, opts ...controller.Option) *controller.Controller {
+	return newControllerWith(t, table, workers, func(string, error) {}, opts...)
+}
+
+// newReportingController is newController with the function that receives
+// errors, on a platform with machine maintenance.
+func newReportingController(t *testing.T, table primrosespar.Table, onError func(part string, err error)) *controller.Controller {
+	return newControllerWith(t, table, maintained{}, onError)
+}
+
+// newControllerWith is newControllerOf with the function that receives errors.
+func newControllerWith(t *testing.T, table primrosespar.Table, workers primrosespar.Source, onError func(part string, err error), opts ...controller.Option) *controller.Controller {
+	maintenance, _ := workers.(primrosespar.MaintenanceService)
 	fleet, _ := workers.(primrosespar.Fleet)
 	clock := clockwork.NewRealClock()
 	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
@@ -64,7 +76,7 @@
 	c, err := controller.New(controller.Parts{
 		Table: table, Source: workers, Fleet: fleet, Clock: clock, Committer: lease, Catalog: catalog,
 		WallClock:  func(now time.Time) time.Time { return now },
-		OnDecision: func(scheduler.Event) {}, OnStoreAnswer: func() {}, OnError: func(string, error) {},
+		OnDecision: func(scheduler.Event) {}, OnStoreAnswer: func() {}, OnError: onError, Maintenance: maintenance,
 	}, opts...)
 	require.NoError(t, err)
 	return c
--- a/internal/fleet/controller/inbox.go
+++ b/internal/fleet/controller/inbox.go
@@ -47,17 +47,23 @@
 
 // applyInbox applies messages and deletes their rows in the same commit.
 // Submissions come first, so that a cancellation finds its job. If the inbox was
-// not read completely, its job may be among the other messages.
+// not read completely, its job may be among the other messages. Messages that
+// cannot be decoded are reported once and left, since a later release may have
+// written them.
 func (c *Controller) applyInbox(rows []primrosespar.Row, complete bool) {
 	now := c.parts.Clock.Now()
 	submitPrefix, cancelPrefix := primrosespar.FleetInboxSubmitKey(""), primrosespar.FleetInboxCancelKey("")
 	for _, row := range rows {
-		if !strings.HasPrefix(row.Key, submitPrefix) {
+		id, ok := strings.CutPrefix(row.Key, submitPrefix)
+		if !ok {
 			continue
 		}
-		job, err := c.encoder.ParseSubmission(row.Value)
+		job, err := c.parseSubmission(row.Value)
+		if err == nil && string(job.ID) != id {
+			err = eris.Errorf("the message names job %q", job.ID)
+		}
 		if err != nil {
-			c.parts.OnError("mail", eris.Wrap(err, row.Key))
+			c.reportMessage(row.Key, err)
 			continue
 		}
 		c.scheduler.Submit(job, now)
@@ -68,8 +74,19 @@
 	}
 	for _, row := range rows {
 		id, ok := strings.CutPrefix(row.Key, cancelPrefix)
-		if ok && (c.scheduler.Cancel(primrosespar.JobID(id), now) || complete) {
+		switch {
+		case ok && (c.scheduler.Cancel(primrosespar.JobID(id), now) || complete):
 			c.next.deletedKeys[row.Key] = true
+		case !ok && !strings.HasPrefix(row.Key, submitPrefix):
+			c.reportMessage(row.Key, eris.New("unknown kind of message"))
 		}
 	}
 }
+
+// reportMessage reports a message that cannot be applied, once in the term.
+func (c *Controller) reportMessage(key string, err error) {
+	if !c.oddMessages[key] {
+		c.oddMessages[key] = true
+		c.parts.OnError("mail", eris.Wrap(err, key))
+	}
+}
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/panics"
 
 	"primrosespar.example/primrosespar"
 )
@@ -16,6 +17,9 @@
 	if c.Stalled() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
+	if err := job.Validate(); err != nil {
+		return err
+	}
 	return c.runInLoop(ctx, func(reply func(error)) {
 		if c.scheduler.Submit(job, c.parts.Clock.Now()) {
 			c.next.submitted[job.ID] = true
@@ -123,7 +127,7 @@
 }
 
 // load restores the jobs and maintenance waves of earlier holders. Rows that
-// cannot be decoded are reported and skipped.
+// cannot be decoded or describe no possible job are reported and skipped.
 func (c *Controller) load(ctx context.Context) error {
 	submissions, err := c.scan(ctx, primrosespar.SubmissionPrefix())
 	if err != nil {
@@ -139,7 +143,7 @@
 	now := c.parts.Clock.Now()
 	jobs := map[primrosespar.JobID]primrosespar.Submission{}
 	for _, row := range submissions {
-		job, err := c.encoder.ParseSubmission(row.Value)
+		job, err := c.parseSubmission(row.Value)
 		if err != nil {
 			c.parts.OnError("load", eris.Wrap(err, row.Key))
 			continue
@@ -159,12 +163,26 @@
 			continue
 		}
 		job.ID = id
-		c.scheduler.Restore(job, p, now)
+		if recovered := panics.Try(func() { c.scheduler.Restore(job, p, now) }); recovered != nil {
+			c.scheduler.Withdraw(id)
+			c.parts.OnError("load", eris.Wrapf(recovered.AsError(), "job %q cannot be restored", id))
+			continue
+		}
 		c.committedStates[id] = p.State
 	}
 	return nil
 }
 
+// parseSubmission decodes the row of a job and checks that there can be such a
+// job.
+func (c *Controller) parseSubmission(data []byte) (primrosespar.Submission, error) {
+	job, err := c.encoder.ParseSubmission(data)
+	if err != nil {
+		return job, err
+	}
+	return job, job.Validate()
+}
+
 // scan reads all rows with the prefix and retries failed reads until the
 // context ends.
 func (c *Controller) scan(ctx context.Context, prefix string) ([]primrosespar.Row, error) {
--- a/internal/fleet/controller/odd_test.go
+++ b/internal/fleet/controller/odd_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"slices"
@@ -151,3 +152,83 @@
 		require.Error(t, <-ended)
 	})
 }
+
+// TestOddStoredRowsCostThoseRows guards against rows of the scheduler's own
+// tables that cannot be decoded, or describe jobs that cannot be, and end each
+// term or hide the rows behind them.
+func TestOddStoredRowsCostThoseRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		enc, err := encoder.New()
+		require.NoError(t, err)
+		deep := append(bytes.Repeat([]byte{0x81}, 60_000), 0)
+		progress, err := enc.Progress(encoder.Progress{State: primrosespar.JobActive, Occurrences: []encoder.Occurrence{{
+			Index: -1, Steps: [][]encoder.Unit{{{Phase: encoder.Placed, Run: 1, Workers: []primrosespar.Worker{"w1", "w2"}}}},
+		}}})
+		require.NoError(t, err)
+		jobs := map[primrosespar.JobID]primrosespar.Submission{
+			"count":  {Queue: "q", Steps: []primrosespar.Step{{Count: 1 << 40}}},
+			"none":   {Queue: "q", Steps: []primrosespar.Step{{Count: -1}}},
+			"after":  {Queue: "q", Steps: []primrosespar.Step{{Count: 1, After: []int{-1}}}},
+			"repeat": {Queue: "q", Steps: []primrosespar.Step{{Count: 1}}, Repeat: primrosespar.Repeat{Count: 1 << 40}},
+			"need":   {Queue: "q", Steps: []primrosespar.Step{{Count: 2, Gang: true, Need: primrosespar.Resources{Accelerators: 1 << 62}}}},
+		}
+		rows := map[string][]byte{
+			primrosespar.SubmissionKey("deep"):       deep,
+			primrosespar.ProgressKey("deep"):         progress,
+			primrosespar.ProgressKey("bytes"):        {0xff, 0xfe},
+			primrosespar.WavePrefix() + "deep":       deep,
+			primrosespar.WavePrefix() + "bytes":      {},
+			primrosespar.FleetInboxPrefix() + "odd":  deep,
+			primrosespar.FleetInboxCancelKey("none"): deep,
+		}
+		for id, job := range jobs {
+			job.ID = id
+			rows[primrosespar.SubmissionKey(id)] = encodeSubmission(t, job)
+			rows[primrosespar.ProgressKey(id)] = progress
+			rows[primrosespar.FleetInboxSubmitKey("0-"+id)] = encodeSubmission(t, job)
+		}
+		for i := range 250 {
+			rows[primrosespar.FleetInboxSubmitKey(primrosespar.JobID(fmt.Sprintf("0-%d", i)))] = deep
+		}
+		sound := primrosespar.Submission{ID: "sound", Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}}}
+		rows[primrosespar.FleetInboxSubmitKey("sound")] = encodeSubmission(t, sound)
+		commitRows(t, table, rows)
+		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		reports := map[string]int{}
+		c := newReportingController(t, table, func(part string, err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			reports[part+": "+err.Error()]++
+		})
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		state, err := c.State(ctx, "sound")
+		require.NoError(t, err)
+		require.Equal(t, primrosespar.JobQueued, state)
+		for id := range jobs {
+			_, err := c.State(ctx, id)
+			require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(err), id)
+		}
+		require.Equal(t, primrosespar.CodeOutOfRange, primrosespar.CodeOf(c.Submit(ctx, jobs["count"])), "a host may send one, too")
+		cancel()
+		require.ErrorIs(t, <-ended, context.Canceled)
+		mu.Lock()
+		defer mu.Unlock()
+		require.NotEmpty(t, reports)
+		for report, times := range reports {
+			require.Equal(t, 1, times, report)
+		}
+	})
+}
+
+// maintained is a source on a platform with machine maintenance and no waves.
+type maintained struct {
+	source
+	primrosespar.MaintenanceService
+}
+
+// Waves implements primrosespar.MaintenanceService.
+func (maintained) Waves(context.Context) ([]primrosespar.Wave, error) { return nil, nil }
