Replace a lease row that cannot be decoded

What callers would see: a lease row that another writer has overwritten ends the term of the holder, and no host can ever lead again.

Cause: the committer returned the error of the decoder, and an election goes on from a row that was read.

Change: such a row names a host that does not answer, so another one acquires the lease after the usual time of a takeover. Its token is the version of the row: each term is a write of the row, so no token before it was higher.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -94,7 +94,12 @@
 	return &Committer{table: table, clock: clock, identity: identity}
 }
 
-// Read reads the lease row.
+// unreadableHost is the host of a lease row that cannot be decoded.
+const unreadableHost = "(unreadable lease row)"
+
+// Read reads the lease row. A row that cannot be decoded names no host that
+// answers, so another one acquires the lease after the usual time. Each term is
+// a write of the row, so no token is higher than the row's version.
 func (c *Committer) Read(ctx context.Context) (Holder, error) {
 	startedAt := c.clock.Now()
 	rows, err := c.table.Get(ctx, primrosespar.FleetLeaseKey())
@@ -105,7 +110,7 @@
 	var h Holder
 	if rows[0].Version > 0 {
 		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil {
-			return Holder{}, eris.Wrap(err, "decode lease row")
+			h = Holder{Host: unreadableHost, Token: primrosespar.Token(rows[0].Version)}
 		}
 	}
 	h.Version = rows[0].Version
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -1,6 +1,7 @@
 package committer_test
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"testing"
@@ -186,3 +187,28 @@
 		require.Equal(t, 1, table.commits)
 	})
 }
+
+// TestUnreadableLeaseRowIsReplaced guards against a lease row that cannot be
+// decoded and that no host can ever acquire again. The token must be higher than
+// any before it, which the row does not name any more.
+func TestUnreadableLeaseRowIsReplaced(t *testing.T) {
+	for _, value := range [][]byte{nil, {0xff}, append(bytes.Repeat([]byte{0x81}, 60_000), 0), {0x63, 'o', 'd', 'd'}} {
+		ctx := t.Context()
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		first := newCommitter(table, "a")
+		for range 5 {
+			seen, err := first.Read(ctx)
+			require.NoError(t, err)
+			require.NoError(t, first.Acquire(ctx, seen))
+		}
+		_, err := table.Commit(ctx, primrosespar.Txn{Writes: []primrosespar.Write{{Key: primrosespar.FleetLeaseKey(), Value: value}}})
+		require.NoError(t, err)
+		require.Equal(t, primrosespar.CodeLeaseLost, primrosespar.CodeOf(first.Commit(ctx, write("1"))))
+		second := newCommitter(table, "b")
+		seen, err := second.Read(ctx)
+		require.NoError(t, err)
+		require.NotEmpty(t, seen.Host, "the lease was not released")
+		require.NoError(t, second.Acquire(ctx, seen))
+		require.Greater(t, second.Token(), first.Token())
+	}
+}
