Bound the request to a successor on SIGTERM

What operators would see: a host that stops while it holds the lease, and whose first successor hangs (frozen, or cut off after the connection), does not end its calls in order: it waits until SIGKILL, and the calls in flight are cut.

Cause: Drain asked the successor to take over with the context of the whole process, without a timeout.

Change: the request ends after 500 ms. The successor answers it at once, and without it other hosts find the released lease as usual.

Evidence: go test ./internal/fleet/daemon failed before the change: TestDrainDoesNotWaitForASilentSuccessor "the host still waits for its successor" after 5 s. It passes now.

--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -50,6 +50,9 @@
 	endTermTimeout = 1500 * time.Millisecond
 	// releaseTimeout bounds the write that releases the lease.
 	releaseTimeout = time.Second
+	// takeOverTimeout bounds the request to a successor to take over, which it
+	// answers at once.
+	takeOverTimeout = 500 * time.Millisecond
 	// takeoverMargin is added to the workers' lease at a takeover: the earlier
 	// holder may have sent its last poll just before it lost the fleet lease.
 	takeoverMargin = 2 * time.Second
@@ -244,6 +247,8 @@
 		case <-d.opts.Clock.After(10 * time.Millisecond):
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
+	defer cancel()
 	if err := d.messenger.TakeOver(ctx, successor); err != nil {
 		d.opts.OnError("handover", err)
 	}
