--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -109,7 +110,7 @@
 	c.lastReadTime = c.clock.Since(startedAt)
 	var h Holder
 	if rows[0].Version > 0 {
-		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil {
+		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil || h.Token == math.MaxUint64 {
 			h = Holder{Host: unreadableHost, Token: primrosespar.Token(rows[0].Version)}
 		}
 	}
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -212,3 +212,21 @@
 		require.Greater(t, second.Token(), first.Token())
 	}
 }
+
+// FuzzLeaseRow feeds any lease row to a host that takes over. It guards against
+// a row after which no host can lead.
+func FuzzLeaseRow(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0xa1, 0x65, 'T', 'o', 'k', 'e', 'n', 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add(append(bytes.Repeat([]byte{0x81}, 20_000), 0))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		_, err := table.Commit(t.Context(), primrosespar.Txn{Writes: []primrosespar.Write{{Key: primrosespar.FleetLeaseKey(), Value: value}}})
+		require.NoError(t, err)
+		c := newCommitter(table, "b")
+		seen, err := c.Read(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, c.Acquire(t.Context(), seen))
+		require.Positive(t, c.Token())
+	})
+}
