--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -1,6 +1,7 @@
 package committer_test
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"testing"
@@ -259,3 +260,46 @@
 	require.Empty(t, refused)
 	require.Equal(t, primrosespar.CodeBadRequest, primrosespar.CodeOf(err))
 }
+
+// TestUnreadableLeaseRowIsReplaced guards against a lease row that cannot be
+// decoded and that no host can ever acquire again. The token must be higher than
+// any before it, which the row does not name any more.
+func TestUnreadableLeaseRowIsReplaced(t *testing.T) {
+	for _, value := range [][]byte{nil, {0xff}, append(bytes.Repeat([]byte{0x81}, 60_000), 0), {0x63, 'o', 'd', 'd'}} {
+		ctx := t.Context()
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		first := newCommitter(table, "a")
+		for range 5 {
+			seen, err := first.Read(ctx)
+			require.NoError(t, err)
+			require.NoError(t, first.Acquire(ctx, seen))
+		}
+		_, err := table.Commit(ctx, primrosespar.Txn{Writes: []primrosespar.Write{{Key: primrosespar.FleetLeaseKey(), Value: value}}})
+		require.NoError(t, err)
+		require.Equal(t, primrosespar.CodeLeaseLost, primrosespar.CodeOf(first.Commit(ctx, write("1"))))
+		second := newCommitter(table, "b")
+		seen, err := second.Read(ctx)
+		require.NoError(t, err)
+		require.NotEmpty(t, seen.Host, "the lease was not released")
+		require.NoError(t, second.Acquire(ctx, seen))
+		require.Greater(t, second.Token(), first.Token())
+	}
+}
+
+// FuzzLeaseRow feeds any lease row to a host that takes over. It guards against
+// a row after which no host can lead.
+func FuzzLeaseRow(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0xa1, 0x65, 'T', 'o', 'k', 'e', 'n', 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add(append(bytes.Repeat([]byte{0x81}, 20_000), 0))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		_, err := table.Commit(t.Context(), primrosespar.Txn{Writes: []primrosespar.Write{{Key: primrosespar.FleetLeaseKey(), Value: value}}})
+		require.NoError(t, err)
+		c := newCommitter(table, "b")
+		seen, err := c.Read(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, c.Acquire(t.Context(), seen))
+		require.Positive(t, c.Token())
+	})
+}
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -72,8 +72,10 @@
 	DefaultMaxFirstPolls = 128
 	// maxQueuedActions bounds the actions that wait for the loop.
 	maxQueuedActions = 4096
-	// inboxPageLimit is the maximum number of inbox rows per read.
+	// inboxPageLimit is the maximum number of inbox rows per page, and
+	// maxInboxPages the maximum number of pages per read.
 	inboxPageLimit = 200
+	maxInboxPages  = 50
 	// scanPageLimit is the number of rows per page when jobs and waves are
 	// loaded; the store returns at most 500.
 	scanPageLimit = 400
@@ -210,7 +212,10 @@
 	// inboxRead is set once the inbox was read for the first time; until then
 	// jobs may be missing from the count of waiting jobs.
 	inboxRead bool
-	waiting   atomic.Pointer[map[primrosespar.Queue]int]
+	// oddMessages are the keys of the messages that were reported because they
+	// cannot be applied.
+	oddMessages map[string]bool
+	waiting     atomic.Pointer[map[primrosespar.Queue]int]
 }
 
 // New returns a Controller for the term of the committer's lease.
@@ -234,6 +239,7 @@
 		startedAt:       parts.Clock.Now(),
 		adviceHosts:     make([]netip.AddrPort, 1),
 		adviceInFlight:  map[netip.AddrPort]bool{},
+		oddMessages:     map[string]bool{},
 		maintainer: maintainer.New(maintainer.WithRepeatFrom(
 			o.EarlierCommitAt.Add(maxMaintenancePermission + maintenanceTimeout + o.TurnInterval))),
 	}
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/panics"
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
@@ -17,6 +18,9 @@
 	if c.Stalled() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
+	if err := job.Validate(); err != nil {
+		return err
+	}
 	return c.runInLoop(ctx, func(reply func(error)) {
 		if c.scheduler.Submit(job, c.parts.Clock.Now()) {
 			c.next.submitted[job.ID] = true
@@ -123,8 +127,8 @@
 	}
 }
 
-// load restores the jobs and maintenance waves of earlier holders. Waves that
-// cannot be decoded are reported and skipped.
+// load restores the jobs and maintenance waves of earlier holders. Rows that
+// cannot be decoded or describe no possible job cost that job or wave only.
 func (c *Controller) load(ctx context.Context) error {
 	submissions, err := c.scan(ctx, primrosespar.SubmissionPrefix())
 	if err != nil {
@@ -140,7 +144,7 @@
 	now := c.parts.Clock.Now()
 	jobs := map[primrosespar.JobID]primrosespar.Submission{}
 	for _, row := range submissions {
-		job, err := c.encoder.ParseSubmission(row.Value)
+		job, err := c.parseSubmission(row.Value)
 		if err != nil {
 			c.parts.OnError("load", eris.Wrap(err, row.Key))
 			continue
@@ -200,11 +204,14 @@
 	case !known && !p.State.Ended():
 		err = eris.Errorf("job %q has progress but no submission", job.ID)
 	}
+	if err == nil {
+		recovered := panics.Try(func() { c.scheduler.Restore(job, p, now) })
+		err = recovered.AsError()
+	}
 	if err != nil {
 		c.parts.OnError("load", eris.Wrap(err, row.Key))
+		c.scheduler.Withdraw(job.ID)
 		c.scheduler.RestoreUnreadable(job, p.State, err.Error(), now)
-	} else {
-		c.scheduler.Restore(job, p, now)
 	}
 	c.committedStates[job.ID] = p.State
 }
@@ -234,6 +241,16 @@
 	return nil
 }
 
+// parseSubmission decodes the row of a job and checks that there can be such a
+// job.
+func (c *Controller) parseSubmission(data []byte) (primrosespar.Submission, error) {
+	job, err := c.encoder.ParseSubmission(data)
+	if err != nil {
+		return job, err
+	}
+	return job, job.Validate()
+}
+
 // scan reads all rows with the prefix and retries failed reads until the
 // context ends.
 func (c *Controller) scan(ctx context.Context, prefix string) ([]primrosespar.Row, error) {
@@ -262,47 +279,3 @@
 		after = page[len(page)-1].Key
 	}
 }
-
-// readInbox reads the messages of hosts that could not reach the holder.
-func (c *Controller) readInbox(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	rows, err := c.parts.Table.Scan(ctx, primrosespar.FleetInboxPrefix(), "", inboxPageLimit)
-	if err != nil {
-		c.parts.OnError("mail", err)
-		return
-	}
-	c.parts.OnStoreAnswer()
-	c.enqueue(func() {
-		c.applyInbox(rows)
-		c.inboxRead = true
-	})
-}
-
-// applyInbox applies messages and deletes their rows in the same commit.
-// Submissions come first, so that a cancellation finds its job.
-func (c *Controller) applyInbox(rows []primrosespar.Row) {
-	now := c.parts.Clock.Now()
-	submitPrefix, cancelPrefix := primrosespar.FleetInboxSubmitKey(""), primrosespar.FleetInboxCancelKey("")
-	for _, row := range rows {
-		if !strings.HasPrefix(row.Key, submitPrefix) {
-			continue
-		}
-		job, err := c.encoder.ParseSubmission(row.Value)
-		if err != nil {
-			c.parts.OnError("mail", eris.Wrap(err, row.Key))
-			continue
-		}
-		c.scheduler.Submit(job, now)
-		// The job is accepted by its row, which this batch deletes. It must not
-		// be withdrawn.
-		delete(c.next.submitted, job.ID)
-		c.next.deletedKeys[row.Key] = true
-	}
-	for _, row := range rows {
-		if id, ok := strings.CutPrefix(row.Key, cancelPrefix); ok {
-			c.scheduler.Cancel(primrosespar.JobID(id), now)
-			c.next.deletedKeys[row.Key] = true
-		}
-	}
-}
