Count a job as pending until a worker has begun a task

Cause: a job counted as started when a task was placed, and again when a new holder read a record with a run.

Change: it has started when a worker answers a start with success, lists a run or an end. After a change of holder it has if its record shows an end, a finished occurrence or a checkpoint, or once a worker lists it. Nothing more is stored: a job whose first run was lost without a checkpoint counts again until its next run, so a new holder may give too many, never too few.

TestViewCountsWorkersAndGuarantees expected the earlier count: it made a plan and took the job for started. Its start is accepted now; what it expects is unchanged.

--- a/internal/fleet/scheduler/explaining_test.go
+++ b/internal/fleet/scheduler/explaining_test.go
@@ -71,7 +71,7 @@
 	h.scheduler.MarkUnresponsive(h.workers[0].Worker, h.now)
 	h.scheduler.Submit(job("u", "urgent", primrosespar.Step{Count: 1, Need: needAccelerators(2)}), h.now)
 	h.scheduler.Submit(job("huge", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(9)}), h.now)
-	h.plan()
+	h.acceptStarts(h.plan().Starts)
 	require.Equal(t, primrosespar.FleetState{
 		Workers: workersPerRack, Silent: 1, Accelerators: 8 * workersPerRack, Free: 8*workersPerRack - 2, Jobs: 2, Tasks: 1,
 		Waiting:    map[primrosespar.Queue]int{"plain": 1},
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -16,7 +16,7 @@
 	arrived          time.Time
 	arrivedMonotonic time.Time
 	endedAt          time.Time
-	// started is set once a task has been started.
+	// started is set once a worker is known to have begun a task.
 	started bool
 	// finished counts the occurrences that have ended, created those that have
 	// been created.
@@ -223,7 +223,7 @@
 	u.run, u.checkpoint = stored.Run, stored.Checkpoint
 	u.restoreFailures(stored.Failed)
 	u.setPhase(stored.Phase)
-	if u.run > 0 {
+	if u.begun() {
 		u.step.occurrence.job.started = true
 	}
 	if u.phase == encoder.Done {
@@ -249,6 +249,12 @@
 	}
 }
 
+// begun reports whether the record of a unit shows that a worker has begun a
+// task of it. A start alone may never have been sent.
+func (u *unit) begun() bool {
+	return u.phase == encoder.Done || u.phase == encoder.Failed || len(u.failedRuns) > 0 || u.checkpoint != ""
+}
+
 // releaseSteps makes steps ready whose predecessors are done.
 func (s *Scheduler) releaseSteps(o *occurrence, now time.Time) {
 	for _, st := range o.steps {
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -186,6 +186,9 @@
 		// state.
 		m.answeredAt = now
 		m.markRunning(now)
+		if code == primrosespar.CodeOK {
+			m.unit.step.occurrence.job.started = true
+		}
 	case primrosespar.CodeWorkerLost, primrosespar.CodeWorkerLate:
 		m.unanswered = m.unanswered || code == primrosespar.CodeWorkerLost
 		m.retryAt = now.Add(orderRetryDelay)
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -312,7 +312,6 @@
 			w.probationUntil = now.Add(probationTime)
 		}
 	}
-	j.started = true
 	if j.state == primrosespar.JobQueued {
 		j.state = primrosespar.JobActive
 	}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -231,6 +231,7 @@
 	j := s.newJob(submission, time.UnixMilli(progress.Arrived), now)
 	j.state = progress.State
 	j.finished, j.created = progress.Finished, max(j.created, progress.Created)
+	j.started = j.finished > 0
 	s.addJob(j)
 	if j.state.Ended() {
 		j.endedAt = now
@@ -278,7 +279,9 @@
 	return j.state, true
 }
 
-// Waiting returns the number of jobs that have not started any task, by queue.
+// Waiting returns the number of jobs of which no worker is known to have begun a
+// task, by queue. After a change of holder, jobs count again until a worker
+// lists a run or an end, if their records show no end and no checkpoint.
 func (s *Scheduler) Waiting() map[primrosespar.Queue]int {
 	waiting := map[primrosespar.Queue]int{}
 	for _, j := range s.liveJobs {
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -249,6 +249,7 @@
 	}
 	u := s.findUnit(ended.Run.Task)
 	if u != nil {
+		u.step.occurrence.job.started = true
 		s.observeEnd(u, ended)
 	}
 	if m := w.members[ended.Run]; m != nil {
@@ -310,6 +311,7 @@
 		m.markRunning(now)
 	}
 	m.seenAt = now
+	m.unit.step.occurrence.job.started = true
 	m.pace.Observe(active, now)
 	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
