Give callers no right to jobs of other accounts or queues

What callers saw: with a key of any account, or with none through a public queue, GET tells the state of each job whose ID is known, DELETE cancels it, and a POST of its ID is answered as accepted and attaches to it.

Cause: the handler authenticated the call and passed on the ID alone.

Change: requests for a job carry the account and queue of the call, from the handler through the hosts' messages and the inbox. JobRequest.MayUse decides: the queue has to be that of the job, and the account too unless the queue is public. Accounts are compared, not keys, which may change. Without a right the answer is that for a job that does not exist. The holder checks, a host that reads the store does, with one more read for a job that is no longer in the inbox only, and the holder checks a cancellation of the inbox when it applies it. So that a job stays its owner's after its end, the row of the submission is replaced by its ID, queue and account then, where it was deleted: as many writes as before. Requests of hosts of the earlier release, and ends that it has stored, name no queue and are treated as before.

--- a/fleetpeer.go
+++ b/fleetpeer.go
@@ -59,9 +59,9 @@
 	// Submit sends a job to the holder. It returns nil once the job is stored.
 	Submit(ctx context.Context, to netip.AddrPort, job Submission) error
 	// State asks the holder for the state of a job.
-	State(ctx context.Context, to netip.AddrPort, id JobID) (JobState, error)
+	State(ctx context.Context, to netip.AddrPort, request JobRequest) (JobState, error)
 	// Cancel cancels a job. It returns nil once the cancellation is stored.
-	Cancel(ctx context.Context, to netip.AddrPort, id JobID) error
+	Cancel(ctx context.Context, to netip.AddrPort, request JobRequest) error
 	// Advise makes another host call the advice service, which serves only one
 	// call per host at a time.
 	Advise(ctx context.Context, to netip.AddrPort, request AdviceRequest) (Advice, error)
@@ -74,7 +74,7 @@
 	HandleAdvise(ctx context.Context, request AdviceRequest) (Advice, error)
 	HandleHeartbeat(ctx context.Context, heartbeat FleetHeartbeat) (FleetHeartbeatReply, error)
 	HandleSubmit(ctx context.Context, job Submission) error
-	HandleState(ctx context.Context, id JobID) (JobState, error)
-	HandleCancel(ctx context.Context, id JobID) error
+	HandleState(ctx context.Context, request JobRequest) (JobState, error)
+	HandleCancel(ctx context.Context, request JobRequest) error
 	HandleTakeOver(ctx context.Context) error
 }
--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -213,9 +213,12 @@
 			writes = append(writes, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Value: submission})
 		}
 		writes = append(writes, primrosespar.Write{Key: primrosespar.ProgressKey(id), Value: progress})
-		if finished && r.Submission == nil {
-			// An ended job no longer needs its submission.
-			writes = append(writes, primrosespar.Write{Key: primrosespar.SubmissionKey(id), Delete: true})
+		if finished {
+			write, err := c.encodeEnded(id)
+			if err != nil {
+				return nil, err
+			}
+			writes = append(writes, write)
 		}
 	}
 	for _, number := range slices.Sorted(maps.Keys(b.waves)) {
@@ -231,6 +234,17 @@
 	return writes, nil
 }
 
+// encodeEnded returns the write of the submission of a job that has ended. Only
+// who has a right to the job is still needed.
+func (c *Controller) encodeEnded(id primrosespar.JobID) (primrosespar.Write, error) {
+	owner, known := c.scheduler.Owner(id)
+	if !known {
+		return primrosespar.Write{Key: primrosespar.SubmissionKey(id), Delete: true}, nil
+	}
+	value, err := c.encoder.Submission(owner)
+	return primrosespar.Write{Key: primrosespar.SubmissionKey(id), Value: value}, err
+}
+
 // flush commits the next portion of the batch unless a commit is in flight. A
 // batch without rows is dispatched at once, except that an empty commit renews
 // the lease row when keepaliveInterval has passed since the last one.
--- a/internal/fleet/controller/inbox.go
+++ b/internal/fleet/controller/inbox.go
@@ -75,14 +75,34 @@
 	for _, row := range rows {
 		id, ok := strings.CutPrefix(row.Key, cancelPrefix)
 		switch {
-		case ok && (c.scheduler.Cancel(primrosespar.JobID(id), now) || complete):
-			c.next.deletedKeys[row.Key] = true
-		case !ok && !strings.HasPrefix(row.Key, submitPrefix):
+		case ok:
+			c.applyCancellation(row, primrosespar.JobID(id), complete)
+		case !strings.HasPrefix(row.Key, submitPrefix):
 			c.reportMessage(row.Key, eris.New("unknown kind of message"))
 		}
 	}
 }
 
+// applyCancellation applies a cancellation if its caller has a right to the job.
+// It stays if its job may still be among the messages that were not read.
+func (c *Controller) applyCancellation(row primrosespar.Row, id primrosespar.JobID, complete bool) {
+	request, err := c.encoder.ParseJobRequest(id, row.Value)
+	if err != nil {
+		c.reportMessage(row.Key, err)
+		return
+	}
+	_, known := c.scheduler.State(id)
+	switch {
+	case c.scheduler.MayUse(request):
+		c.scheduler.Cancel(id, c.parts.Clock.Now())
+	case known:
+		c.reportMessage(row.Key, eris.New("the caller has no right to the job"))
+	case !complete:
+		return
+	}
+	c.next.deletedKeys[row.Key] = true
+}
+
 // reportMessage reports a message that cannot be applied, once in the term.
 func (c *Controller) reportMessage(key string, err error) {
 	if !c.oddMessages[key] {
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -21,6 +21,10 @@
 		return err
 	}
 	return c.runInLoop(ctx, func(reply func(error)) {
+		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.MayUse(job.Request()) {
+			reply(primrosespar.Fail(primrosespar.CodeForbidden, "the ID of job %q is in use by another caller", job.ID))
+			return
+		}
 		if c.scheduler.Submit(job, c.parts.Clock.Now()) {
 			c.next.submitted[job.ID] = true
 		}
@@ -28,32 +32,43 @@
 	})
 }
 
-// Cancel cancels a job. It returns nil once the cancellation is stored.
-func (c *Controller) Cancel(ctx context.Context, id primrosespar.JobID) error {
+// Cancel cancels a job that the caller has a right to. It returns nil once the
+// cancellation is stored.
+func (c *Controller) Cancel(ctx context.Context, request primrosespar.JobRequest) error {
 	if c.Stalled() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
 	return c.runInLoop(ctx, func(reply func(error)) {
-		if !c.scheduler.Cancel(id, c.parts.Clock.Now()) {
-			reply(primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id))
+		if !c.scheduler.MayUse(request) || !c.scheduler.Cancel(request.Job, c.parts.Clock.Now()) {
+			reply(notFound(request.Job))
 			return
 		}
-		c.next.replies[id] = append(c.next.replies[id], reply)
+		c.next.replies[request.Job] = append(c.next.replies[request.Job], reply)
 	})
 }
 
-// State returns the stored state of a job or CodeNotFound.
-func (c *Controller) State(ctx context.Context, id primrosespar.JobID) (primrosespar.JobState, error) {
+// notFound returns the failure of a request for a job that does not exist or
+// that the caller has no right to.
+func notFound(id primrosespar.JobID) error {
+	return primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id)
+}
+
+// State returns the stored state of a job that the caller has a right to, or
+// CodeNotFound.
+func (c *Controller) State(ctx context.Context, request primrosespar.JobRequest) (primrosespar.JobState, error) {
 	var state primrosespar.JobState
 	err := c.runInLoop(ctx, func(reply func(error)) {
 		var known bool
-		if state, known = c.committedStates[id]; !known {
-			reply(primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id))
+		if state, known = c.committedStates[request.Job]; !known || !c.scheduler.MayUse(request) {
+			reply(notFound(request.Job))
 			return
 		}
 		reply(nil)
 	})
-	return state, err
+	if err != nil {
+		return "", err
+	}
+	return state, nil
 }
 
 // Waiting returns the number of jobs that have not started, by queue. It
@@ -81,7 +96,7 @@
 	err := c.runInLoop(ctx, func(reply func(error)) {
 		var known bool
 		if view, known = c.scheduler.Explain(id, c.parts.Clock.Now()); !known {
-			reply(primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id))
+			reply(notFound(id))
 			return
 		}
 		reply(nil)
--- a/internal/fleet/controller/odd_test.go
+++ b/internal/fleet/controller/odd_test.go
@@ -87,7 +87,7 @@
 		submit("a")
 		submit("b")
 		for _, id := range []primrosespar.JobID{"a", "b"} {
-			state, err := c.State(ctx, id)
+			state, err := c.State(ctx, primrosespar.JobRequest{Job: id, Queue: "q"})
 			require.NoError(t, err)
 			require.Equal(t, primrosespar.JobCompleted, state)
 		}
@@ -141,7 +141,7 @@
 		go func() { ended <- c.Run(ctx) }()
 		time.Sleep(10 * time.Second)
 		for _, id := range ids {
-			state, err := c.State(ctx, id)
+			state, err := c.State(ctx, primrosespar.JobRequest{Job: id, Queue: "q"})
 			require.NoError(t, err)
 			require.Equal(t, slices.Contains(cancelled, id), state == primrosespar.JobCancelled, "%s is %s", id, state)
 		}
@@ -205,11 +205,11 @@
 		ended := make(chan error, 1)
 		go func() { ended <- c.Run(ctx) }()
 		time.Sleep(10 * time.Second)
-		state, err := c.State(ctx, "sound")
+		state, err := c.State(ctx, primrosespar.JobRequest{Job: "sound", Queue: "q"})
 		require.NoError(t, err)
 		require.Equal(t, primrosespar.JobQueued, state)
 		for id := range jobs {
-			_, err := c.State(ctx, id)
+			_, err := c.State(ctx, primrosespar.JobRequest{Job: id, Queue: "q"})
 			require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(err), id)
 		}
 		require.Equal(t, primrosespar.CodeOutOfRange, primrosespar.CodeOf(c.Submit(ctx, jobs["count"])), "a host may send one, too")
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -37,21 +37,21 @@
 }
 
 // HandleState implements primrosespar.FleetHandler.
-func (d *Daemon) HandleState(ctx context.Context, id primrosespar.JobID) (primrosespar.JobState, error) {
+func (d *Daemon) HandleState(ctx context.Context, request primrosespar.JobRequest) (primrosespar.JobState, error) {
 	term := d.term.Load()
 	if term == nil {
 		return "", notHolder()
 	}
-	return term.State(ctx, id)
+	return term.State(ctx, request)
 }
 
 // HandleCancel implements primrosespar.FleetHandler.
-func (d *Daemon) HandleCancel(ctx context.Context, id primrosespar.JobID) error {
+func (d *Daemon) HandleCancel(ctx context.Context, request primrosespar.JobRequest) error {
 	term := d.term.Load()
 	if term == nil {
 		return notHolder()
 	}
-	return term.Cancel(ctx, id)
+	return term.Cancel(ctx, request)
 }
 
 // HandleAdvise implements primrosespar.FleetHandler.
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -62,8 +62,8 @@
 }
 
 // Cancel implements primrosespar.FleetPeers.
-func (m *Messenger) Cancel(ctx context.Context, to netip.AddrPort, id primrosespar.JobID) error {
-	return m.callWrite(ctx, to, rpcCancel, &jobRequest{Job: id})
+func (m *Messenger) Cancel(ctx context.Context, to netip.AddrPort, request primrosespar.JobRequest) error {
+	return m.callWrite(ctx, to, rpcCancel, &request)
 }
 
 // Advise implements primrosespar.FleetPeers.
@@ -77,8 +77,8 @@
 }
 
 // State implements primrosespar.FleetPeers.
-func (m *Messenger) State(ctx context.Context, to netip.AddrPort, id primrosespar.JobID) (primrosespar.JobState, error) {
-	return callRead[primrosespar.JobState](ctx, m, dialer.Lane{Address: to, Name: "query", Size: maxQueryCalls}, rpcState, &jobRequest{Job: id})
+func (m *Messenger) State(ctx context.Context, to netip.AddrPort, request primrosespar.JobRequest) (primrosespar.JobState, error) {
+	return callRead[primrosespar.JobState](ctx, m, dialer.Lane{Address: to, Name: "query", Size: maxQueryCalls}, rpcState, &request)
 }
 
 // callWrite makes a call that changes a job or the lease.
--- a/internal/fleet/messenger/server.go
+++ b/internal/fleet/messenger/server.go
@@ -23,11 +23,6 @@
 	rpcTakeOver  = "/primrosespar.FleetPeers/Succeed"
 )
 
-// jobRequest is the request message of State and Cancel.
-type jobRequest struct {
-	Job primrosespar.JobID `json:"job"`
-}
-
 // takeOverRequest is the request message of TakeOver, which has no content.
 type takeOverRequest struct{}
 
@@ -58,13 +53,13 @@
 }
 
 // state serves a query for the state of a job.
-func (s *service) state(ctx context.Context, in *jobRequest) *replier.Reply[primrosespar.JobState] {
-	return replier.Of(s.handler.HandleState(ctx, in.Job))
+func (s *service) state(ctx context.Context, in *primrosespar.JobRequest) *replier.Reply[primrosespar.JobState] {
+	return replier.Of(s.handler.HandleState(ctx, *in))
 }
 
 // cancel serves a cancellation.
-func (s *service) cancel(ctx context.Context, in *jobRequest) *replier.Reply[struct{}] {
-	return replier.Of(struct{}{}, s.handler.HandleCancel(ctx, in.Job))
+func (s *service) cancel(ctx context.Context, in *primrosespar.JobRequest) *replier.Reply[struct{}] {
+	return replier.Of(struct{}{}, s.handler.HandleCancel(ctx, *in))
 }
 
 // advise serves a request to the advice service.
--- a/internal/fleet/scheduler/restore_fuzz_test.go
+++ b/internal/fleet/scheduler/restore_fuzz_test.go
@@ -45,6 +45,9 @@
 			_, err := enc.Wave(wave)
 			require.NoError(t, err)
 		}
+		if request, err := enc.ParseJobRequest("a", progress); err == nil {
+			require.Equal(t, primrosespar.JobID("a"), request.Job)
+		}
 		job, err := enc.ParseSubmission(submission)
 		if err != nil || job.Validate() != nil {
 			return
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -41,8 +41,8 @@
 // Term is the term of this host as holder of the fleet lease.
 type Term interface {
 	Submit(ctx context.Context, job primrosespar.Submission) error
-	Cancel(ctx context.Context, id primrosespar.JobID) error
-	State(ctx context.Context, id primrosespar.JobID) (primrosespar.JobState, error)
+	Cancel(ctx context.Context, request primrosespar.JobRequest) error
+	State(ctx context.Context, request primrosespar.JobRequest) (primrosespar.JobState, error)
 	// Waiting returns the number of jobs that have not started, by queue. It
 	// reports false until they are counted.
 	Waiting() (map[primrosespar.Queue]int, bool)
@@ -96,11 +96,13 @@
 }
 
 // Cancel implements primrosespar.JobService.
-func (s *Submitter) Cancel(ctx context.Context, id primrosespar.JobID) error {
+func (s *Submitter) Cancel(ctx context.Context, request primrosespar.JobRequest) error {
 	return s.submitChange(ctx,
-		func(ctx context.Context, term Term) error { return term.Cancel(ctx, id) },
-		func(ctx context.Context, holder netip.AddrPort) error { return s.parts.Peers.Cancel(ctx, holder, id) },
-		func(ctx context.Context) error { return s.cancelInInbox(ctx, id) })
+		func(ctx context.Context, term Term) error { return term.Cancel(ctx, request) },
+		func(ctx context.Context, holder netip.AddrPort) error {
+			return s.parts.Peers.Cancel(ctx, holder, request)
+		},
+		func(ctx context.Context) error { return s.cancelInInbox(ctx, request) })
 }
 
 // submitChange makes a change at the holder, or through the inbox if the holder
@@ -115,6 +117,9 @@
 	for {
 		err := s.callHolder(ctx, local, remote)
 		code := primrosespar.CodeOf(err)
+		if code == primrosespar.CodeForbidden {
+			return err
+		}
 		if err == nil || code == primrosespar.CodeStoreUnavailable {
 			return withUnknownOutcome(err, outcomeUnknown)
 		}
@@ -182,7 +187,7 @@
 	switch primrosespar.CodeOf(err) {
 	case primrosespar.CodeConflict:
 		// One of the two rows exists, so the job is already stored.
-		return nil
+		return s.checkStored(ctx, job)
 	case primrosespar.CodeStoreUnknown:
 		return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the store did not answer").WithCause(err)
 	default:
@@ -190,15 +195,34 @@
 	}
 }
 
+// checkStored returns CodeForbidden if the stored job with the ID of the
+// submission is one that its caller has no right to.
+func (s *Submitter) checkStored(ctx context.Context, job primrosespar.Submission) error {
+	stored, err := s.readStored(ctx, job.ID)
+	switch {
+	case primrosespar.CodeOf(err) == primrosespar.CodeNotFound:
+		return nil
+	case err != nil:
+		return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the stored job cannot be read").WithCause(err)
+	case !job.Request().MayUse(stored.account, stored.queue):
+		return primrosespar.Fail(primrosespar.CodeForbidden, "the ID of job %q is in use by another caller", job.ID)
+	}
+	return nil
+}
+
 // cancelInInbox writes the cancellation to the inbox if the job is stored and
 // has not ended.
-func (s *Submitter) cancelInInbox(ctx context.Context, id primrosespar.JobID) error {
-	state, err := s.readState(ctx, id)
+func (s *Submitter) cancelInInbox(ctx context.Context, request primrosespar.JobRequest) error {
+	state, err := s.readState(ctx, request)
 	if err != nil || state.Ended() {
 		return err
 	}
+	value, err := s.encoder.JobRequest(request)
+	if err != nil {
+		return err
+	}
 	_, err = s.parts.Table.Commit(ctx, primrosespar.Txn{
-		Writes: []primrosespar.Write{{Key: primrosespar.FleetInboxCancelKey(id), Value: []byte(id)}},
+		Writes: []primrosespar.Write{{Key: primrosespar.FleetInboxCancelKey(request.Job), Value: value}},
 	})
 	if primrosespar.CodeOf(err) == primrosespar.CodeStoreUnknown {
 		return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the store did not answer").WithCause(err)
@@ -207,48 +231,89 @@
 }
 
 // State implements primrosespar.JobService.
-func (s *Submitter) State(ctx context.Context, id primrosespar.JobID) (primrosespar.JobState, error) {
-	state, err := s.queryHolder(ctx, id)
+func (s *Submitter) State(ctx context.Context, request primrosespar.JobRequest) (primrosespar.JobState, error) {
+	state, err := s.queryHolder(ctx, request)
 	if err == nil {
 		return state, nil
 	}
 	// A new holder may not have loaded the job yet, and a replaced holder may
 	// not know it; the store does.
-	return s.readState(ctx, id)
+	return s.readState(ctx, request)
 }
 
 // queryHolder queries the state of a job at the holder.
-func (s *Submitter) queryHolder(ctx context.Context, id primrosespar.JobID) (primrosespar.JobState, error) {
+func (s *Submitter) queryHolder(ctx context.Context, request primrosespar.JobRequest) (primrosespar.JobState, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	if term := s.parts.Term(); term != nil {
-		return term.State(ctx, id)
+		return term.State(ctx, request)
 	}
 	holder, ok := s.parts.Holder()
 	if !ok {
 		return "", primrosespar.Fail(primrosespar.CodeNotHolder, "no holder is known")
 	}
-	return s.parts.Peers.State(ctx, holder, id)
+	return s.parts.Peers.State(ctx, holder, request)
 }
 
-// readState reads the state of a job from the store. A job that is only in the
-// inbox is queued.
-func (s *Submitter) readState(ctx context.Context, id primrosespar.JobID) (primrosespar.JobState, error) {
-	rows, err := s.parts.Table.Get(ctx, primrosespar.FleetInboxSubmitKey(id), primrosespar.ProgressKey(id))
+// readState reads the state of a job that the caller has a right to from the
+// store.
+func (s *Submitter) readState(ctx context.Context, request primrosespar.JobRequest) (primrosespar.JobState, error) {
+	stored, err := s.readStored(ctx, request.Job)
 	if err != nil {
 		return "", err
 	}
-	if rows[1].Version > 0 {
+	if !request.MayUse(stored.account, stored.queue) {
+		return "", notFound(request.Job)
+	}
+	return stored.state, nil
+}
+
+// storedJob is what the store says about a job. The queue is empty if an
+// earlier release has stored the end of the job.
+type storedJob struct {
+	state   primrosespar.JobState
+	account primrosespar.Account
+	queue   primrosespar.Queue
+}
+
+// readStored reads a job from the store. A job that is only in the inbox is
+// queued.
+func (s *Submitter) readStored(ctx context.Context, id primrosespar.JobID) (storedJob, error) {
+	rows, err := s.parts.Table.Get(ctx, primrosespar.FleetInboxSubmitKey(id), primrosespar.ProgressKey(id))
+	if err != nil {
+		return storedJob{}, err
+	}
+	stored := storedJob{state: primrosespar.JobQueued}
+	submission := rows[0]
+	switch {
+	case rows[1].Version > 0:
 		progress, err := s.encoder.ParseProgress(rows[1].Value)
 		if err != nil {
-			return "", err
+			return storedJob{}, err
 		}
-		return progress.State, nil
+		stored.state = progress.State
+		submissions, err := s.parts.Table.Get(ctx, primrosespar.SubmissionKey(id))
+		if err != nil {
+			return storedJob{}, err
+		}
+		submission = submissions[0]
+	case rows[0].Version == 0:
+		return storedJob{}, notFound(id)
 	}
-	if rows[0].Version > 0 {
-		return primrosespar.JobQueued, nil
+	if submission.Version > 0 {
+		job, err := s.encoder.ParseSubmission(submission.Value)
+		if err != nil {
+			return storedJob{}, err
+		}
+		stored.account, stored.queue = job.Account, job.Queue
 	}
-	return "", primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id)
+	return stored, nil
+}
+
+// notFound returns the failure of a request for a job that does not exist or
+// that the caller has no right to.
+func notFound(id primrosespar.JobID) error {
+	return primrosespar.Fail(primrosespar.CodeNotFound, "job %q does not exist", id)
 }
 
 // Waiting implements primrosespar.JobService.
--- a/internal/fleet/submitter/submitter_test.go
+++ b/internal/fleet/submitter/submitter_test.go
@@ -26,10 +26,12 @@
 }
 
 // Cancel implements primrosespar.FleetPeers.
-func (p failingPeers) Cancel(context.Context, netip.AddrPort, primrosespar.JobID) error { return p.err }
+func (p failingPeers) Cancel(context.Context, netip.AddrPort, primrosespar.JobRequest) error {
+	return p.err
+}
 
 // State implements primrosespar.FleetPeers.
-func (p failingPeers) State(context.Context, netip.AddrPort, primrosespar.JobID) (primrosespar.JobState, error) {
+func (p failingPeers) State(context.Context, netip.AddrPort, primrosespar.JobRequest) (primrosespar.JobState, error) {
 	return "", p.err
 }
 
@@ -61,15 +63,15 @@
 	ctx := t.Context()
 	s, table := newSubmitter(t, primrosespar.Fail(primrosespar.CodePeerUnavailable, "holder unreachable"))
 	job := primrosespar.Submission{ID: "a", Queue: "q"}
-	_, err := s.State(ctx, "a")
+	_, err := s.State(ctx, primrosespar.JobRequest{Job: "a", Queue: "q"})
 	require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(err))
 	require.NoError(t, s.Submit(ctx, job))
 	require.NoError(t, s.Submit(ctx, job), "a repeated submission must be the same job")
-	state, err := s.State(ctx, "a")
+	state, err := s.State(ctx, primrosespar.JobRequest{Job: "a", Queue: "q"})
 	require.NoError(t, err)
 	require.Equal(t, primrosespar.JobQueued, state)
-	require.NoError(t, s.Cancel(ctx, "a"))
-	require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(s.Cancel(ctx, "b")))
+	require.NoError(t, s.Cancel(ctx, primrosespar.JobRequest{Job: "a", Queue: "q"}))
+	require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(s.Cancel(ctx, primrosespar.JobRequest{Job: "b", Queue: "q"})))
 	rows, err := table.Scan(ctx, primrosespar.FleetInboxPrefix(), "", 10)
 	require.NoError(t, err)
 	require.Len(t, rows, 2)
--- a/internal/member/replier/fuzz_test.go
+++ b/internal/member/replier/fuzz_test.go
@@ -33,7 +33,7 @@
 		var encoding replier.Encoding
 		for _, message := range []any{
 			new(primrosespar.FleetHeartbeat), new(primrosespar.FleetHeartbeatReply), new(primrosespar.Submission),
-			new(primrosespar.AdviceRequest), new(primrosespar.Advice), new(primrosespar.Heartbeat), new(primrosespar.Call),
+			new(primrosespar.AdviceRequest), new(primrosespar.JobRequest), new(primrosespar.Advice), new(primrosespar.Heartbeat), new(primrosespar.Call),
 			new(primrosespar.Answer), new(replier.Reply[primrosespar.JobState]), new(replier.Reply[primrosespar.FleetHeartbeatReply]),
 		} {
 			if encoding.Unmarshal(data, message) == nil {
--- a/orders.go
+++ b/orders.go
@@ -102,11 +102,15 @@
 	Catalog() *Catalog
 	// Submit returns nil once the job is stored. After CodeOutcomeUnknown the
 	// job may be stored; any other failure means that it was not accepted.
+	// CodeForbidden means that its ID is that of a job which the caller has no
+	// right to.
 	Submit(ctx context.Context, job Submission) error
-	// State returns the state of a job or CodeNotFound.
-	State(ctx context.Context, id JobID) (JobState, error)
-	// Cancel returns nil once the cancellation is stored, or CodeNotFound.
-	Cancel(ctx context.Context, id JobID) error
+	// State returns the state of a job, or CodeNotFound, also if the caller has
+	// no right to the job.
+	State(ctx context.Context, request JobRequest) (JobState, error)
+	// Cancel returns nil once the cancellation is stored, or CodeNotFound, also
+	// if the caller has no right to the job.
+	Cancel(ctx context.Context, request JobRequest) error
 	// Waiting returns the number of jobs of the queue that have not started.
 	Waiting(ctx context.Context, queue Queue) (int, error)
 }
