Renew leases with the first report after a change of holder

A start at a worker that had been idle for 5 minutes got a lease of 4 s, and after an hour none at first. Reports faster than commits left a worker without any lease.

Cause: a lease was counted only from a report that had arrived before the last confirmed commit was sent. A new holder has none until a commit after its first report is confirmed, and waited 2 s at the worker meanwhile; each report replaced the one that the commit in flight would have confirmed.

Change: a later report counts too, moved back to the commit by the boot clock, which counts suspensions. The first report after a commit is kept until it is confirmed or replaced by a later one that is. Polls without a lease to give are short.

--- a/clock.go
+++ b/clock.go
@@ -22,3 +22,10 @@
 	// Elapsed returns the time since an arbitrary moment. It never decreases.
 	Elapsed() time.Duration
 }
+
+// Instant is a moment by the clock of a process, and by its stopwatch if it has
+// one. Without one, Elapsed is 0.
+type Instant struct {
+	At      time.Time
+	Elapsed time.Duration
+}
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -92,19 +92,13 @@
 	version atomic.Uint64
 	// confirmed is when the last confirmed commit was sent, for ConfirmedAt and
 	// Unconfirmed.
-	confirmed atomic.Pointer[instant]
+	confirmed atomic.Pointer[primrosespar.Instant]
 	// lastCommitTime is how long the last commit took.
 	lastCommitTime time.Duration
 	// lastReadTime is how long the last read of the lease row took.
 	lastReadTime time.Duration
 }
 
-// instant is a moment by the clock and by the stopwatch of this process.
-type instant struct {
-	at      time.Time
-	elapsed time.Duration
-}
-
 // Options configure a Committer.
 type Options struct {
 	// Stopwatch measures the age of commits. Without one, the time for which
@@ -128,10 +122,10 @@
 }
 
 // now returns the present moment.
-func (c *Committer) now() instant {
-	n := instant{at: c.clock.Now()}
+func (c *Committer) now() primrosespar.Instant {
+	n := primrosespar.Instant{At: c.clock.Now()}
 	if c.opts.Stopwatch != nil {
-		n.elapsed = c.opts.Stopwatch.Elapsed()
+		n.Elapsed = c.opts.Stopwatch.Elapsed()
 	}
 	return n
 }
@@ -184,11 +178,11 @@
 // ConfirmedAt returns when the last confirmed commit was sent. A host that has
 // read the row of that commit, or a later one, read it after that time. It may
 // be called at any time.
-func (c *Committer) ConfirmedAt() time.Time {
+func (c *Committer) ConfirmedAt() primrosespar.Instant {
 	if confirmed := c.confirmed.Load(); confirmed != nil {
-		return confirmed.at
+		return *confirmed
 	}
-	return time.Time{}
+	return primrosespar.Instant{}
 }
 
 // Unconfirmed returns how long ago the last confirmed commit was sent, with the
@@ -199,12 +193,12 @@
 		return 0
 	}
 	now := c.now()
-	return max(now.at.Sub(confirmed.at), now.elapsed-confirmed.elapsed)
+	return max(now.At.Sub(confirmed.At), now.Elapsed-confirmed.Elapsed)
 }
 
 // setLease records the lease row as written by a commit that was sent at sentAt
 // or later.
-func (c *Committer) setLease(lease Holder, sentAt instant) {
+func (c *Committer) setLease(lease Holder, sentAt primrosespar.Instant) {
 	c.lease = lease
 	c.version.Store(uint64(lease.Version))
 	c.confirmed.Store(&sentAt)
@@ -340,7 +334,7 @@
 		case err == nil:
 			next.Version = versions[0]
 			c.setLease(next, startedAt)
-			c.lastCommitTime = c.clock.Since(startedAt.at)
+			c.lastCommitTime = c.clock.Since(startedAt.At)
 			return nil
 		case code == primrosespar.CodeConflict && !outcomeUnknown:
 			return c.conflictError(next)
@@ -348,12 +342,12 @@
 			err := c.resolveOutcome(ctx, next, firstAttemptAt)
 			// An attempt was given up before its answer came. The next commit
 			// waits longer for it.
-			c.lastCommitTime = c.clock.Since(firstAttemptAt.at)
+			c.lastCommitTime = c.clock.Since(firstAttemptAt.At)
 			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
 			if c.tookEffect(ctx, next, firstAttemptAt) {
-				c.lastCommitTime = c.clock.Since(firstAttemptAt.at)
+				c.lastCommitTime = c.clock.Since(firstAttemptAt.At)
 				return nil
 			}
 		case code != primrosespar.CodeStoreUnavailable:
@@ -393,7 +387,7 @@
 
 // resolveOutcome reads the lease row to find out whether a commit without an
 // answer or another writer has changed it.
-func (c *Committer) resolveOutcome(ctx context.Context, next Holder, firstAttemptAt instant) error {
+func (c *Committer) resolveOutcome(ctx context.Context, next Holder, firstAttemptAt primrosespar.Instant) error {
 	backoff := minBackoff
 	for n := 0; ; n++ {
 		readCtx, cancel := context.WithTimeout(ctx, c.attemptTimeout(n))
@@ -416,7 +410,7 @@
 // tookEffect reads the lease row and reports whether it shows the commit, which
 // got no answer. Reads do not wait for the transactions of others, which delay
 // another attempt while the store is slow.
-func (c *Committer) tookEffect(ctx context.Context, next Holder, firstAttemptAt instant) bool {
+func (c *Committer) tookEffect(ctx context.Context, next Holder, firstAttemptAt primrosespar.Instant) bool {
 	readCtx, cancel := context.WithTimeout(ctx, outcomeReadTimeout)
 	defer cancel()
 	seen, err := c.Read(readCtx)
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -92,11 +92,11 @@
 		sentAt := time.Now()
 		require.NoError(t, c.Commit(t.Context(), write("1")))
 		require.Greater(t, time.Since(sentAt), 100*time.Millisecond)
-		require.Equal(t, sentAt, c.ConfirmedAt())
+		require.Equal(t, sentAt, c.ConfirmedAt().At)
 		time.Sleep(time.Second)
 		sentAt = time.Now()
 		require.NoError(t, c.Commit(t.Context(), write("2")))
-		require.Equal(t, sentAt, c.ConfirmedAt())
+		require.Equal(t, sentAt, c.ConfirmedAt().At)
 	})
 }
 
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -71,10 +71,12 @@
 	maintenance, _ := workers.(primrosespar.MaintenanceService)
 	fleet, _ := workers.(primrosespar.Fleet)
 	clock := clockwork.NewRealClock()
-	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")})
+	self := &host{}
+	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")},
+		committer.WithStopwatch(self))
 	acquireLease(t, lease)
 	c, err := controller.New(controller.Parts{
-		Table: table, Source: workers, Fleet: fleet, Clock: clock, Committer: lease, Catalog: catalog,
+		Table: table, Source: workers, Fleet: fleet, Clock: clock, Stopwatch: self, Committer: lease, Catalog: catalog,
 		WallClock:  func(now time.Time) time.Time { return now },
 		OnDecision: func(scheduler.Event) {}, OnStoreAnswer: func() {}, OnError: onError, Maintenance: maintenance,
 	}, opts...)
--- a/internal/fleet/controller/permission_test.go
+++ b/internal/fleet/controller/permission_test.go
@@ -27,7 +27,7 @@
 
 // Elapsed implements primrosespar.Stopwatch.
 func (h *host) Elapsed() time.Duration {
-	return time.Since(time.Time{}) + time.Duration(h.suspended.Load())
+	return time.Duration(time.Now().UnixNano() + h.suspended.Load())
 }
 
 // suspendingTable is a primrosespar.Table that suspends the host once, while the
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -151,7 +151,7 @@
 func TestTermCountsFromTheLastCommit(t *testing.T) {
 	runWithFixture(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		require.NoError(t, f.holder.Commit(ctx, nil))
-		committedAt := f.holder.ConfirmedAt()
+		committedAt := f.holder.ConfirmedAt().At
 		time.Sleep(elector.HeartbeatInterval)
 		f.peers.setReply(silence)
 		time.Sleep(takeoverLimit)
--- a/internal/fleet/lessor/lessor.go
+++ b/internal/fleet/lessor/lessor.go
@@ -12,13 +12,17 @@
 //
 //	wait := lessor.TakeoverWait(lease)
 //
-// A lease ends at a reading of the worker's clock. The reading at the time of
-// the last confirmed commit is taken from a report that arrived before that
-// commit was sent, so the lease does not get longer while the holder is
-// suspended, its clock stands still, or the order is on its way.
+// A lease ends at a reading of the worker's clock, which the worker compares with
+// its own clock. It is counted from the least that this clock can have shown when
+// the last confirmed commit was sent, so it does not get longer while the holder
+// is suspended, its monotonic clock stands still, or the order is on its way.
 package lessor
 
-import "time"
+import (
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
 
 // Figures of the leases.
 const (
@@ -29,7 +33,8 @@
 	// renewing leases in full. Longer outages of the store lose work, and a
 	// later holder waits as much longer for workers that it cannot reach.
 	RenewalTime = 4 * time.Second
-	// slowestClockRate is the slowest rate of a worker's clock.
+	// slowestClockRate is the slowest rate of a worker's clock; the fastest is
+	// 1.
 	slowestClockRate = 0.98
 	// expiryMargin covers the time that a worker needs to kill runs whose lease
 	// has expired.
@@ -47,15 +52,28 @@
 	return time.Duration(float64(d) / slowestClockRate)
 }
 
-// reading is a reading of the worker's clock, received at at.
+// reading is a reading of the worker's clock and when it was received.
 type reading struct {
-	clock time.Duration
-	at    time.Time
+	clock    time.Duration
+	received primrosespar.Instant
 }
 
-// after returns the least that the worker's clock can show at t.
+// known reports whether there is a reading.
+func (r reading) known() bool { return !r.received.At.IsZero() }
+
+// before reports whether the reading was received before t.
+func (r reading) before(t primrosespar.Instant) bool { return r.known() && r.received.At.Before(t.At) }
+
+// after returns the least that the worker's clock can show at a later time t.
 func (r reading) after(t time.Time) time.Duration {
-	return r.clock + time.Duration(slowestClockRate*float64(t.Sub(r.at)))
+	return r.clock + time.Duration(slowestClockRate*float64(t.Sub(r.received.At)))
+}
+
+// backTo returns the least that the worker's clock can have shown at an earlier
+// moment. It needs a stopwatch, since a suspension in between does not show on
+// the monotonic clock.
+func (r reading) backTo(t primrosespar.Instant) time.Duration {
+	return r.clock - max(r.received.Elapsed-t.Elapsed, r.received.At.Sub(t.At))
 }
 
 // Grant is a lease for a worker.
@@ -72,37 +90,63 @@
 // Lessor grants leases to one worker. It is not safe for concurrent use.
 type Lessor struct {
 	lease       time.Duration
-	confirmedAt func() time.Time
-	// latest is the last reading of the worker's clock, confirmed the last one
-	// that was received before a confirmed commit was sent.
+	confirmedAt func() primrosespar.Instant
+	// latest is the last reading of the worker's clock, and next the first one
+	// that was received after the last confirmed commit was sent. confirmed is
+	// the last one that was known to be received before a confirmed commit was
+	// sent.
 	latest    reading
+	next      reading
 	confirmed reading
 }
 
 // New returns a Lessor that does not know the worker's clock yet. confirmedAt
 // returns when the last commit that was confirmed was sent.
-func New(lease time.Duration, confirmedAt func() time.Time) *Lessor {
+func New(lease time.Duration, confirmedAt func() primrosespar.Instant) *Lessor {
 	return &Lessor{lease: lease, confirmedAt: confirmedAt}
 }
 
 // Forget drops all readings, because the worker has restarted.
-func (l *Lessor) Forget() { l.latest, l.confirmed = reading{}, reading{} }
+func (l *Lessor) Forget() { l.latest, l.next, l.confirmed = reading{}, reading{}, reading{} }
 
-// Observe records a reading of the worker's clock that was received at at. The
-// worker took it earlier, which makes leases shorter and their expiry later.
-func (l *Lessor) Observe(clock time.Duration, at time.Time) {
+// Observe records a reading of the worker's clock that was received at the
+// moment. The worker took it earlier, which makes leases shorter and their
+// expiry later.
+func (l *Lessor) Observe(clock time.Duration, received primrosespar.Instant) {
 	l.confirm(l.confirmedAt())
-	l.latest = reading{clock: clock, at: at}
+	l.latest = reading{clock: clock, received: received}
+	if !l.next.known() {
+		l.next = l.latest
+	}
 }
 
 // Age returns how old the last reading of the worker's clock is.
-func (l *Lessor) Age(now time.Time) time.Duration { return now.Sub(l.latest.at) }
+func (l *Lessor) Age(now time.Time) time.Duration { return now.Sub(l.latest.received.At) }
 
-// confirm takes over the last reading if it is older than the confirmed commit.
-func (l *Lessor) confirm(confirmedAt time.Time) {
-	if !l.latest.at.IsZero() && l.latest.at.Before(confirmedAt) {
-		l.confirmed = l.latest
+// confirm takes over the last known reading that is older than the confirmed
+// commit.
+func (l *Lessor) confirm(confirmedAt primrosespar.Instant) {
+	switch {
+	case l.latest.before(confirmedAt):
+		l.confirmed, l.next = l.latest, reading{}
+	case l.next.before(confirmedAt):
+		// Reports may come faster than commits are confirmed.
+		l.confirmed, l.next = l.next, l.latest
+	}
+}
+
+// clockAtCommit returns the least that the worker's clock can have shown when
+// the confirmed commit was sent. It reports false if that is not known.
+func (l *Lessor) clockAtCommit(confirmedAt primrosespar.Instant) (time.Duration, bool) {
+	var least time.Duration
+	known := false
+	if l.confirmed.known() {
+		least, known = l.confirmed.after(confirmedAt.At), true
+	}
+	if confirmedAt.Elapsed > 0 && l.latest.known() && !l.latest.before(confirmedAt) {
+		least, known = max(least, l.latest.backTo(confirmedAt)), true
 	}
+	return least, known
 }
 
 // Extend returns the lease to send now. It reports false if there is none to
@@ -110,14 +154,15 @@
 func (l *Lessor) Extend(now time.Time) (Grant, bool) {
 	confirmedAt := l.confirmedAt()
 	l.confirm(confirmedAt)
-	if l.confirmed.at.IsZero() {
-		return Grant{}, false
+	least, known := l.clockAtCommit(confirmedAt)
+	if !known {
+		return Grant{Limited: true}, false
 	}
 	grant := Grant{Until: l.latest.after(now) + l.lease, Expiry: now.Add(slowest(l.lease) + expiryMargin)}
-	if limit := l.confirmed.after(confirmedAt) + l.lease + RenewalTime; limit < grant.Until {
+	if limit := least + l.lease + RenewalTime; limit < grant.Until {
 		grant.Until, grant.Limited = limit, true
 	}
-	if limit := confirmedAt.Add(TakeoverWait(l.lease)); limit.Before(grant.Expiry) {
+	if limit := confirmedAt.At.Add(TakeoverWait(l.lease)); limit.Before(grant.Expiry) {
 		grant.Expiry = limit
 	}
 	return grant, grant.Until > l.latest.clock
--- a/internal/fleet/lessor/lessor_test.go
+++ b/internal/fleet/lessor/lessor_test.go
@@ -6,16 +6,19 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 )
 
 // model is a holder and a worker whose clocks a test moves: the clock of the
 // holder stands still in a suspension, that of the worker is slow.
 type model struct {
-	real        time.Duration
-	suspended   time.Duration
-	rate        float64
-	confirmedAt time.Time
+	real      time.Duration
+	suspended time.Duration
+	rate      float64
+	// stopwatch is set if the holder knows how long it was suspended.
+	stopwatch   bool
+	confirmedAt primrosespar.Instant
 	// committedAt is the real time of the last confirmed commit.
 	committedAt time.Duration
 	lessor      *lessor.Lessor
@@ -23,15 +26,24 @@
 
 // newModel returns a model that has just committed, with a worker clock of the
 // given rate.
-func newModel(rate float64) *model {
-	m := &model{rate: rate, real: time.Minute}
-	m.lessor = lessor.New(lessor.DefaultLease, func() time.Time { return m.confirmedAt })
+func newModel(rate float64, stopwatch bool) *model {
+	m := &model{rate: rate, real: time.Minute, stopwatch: stopwatch}
+	m.lessor = lessor.New(lessor.DefaultLease, func() primrosespar.Instant { return m.confirmedAt })
 	m.report()
 	m.pass(time.Millisecond)
 	m.commit()
 	return m
 }
 
+// instant returns the moment as the holder knows it.
+func (m *model) instant() primrosespar.Instant {
+	i := primrosespar.Instant{At: m.now()}
+	if m.stopwatch {
+		i.Elapsed = m.real
+	}
+	return i
+}
+
 // now returns the reading of the holder's clock.
 func (m *model) now() time.Time { return time.Unix(1000, 0).Add(m.real - m.suspended) }
 
@@ -39,10 +51,10 @@
 func (m *model) workerClock() time.Duration { return time.Duration(m.rate * float64(m.real)) }
 
 // report delivers a report of the worker.
-func (m *model) report() { m.lessor.Observe(m.workerClock(), m.now()) }
+func (m *model) report() { m.lessor.Observe(m.workerClock(), m.instant()) }
 
 // commit confirms a commit that is sent now.
-func (m *model) commit() { m.confirmedAt, m.committedAt = m.now(), m.real }
+func (m *model) commit() { m.confirmedAt, m.committedAt = m.instant(), m.real }
 
 // pass lets time pass.
 func (m *model) pass(d time.Duration) { m.real += d }
@@ -80,9 +92,11 @@
 			},
 			"commit after an old reading": func(m *model) { m.pass(time.Minute); m.commit(); m.pass(2 * time.Second) },
 		} {
-			m := newModel(rate)
-			disturb(m)
-			require.LessOrEqual(t, m.end()-m.committedAt, lessor.TakeoverWait(lessor.DefaultLease), "%s, rate %v", name, rate)
+			for _, stopwatch := range []bool{false, true} {
+				m := newModel(rate, stopwatch)
+				disturb(m)
+				require.LessOrEqual(t, m.end()-m.committedAt, lessor.TakeoverWait(lessor.DefaultLease), "%s, rate %v, stopwatch %v", name, rate, stopwatch)
+			}
 		}
 	}
 }
@@ -90,7 +104,7 @@
 // TestLeasesOutliveAShortOutage guards against work that is thrown away in an
 // outage of the store in which no other host can take over.
 func TestLeasesOutliveAShortOutage(t *testing.T) {
-	m := newModel(1)
+	m := newModel(1, true)
 	for range 8 {
 		require.Greater(t, m.end()-m.real, 1500*time.Millisecond)
 		m.pass(time.Second)
@@ -104,7 +118,7 @@
 // worker may still keep them.
 func TestExpiryCoversTheLease(t *testing.T) {
 	for _, rate := range []float64{0.98, 1} {
-		m := newModel(rate)
+		m := newModel(rate, true)
 		for range 20 {
 			grant, ok := m.lessor.Extend(m.now())
 			if !ok {
@@ -117,3 +131,42 @@
 		}
 	}
 }
+
+// TestLeaseIsGrantedWhileReportsAreFasterThanCommits guards against a holder
+// that gives no lease at all, because each report replaces the reading that the
+// commit in flight would confirm.
+func TestLeaseIsGrantedWhileReportsAreFasterThanCommits(t *testing.T) {
+	const report = 500 * time.Millisecond
+	for _, commit := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
+		m := newModel(1, false)
+		m.lessor.Forget()
+		sentAt, sinceCommit, sinceReport := m.instant(), time.Duration(0), time.Duration(0)
+		start := m.real
+		for m.end() == 0 {
+			require.Less(t, m.real-start, 6*time.Second, "commits of %v", commit)
+			m.pass(100 * time.Millisecond)
+			if sinceReport += 100 * time.Millisecond; sinceReport >= report {
+				sinceReport = 0
+				m.report()
+			}
+			if sinceCommit += 100 * time.Millisecond; sinceCommit >= commit {
+				sinceCommit = 0
+				m.confirmedAt, sentAt = sentAt, m.instant()
+			}
+		}
+	}
+}
+
+// TestLeaseAfterLongIdleTime guards against a start that is refused as late, or
+// that gets a short lease, at a worker that was idle for minutes, although its
+// clock was read again just before.
+func TestLeaseAfterLongIdleTime(t *testing.T) {
+	for _, idle := range []time.Duration{time.Minute, 5 * time.Minute, time.Hour} {
+		m := newModel(1, true)
+		m.pass(idle)
+		m.commit()
+		m.pass(50 * time.Millisecond)
+		m.report()
+		require.Greater(t, m.end()-m.real, 5*time.Second, "idle for %v", idle)
+	}
+}
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -80,7 +80,7 @@
 	Lease time.Duration
 	// ConfirmedAt returns when the last confirmed commit of this holder was
 	// sent.
-	ConfirmedAt func() time.Time
+	ConfirmedAt func() primrosespar.Instant
 	// Stopwatch measures the age of reports. Without one, the time for which the
 	// machine was suspended does not count.
 	Stopwatch primrosespar.Stopwatch
@@ -94,7 +94,7 @@
 
 // WithConfirmedAt sets the function that returns when the last confirmed commit
 // of this holder was sent. By default all commits are confirmed at once.
-func WithConfirmedAt(confirmedAt func() time.Time) Option {
+func WithConfirmedAt(confirmedAt func() primrosespar.Instant) Option {
 	return func(o *Options) { o.ConfirmedAt = confirmedAt }
 }
 
@@ -146,7 +146,10 @@
 	p := &Poller{
 		fleet: fleet, clock: clock, token: token, sink: sink, info: info, worker: info.Worker,
 		orderSlots: make(chan struct{}, maxOrdersInFlight), wake: make(chan struct{}, 1),
-		opts: Options{Lease: lessor.DefaultLease, ConfirmedAt: clock.Now},
+		opts: Options{
+			Lease:       lessor.DefaultLease,
+			ConfirmedAt: func() primrosespar.Instant { return primrosespar.Instant{At: clock.Now()} },
+		},
 	}
 	for _, opt := range opts {
 		opt(&p.opts)
@@ -349,7 +352,7 @@
 	}
 	p.unresponsive, p.polled = false, true
 	p.reportedAt, p.reportedElapsed = p.clock.Now(), p.elapsed()
-	p.lessor.Observe(report.Clock, p.reportedAt)
+	p.lessor.Observe(report.Clock, primrosespar.Instant{At: p.reportedAt, Elapsed: p.reportedElapsed})
 	for _, e := range report.Ended {
 		p.lastSequence = max(p.lastSequence, e.Sequence)
 	}
--- a/internal/fleet/stopwatch/stopwatch.go
+++ b/internal/fleet/stopwatch/stopwatch.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	w := stopwatch.New()
+//	w, err := stopwatch.New()
 //	since := w.Elapsed()
 //	age := w.Elapsed() - since
 package stopwatch
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -18,11 +19,14 @@
 // for concurrent use.
 type Stopwatch struct{}
 
-// New returns a Stopwatch.
-func New() Stopwatch { return Stopwatch{} }
+// New returns a Stopwatch. It fails if there is no boot clock.
+func New() (Stopwatch, error) {
+	var ts unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
+	return Stopwatch{}, eris.Wrap(err, "read boot clock")
+}
 
-// Elapsed returns the time since an arbitrary moment before the start of the
-// process. Without a boot clock it stands still.
+// Elapsed returns the time since the machine has started.
 func (Stopwatch) Elapsed() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
--- a/internal/fleet/stopwatch/stopwatch_test.go
+++ b/internal/fleet/stopwatch/stopwatch_test.go
@@ -12,7 +12,8 @@
 // TestElapsedAdvances guards against a clock that is not there: no age would
 // ever exceed a limit.
 func TestElapsedAdvances(t *testing.T) {
-	w := stopwatch.New()
+	w, err := stopwatch.New()
+	require.NoError(t, err)
 	before := w.Elapsed()
 	require.Positive(t, before)
 	time.Sleep(2 * time.Millisecond)
