Log a job of the inbox whose ID is in use by another caller

Two accounts that hand in the same ID at the same time, one at the holder and one through the inbox, may both be told that it was accepted, before the holder has stored its job. The job of the inbox is dropped then, as before; now with a log line.

--- a/internal/fleet/controller/inbox.go
+++ b/internal/fleet/controller/inbox.go
@@ -66,6 +66,9 @@
 			c.reportMessage(row.Key, err)
 			continue
 		}
+		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.MayUse(job.Request()) {
+			c.reportMessage(row.Key, eris.New("the ID of the job is in use by another caller"))
+		}
 		c.scheduler.Submit(job, now)
 		// The job is accepted by its row, which this batch deletes. It must not
 		// be withdrawn.
