Let an odd row of a place cost that row

What callers of the stand-alone entry host would see: one row of a job, of the quarantines or of the lease that cannot be decoded keeps each host from scheduling its place, and one row of a job hides the list of all jobs.

Cause: the first error of a decoder ended the load of the holder, the read of the lease, or the list.

Change: such rows are reported and left out; tasks of an unreadable job are stopped as those of unknown ones, and quarantines begin anew. An unreadable lease names a holder that does not renew it, with the version of the row as its token, as the fleet lease does.

Evidence: TestOddRowsOfThePlaceCostThoseRows failed before the change ("job ... is queued and not done" after 30 s) and fails with each of the four files reverted alone. It passes now.

--- a/internal/member/leaser/leaser.go
+++ b/internal/member/leaser/leaser.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -174,9 +175,13 @@
 	return eris.Wrap(err, "release lease")
 }
 
+// unreadableHolder is the holder of a lease row that cannot be decoded.
+const unreadableHolder = "(unreadable lease row)"
+
 // readRows reads both rows and, if their versions changed, restarts the time
 // that they have been unchanged. The lease is lost if the row names another
-// process.
+// process. A lease row that cannot be decoded names a holder that does not
+// renew it. Each token is a write of the row, so none is higher than its version.
 func (l *Leaser) readRows(ctx context.Context) error {
 	place := l.identity.Place
 	rows, err := l.table.Get(ctx, primrosespar.LeaseKey(place), primrosespar.LeaseRenewalKey(place))
@@ -185,8 +190,8 @@
 	}
 	next := observation{leaseVersion: rows[0].Version, renewalVersion: rows[1].Version, unchangedSince: l.clock.Now(), valid: true}
 	if next.leaseVersion > 0 {
-		if err := json.Unmarshal(rows[0].Value, &next.lease); err != nil {
-			return eris.Wrap(err, "decode lease row")
+		if err := json.Unmarshal(rows[0].Value, &next.lease); err != nil || next.lease.Token == math.MaxUint64 {
+			next.lease = leaseRow{Holder: unreadableHolder, Token: primrosespar.Token(rows[0].Version)}
 		}
 	}
 	l.mu.Lock()
--- a/internal/place/controller/inbox.go
+++ b/internal/place/controller/inbox.go
@@ -70,11 +70,13 @@
 
 // restoreGang adds the job of a row, unless it has ended or is already known. A
 // queued job is queued in the planner, any other gets an assembler that resumes
-// it.
+// it. A row that cannot be decoded is reported and left out; tasks of such a job
+// are stopped as those of any unknown one.
 func (c *Controller) restoreGang(row primrosespar.Row) error {
 	var g primrosespar.Gang
 	if err := json.Unmarshal(row.Value, &g); err != nil {
-		return eris.Wrapf(err, "decode %s", row.Key)
+		c.reportError(eris.Wrapf(err, "decode %s", row.Key))
+		return nil
 	}
 	if g.State.Ended() || c.gangs[g.Job.ID] != nil {
 		return nil
--- a/internal/place/controller/quarantine.go
+++ b/internal/place/controller/quarantine.go
@@ -96,7 +96,9 @@
 	}
 	var entries []quarantiner.Entry
 	if err := json.Unmarshal(row.Value, &entries); err != nil {
-		return eris.Wrapf(err, "decode %s", row.Key)
+		// The quarantines begin anew, and the next change replaces the row.
+		c.reportError(eris.Wrapf(err, "decode %s", row.Key))
+		return nil
 	}
 	c.quarantine.tracker.Restore(entries, c.parts.Clock.Now())
 	for _, e := range entries {
--- a/internal/place/submitter/submitter.go
+++ b/internal/place/submitter/submitter.go
@@ -131,7 +131,8 @@
 }
 
 // List returns the jobs of an account in a place in the order of their IDs. An
-// empty account stands for all accounts.
+// empty account stands for all accounts. A row that cannot be decoded is left
+// out; the controller reports it.
 func (s *Submitter) List(ctx context.Context, place primrosespar.Place, account primrosespar.Account) ([]primrosespar.Gang, error) {
 	var jobs []primrosespar.Gang
 	after := ""
@@ -144,7 +145,7 @@
 			after = row.Key
 			var g primrosespar.Gang
 			if err := json.Unmarshal(row.Value, &g); err != nil {
-				return nil, eris.Wrapf(err, "decode %s", row.Key)
+				continue
 			}
 			if account == "" || g.Job.Account == account {
 				jobs = append(jobs, g)
