--- a/cmd/standin/soakhosts.go
+++ b/cmd/standin/soakhosts.go
@@ -45,14 +45,20 @@
 
 // newSoak starts the platform and the links of all hosts.
 func newSoak(c soakCommand, dir string) (*soak, error) {
-	fleet, err := standin.New(standin.WithWorkers(c.Workers), standin.WithRegions(c.Regions), standin.WithLongestLease(c.Lease))
+	fleet, err := standin.New(standin.WithWorkers(c.Workers), standin.WithRegions(c.Regions), standin.WithLongestLease(c.Lease), standin.WithoutFencing())
 	if err != nil {
 		return nil, err
 	}
+	troubles, err := parseTroubles(c.Troubles)
+	if err != nil {
+		fleet.Close()
+		return nil, err
+	}
 	s := &soak{
-		soakCommand: c, fleet: fleet, processes: &processGroup{dir: dir}, links: partitioner.New(),
+		soakCommand: c, fleet: fleet, troubles: troubles, processes: &processGroup{dir: dir}, links: partitioner.New(),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 	}
+	s.kills = newCommitKiller(s)
 	for i := range c.Hosts {
 		h := &soakHost{
 			name: fmt.Sprintf("host-%d", i), region: fleet.Regions()[i%c.Regions],
@@ -92,20 +98,23 @@
 // connect makes the links of a host to the platform, the workers and the other
 // hosts, and writes its settings.
 func (s *soak) connect(h *soakHost) error {
-	store, err := s.links.Link(h.region, platformRegion, s.fleet.StoreAddress(), h.ip)
+	source := proxier.WithSource(h.ip)
+	store, err := s.links.Link(h.region, platformRegion, s.fleet.StoreAddress(), source)
 	if err != nil {
 		return err
 	}
 	if h.proxy, err = proxier.New(store); err != nil {
 		return err
 	}
-	machines, err := s.links.Link(h.region, platformRegion, s.fleet.Provider().Address(), h.ip)
+	// An order to a machine that arrived after a cut would look like one of a
+	// holder that gives orders without the lease.
+	machines, err := s.links.Link(h.region, platformRegion, s.fleet.Provider().Address(), source, proxier.WithLoss())
 	if err != nil {
 		return err
 	}
 	view := map[netip.AddrPort]netip.AddrPort{}
 	for _, w := range s.fleet.Workers() {
-		if view[w.Address()], err = s.links.Link(h.region, w.Region(), w.Address(), h.ip); err != nil {
+		if view[w.Address()], err = s.links.Link(h.region, w.Region(), w.Address(), source); err != nil {
 			return err
 		}
 	}
@@ -113,7 +122,7 @@
 		if other == h {
 			continue
 		}
-		if view[other.peers], err = s.links.Link(h.region, other.region, other.peers, h.ip); err != nil {
+		if view[other.peers], err = s.links.Link(h.region, other.region, other.peers, source); err != nil {
 			return err
 		}
 	}
@@ -252,6 +261,11 @@
 // call makes one call and returns the status and body of the response. The
 // status is 0 if there is no complete response.
 func (s *soak) call(ctx context.Context, method, path, body string, hostIndex int) (int, string) {
+	return s.callAs(ctx, standin.APIKey, method, path, body, hostIndex)
+}
+
+// callAs is call with another API key.
+func (s *soak) callAs(ctx context.Context, key, method, path, body string, hostIndex int) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, soakTimeout)
 	defer cancel()
 	h := s.hosts[hostIndex%len(s.hosts)]
@@ -260,7 +274,7 @@
 		return 0, ""
 	}
 	req.Host = standin.QueueHost
-	req.Header.Set("X-Api-Key", standin.APIKey)
+	req.Header.Set("X-Api-Key", key)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(soakTimeout.Milliseconds()))
 	resp, err := s.client.Do(req)
 	if err != nil {
--- a/internal/standin/partitioner/partitioner.go
+++ b/internal/standin/partitioner/partitioner.go
@@ -5,7 +5,7 @@
 //
 //	p := partitioner.New()
 //	defer p.Close()
-//	address, err := p.Link(host, worker, target, source)
+//	address, err := p.Link("region-a", "region-b", target)
 //	p.Cut("region-a", partitioner.Both)
 //	p.Heal("region-a")
 package partitioner
@@ -48,10 +48,9 @@
 func New() *Partitioner { return &Partitioner{cuts: map[string]Direction{}} }
 
 // Link starts a proxy for the calls of a party in one region to a target in
-// another and returns the address at which the party reaches the target. The
-// target sees the calls come from the source.
-func (p *Partitioner) Link(fromRegion, toRegion string, target netip.AddrPort, source netip.Addr) (netip.AddrPort, error) {
-	proxy, err := proxier.New(target, proxier.WithSource(source))
+// another and returns the address at which the party reaches the target.
+func (p *Partitioner) Link(fromRegion, toRegion string, target netip.AddrPort, opts ...proxier.Option) (netip.AddrPort, error) {
+	proxy, err := proxier.New(target, opts...)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
--- a/internal/standin/partitioner/partitioner_test.go
+++ b/internal/standin/partitioner/partitioner_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar/internal/standin/partitioner"
+	"primrosespar.example/primrosespar/internal/standin/proxier"
 )
 
 // TestCutRegionIsSilentUntilItHeals guards against a cut that lets calls or
@@ -27,9 +28,9 @@
 	p := partitioner.New()
 	defer p.Close()
 	source := netip.MustParseAddr("127.0.1.9")
-	across, err := p.Link("a", "b", target, source)
+	across, err := p.Link("a", "b", target, proxier.WithSource(source))
 	require.NoError(t, err)
-	within, err := p.Link("a", "a", target, source)
+	within, err := p.Link("a", "a", target, proxier.WithSource(source))
 	require.NoError(t, err)
 	call := func(address netip.AddrPort, timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(t.Context(), timeout)
--- a/internal/standin/proxier/proxier.go
+++ b/internal/standin/proxier/proxier.go
@@ -37,7 +37,7 @@
 	// Delay forwards each chunk after delayTime.
 	Delay
 	// Cut holds back the bytes and the ends of connections of both directions
-	// and forwards them late, when the mode changes.
+	// and forwards them late, when the mode changes. See WithLoss.
 	Cut
 	// CutToTarget and CutFromTarget are Cut for one direction.
 	CutToTarget
@@ -51,6 +51,8 @@
 type Options struct {
 	// Source is the address from which the target is called.
 	Source netip.Addr
+	// Lossy makes the proxy lose what a cut holds back, with its connection.
+	Lossy bool
 }
 
 // Option sets one option.
@@ -60,10 +62,15 @@
 // tell its callers apart.
 func WithSource(source netip.Addr) Option { return func(o *Options) { o.Source = source } }
 
+// WithLoss makes the proxy lose what a cut holds back, with its connection,
+// instead of forwarding it late.
+func WithLoss() Option { return func(o *Options) { o.Lossy = true } }
+
 // Proxier forwards connections to one target. It is safe for concurrent use.
 type Proxier struct {
 	target     string
 	dialer     net.Dialer
+	lossy      bool
 	listener   net.Listener
 	goroutines conc.WaitGroup
 
@@ -86,7 +93,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy cannot listen on 127.0.0.1")
 	}
-	p := &Proxier{target: target.String(), listener: listener, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &Proxier{target: target.String(), lossy: o.Lossy, listener: listener, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	if o.Source.IsValid() {
 		p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(o.Source, 0))
 	}
@@ -241,6 +248,7 @@
 			<-changed
 			continue
 		case cuts(mode, fromTarget):
+			lost = lost || p.lossy
 			<-changed
 			continue
 		case mode == Delay:
--- a/internal/standin/recorder/recorder.go
+++ b/internal/standin/recorder/recorder.go
@@ -11,7 +11,6 @@
 package recorder
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -37,8 +36,15 @@
 
 // Recorder holds all runs. It is safe for concurrent use.
 type Recorder struct {
-	mu   sync.Mutex
-	runs map[string][]*Run
+	mu      sync.Mutex
+	runs    map[string][]*Run
+	remarks []remark
+}
+
+// remark is a line of the record that is not about a run.
+type remark struct {
+	at   time.Time
+	text string
 }
 
 // New returns a Recorder without runs.
@@ -70,6 +76,40 @@
 	run.notedAt = at
 }
 
+// TimeAtWork returns how long the task has been at work, or 0 if it is not.
+func (r *Recorder) TimeAtWork(task string, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs[task] {
+		if run.endedAt.IsZero() {
+			return now.Sub(run.startedAt)
+		}
+	}
+	return 0
+}
+
+// FailedRuns returns the number of runs of a gang in which a member has failed.
+func (r *Recorder) FailedRuns(members []string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failed := map[uint64]bool{}
+	for _, member := range members {
+		for _, run := range r.runs[member] {
+			if run.end == "failed" {
+				failed[run.number] = true
+			}
+		}
+	}
+	return len(failed)
+}
+
+// Remark adds a line to the record.
+func (r *Recorder) Remark(at time.Time, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remarks = append(r.remarks, remark{at, text})
+}
+
 // Started reports whether the task was ever started.
 func (r *Recorder) Started(task string) bool {
 	r.mu.Lock()
@@ -101,33 +141,37 @@
 	return n
 }
 
-// Lines returns a line for each run, in the order of their starts, with times
-// since the first.
+// Lines returns a line for each run and each remark in the order of their
+// times, which are since the first.
 func (r *Recorder) Lines() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var all []*Run
+	all := slices.Clone(r.remarks)
 	for _, runs := range r.runs {
-		all = append(all, runs...)
+		for _, run := range runs {
+			all = append(all, remark{run.startedAt, run.String()})
+		}
 	}
-	slices.SortFunc(all, func(a, b *Run) int {
-		return cmp.Or(cmp.Compare(a.startedAt.UnixNano(), b.startedAt.UnixNano()), cmp.Compare(a.task, b.task))
-	})
+	slices.SortStableFunc(all, func(a, b remark) int { return a.at.Compare(b.at) })
 	lines := make([]string, 0, len(all))
-	for _, run := range all {
-		first := all[0].startedAt
-		line := fmt.Sprintf("%v task %s run %d at %s", round(run.startedAt.Sub(first)), run.task, run.number, run.worker)
-		if !run.endedAt.IsZero() {
-			line += fmt.Sprintf(", %s at %v", run.end, round(run.endedAt.Sub(first)))
-		}
-		if !run.notedAt.IsZero() {
-			line += fmt.Sprintf(", noted at %v", round(run.notedAt.Sub(first)))
-		}
-		lines = append(lines, line)
+	for _, line := range all {
+		lines = append(lines, fmt.Sprintf("%9.3f %s", line.at.Sub(all[0].at).Seconds(), line.text))
 	}
 	return lines
 }
 
+// String describes the run, with times since its start.
+func (r *Run) String() string {
+	line := fmt.Sprintf("task %s run %d at %s", r.task, r.number, r.worker)
+	if !r.endedAt.IsZero() {
+		line += fmt.Sprintf(", %s after %v", r.end, round(r.endedAt.Sub(r.startedAt)))
+	}
+	if !r.notedAt.IsZero() {
+		line += fmt.Sprintf(", noted %v later", round(r.notedAt.Sub(r.endedAt)))
+	}
+	return line
+}
+
 // Twice returns a line for each start of a task while another run of it was at
 // work, and for each start after a run has succeeded whose end was taken note
 // of, before the start or after it.
@@ -137,7 +181,7 @@
 	var lines []string
 	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
 		runs := slices.SortedStableFunc(slices.Values(r.runs[task]), func(a, b *Run) int {
-			return cmp.Compare(a.startedAt.UnixNano(), b.startedAt.UnixNano())
+			return a.startedAt.Compare(b.startedAt)
 		})
 		for i, later := range runs {
 			for _, earlier := range runs[:i] {
