--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -35,22 +35,25 @@
 // soakCommand runs host processes of the fleet scheduler against the stand-in
 // of the users' platform.
 type soakCommand struct {
-	Product string        `help:"Program of the hosts." default:"bin/primrosespar" type:"path"`
-	Seed    uint64        `help:"Seed of jobs and faults." default:"1"`
-	Load    time.Duration `help:"How long jobs and faults come." default:"20s"`
-	Hosts   int           `help:"Number of hosts." default:"4"`
-	Workers int           `help:"Number of workers." default:"16"`
-	Regions int           `help:"Number of regions, each with a share of the hosts and workers." default:"3"`
-	Lease   time.Duration `help:"Longest lease of a worker." default:"6s"`
-	Rate    float64       `help:"Jobs a second." default:"6"`
-	Keep    string        `help:"Directory for the logs; a temporary one by default." type:"path"`
-	Calm    bool          `help:"Leave the faults out."`
+	Product  string        `help:"Program of the hosts." default:"bin/primrosespar" type:"path"`
+	Seed     uint64        `help:"Seed of jobs and faults." default:"1"`
+	Load     time.Duration `help:"How long jobs and faults come." default:"20s"`
+	Hosts    int           `help:"Number of hosts." default:"4"`
+	Workers  int           `help:"Number of workers." default:"16"`
+	Regions  int           `help:"Number of regions, each with a share of the hosts and workers." default:"3"`
+	Lease    time.Duration `help:"Longest lease of a worker." default:"6s"`
+	Rate     float64       `help:"Jobs a second." default:"6"`
+	Keep     string        `help:"Directory for the logs; a temporary one by default." type:"path"`
+	Troubles []string      `help:"Troubles to draw; all, basic or single ones, with a minus sign to leave one out." default:"all"`
+	Calm     bool          `help:"Leave the faults out."`
 }
 
 // soak is one run of the command.
 type soak struct {
 	soakCommand
 	fleet     *standin.Fleet
+	troubles  troubleSet
+	kills     *commitKiller
 	processes *processGroup
 	links     *partitioner.Partitioner
 	hosts     []*soakHost
@@ -89,11 +92,12 @@
 		tasks.Go(func() { faults.run(ctx, s.Load) })
 	}
 	tasks.Wait()
+	s.kills.end()
 	load.drain(ctx, soakDrainTimeout)
 	faults.checkWaves(soakDrainTimeout)
 	writes, reads := s.fleet.Store().Calls()
-	return s.report(fmt.Sprintf("seed %d: %d jobs (%d accepted, %d refused, %d with a known state), %d starts, %d store writes, %d reads, %s",
-		s.Seed, load.jobCount, load.accepted(), load.refused(), load.reported(), s.fleet.Starts(), writes, reads,
+	return s.report(fmt.Sprintf("seed %d: %d jobs (%d accepted, %d refused, %d with a known state), %d starts, %d store writes (%d refused for good), %d reads, %s",
+		s.Seed, load.drawer.count, load.accepted(), load.refused(), load.reported(), s.fleet.Starts(), writes, s.fleet.Store().Refusals(), reads,
 		time.Since(start).Round(time.Second)), dir)
 }
 
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -18,7 +18,7 @@
 		require.NoError(t, err, string(out))
 	}
 	out, err := exec.CommandContext(t.Context(), filepath.Join(dir, "standin"), "soak",
-		"--product", filepath.Join(dir, "primrosespar"), "--seed", "1", "--load", "10s", "--hosts", "3").CombinedOutput()
+		"--product", filepath.Join(dir, "primrosespar"), "--seed", "1", "--load", "10s", "--hosts", "3", "--troubles", "basic").CombinedOutput()
 	require.NoError(t, err, string(out))
 	t.Log(string(out))
 }
--- a/cmd/standin/soakfaults.go
+++ b/cmd/standin/soakfaults.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,6 +18,8 @@
 const (
 	maxSoakFaultGap      = 1500 * time.Millisecond
 	maxSoakFaultDuration = 4 * time.Second
+	// soakWarmUpTime is how long jobs come before the first fault.
+	soakWarmUpTime = 3 * time.Second
 	// waveWindow is the time window of a maintenance wave.
 	waveWindow = 8 * time.Second
 )
@@ -24,21 +28,27 @@
 type soakFaults struct {
 	soak   *soak
 	random *rand.Rand
+	kinds  []trouble
 	// tasks are the goroutines that end the active faults and restart hosts.
 	tasks conc.WaitGroup
+	// cutting is held while a region is cut off, and cutCount counts the drawn
+	// cuts.
+	cutting  sync.Mutex
+	cutCount int
 	// waveCount is the number of maintenance waves so far.
 	waveCount int
 }
 
 // newSoakFaults returns the faults of a soak without starting any.
 func newSoakFaults(s *soak, random *rand.Rand) *soakFaults {
-	return &soakFaults{soak: s, random: random}
+	return &soakFaults{soak: s, random: random, kinds: s.troubles.faults()}
 }
 
 // run injects faults for the duration and then ends all of them.
 func (f *soakFaults) run(ctx context.Context, d time.Duration) {
 	end := time.Now().Add(d)
-	for time.Now().Before(end) && ctx.Err() == nil {
+	time.Sleep(min(soakWarmUpTime, d/2))
+	for len(f.kinds) > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		f.injectNext(ctx)
 		time.Sleep(time.Duration(f.random.Float64() * float64(maxSoakFaultGap)))
 	}
@@ -78,38 +88,43 @@
 	h := f.soak.hosts[f.random.IntN(len(f.soak.hosts))]
 	w := f.soak.fleet.Workers()[f.random.IntN(len(f.soak.fleet.Workers()))]
 	duration := f.drawDuration()
-	switch f.random.IntN(11) {
-	case 0:
+	kind := f.kinds[f.random.IntN(len(f.kinds))]
+	f.soak.fleet.Remark(fmt.Sprintf("trouble %s, host %s, worker %s, %v", kind, h.name, w, duration))
+	switch kind {
+	case troubleKill:
 		f.restart(ctx, h, syscall.SIGKILL, duration/4)
-	case 1:
+	case troubleTerm:
 		f.restart(ctx, h, syscall.SIGTERM, duration/4)
-	case 2:
+	case troubleFreeze:
 		h.signal(syscall.SIGSTOP)
 		f.healAfter(duration, func() { h.signal(syscall.SIGCONT) })
-	case 3:
+	case troubleLink:
 		h.proxy.Set([]proxier.Mode{proxier.Silent, proxier.Answerless, proxier.Reset, proxier.Delay}[f.random.IntN(4)])
 		f.healAfter(duration, func() { h.proxy.Set(proxier.Pass) })
-	case 4:
+	case troubleStore:
 		f.soak.fleet.Store().SetFaults([]standin.StoreFaults{
 			{Busy: true}, {Silent: true}, {Slow: 300 * time.Millisecond}, {LoseEvery: 3},
 		}[f.random.IntN(4)])
 		f.healAfter(duration, func() { f.soak.fleet.Store().SetFaults(standin.StoreFaults{}) })
-	case 5:
+	case troubleWorker:
 		w.SetFaults([]standin.WorkerFaults{
 			{Silent: true}, {Late: 2 * time.Second}, {Fails: true}, {Hangs: true},
 		}[f.random.IntN(4)])
 		f.healAfter(2*duration, func() { w.SetFaults(standin.WorkerFaults{}) })
-	case 6:
+	case troubleRestart:
 		w.Restart()
-	case 7:
+	case troubleConfig:
 		f.soak.fleet.Configure(time.Duration(2+f.random.IntN(3)) * time.Second)
-	case 8:
+	case troubleReload:
 		h.signal(syscall.SIGHUP)
-	case 9:
+	case troubleWave:
 		f.waveCount++
 		f.soak.fleet.Provider().StartWave(f.waveCount, 1+f.random.IntN(3), 1+f.random.IntN(2), waveWindow)
-	case 10:
+	case troubleReplace:
 		w.Replace()
+	case troubleRegion, troubleOneWay, troubleSeries:
+		f.cutRegion(f.drawCut(kind))
+	default:
 	}
 }
 
