Wait for the longest lease after the restart of a worker

Found by review, not seen: on installations whose workers accept leases above 10 s, a task could run twice. A start without an answer may be carried out by a later lifetime of the worker, whose clock starts anew; the lease is then cut to the longest one that the worker accepts, and the holder waited the figure of the takeover.

Change: the longest lease of the settings (holdMaxMs) is passed on, and the wait after a restart covers it.

Evidence: TestOrderForAnEarlierLifetimeMayRun fails with the earlier figure (a start 11 s after the restart) and passes.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -140,7 +140,7 @@
 	fleetDaemon, err := daemon.New(daemon.Settings{
 		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
 		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
-		Lease: min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout, TurnInterval: h.settings.TurnInterval,
+		Lease: min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout, TurnInterval: h.settings.TurnInterval, LongestLease: h.settings.LongestLease,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 	}, backend,
 		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -114,6 +114,9 @@
 type Options struct {
 	// Lease is how long a worker keeps its runs without a renewal.
 	Lease time.Duration
+	// LongestLease is the longest lease that a worker accepts; 0 means that it
+	// is not longer than the others.
+	LongestLease time.Duration
 	// EarlierCommitAt is a time by which the earlier holder had sent its last
 	// commit. The leases that it gave are counted from there.
 	EarlierCommitAt time.Time
@@ -133,6 +136,11 @@
 // WithLease sets how long a worker keeps its runs without a renewal.
 func WithLease(lease time.Duration) Option { return func(o *Options) { o.Lease = lease } }
 
+// WithLongestLease sets the longest lease that a worker accepts.
+func WithLongestLease(lease time.Duration) Option {
+	return func(o *Options) { o.LongestLease = lease }
+}
+
 // WithEarlierCommitAt sets a time by which the earlier holder had sent its last
 // commit. The default is when the Controller is created.
 func WithEarlierCommitAt(at time.Time) Option {
@@ -246,6 +254,7 @@
 	takeover := lessor.TakeoverWait(o.Lease)
 	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock),
 		scheduler.WithTakeover(takeover), scheduler.WithTakeoverEnd(o.EarlierCommitAt.Add(takeover)),
+		scheduler.WithRestartWait(max(takeover, lessor.ExpiryWait(o.LongestLease))),
 		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry))
 	return c, nil
 }
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -67,6 +67,8 @@
 	MaxFirstPolls int
 	// Lease is how long a worker keeps its runs without a renewal.
 	Lease time.Duration
+	// LongestLease is the longest lease that a worker accepts.
+	LongestLease time.Duration
 	// TurnInterval is the time between maintenance orders of two holders for
 	// one machine.
 	TurnInterval time.Duration
@@ -284,7 +286,7 @@
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
 	}, controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
-		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithTurnInterval(d.settings.TurnInterval))
+		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/lessor/lessor.go
+++ b/internal/fleet/lessor/lessor.go
@@ -47,6 +47,10 @@
 	return slowest(lease+RenewalTime) + expiryMargin
 }
 
+// ExpiryWait returns how long a worker keeps its runs after an order with a lease
+// that it has shortened to the longest one it accepts.
+func ExpiryWait(longest time.Duration) time.Duration { return slowest(longest) + expiryMargin }
+
 // slowest returns the time in which the slowest clock of a worker advances by d.
 func slowest(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / slowestClockRate)
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -78,10 +78,12 @@
 type Options struct {
 	// WallClock converts a reading of the monotonic clock to wall-clock time.
 	WallClock func(now time.Time) time.Time
-	// Takeover is how long runs under a lease of an earlier holder, or of an
-	// order that a later lifetime of the worker carries out, may live on a worker
-	// that does not respond.
+	// Takeover is how long runs under a lease of an earlier holder may live on a
+	// worker that does not respond.
 	Takeover time.Duration
+	// RestartWait is how long a run may live that a worker has started on an
+	// order for its earlier lifetime, whose lease was meant for another clock.
+	RestartWait time.Duration
 	// TakeoverEnd is when runs that earlier holders started have certainly ended
 	// on a worker that does not respond. The zero time means Takeover after the
 	// worker became known.
@@ -112,6 +114,10 @@
 // WithTakeover sets how long runs that an earlier holder started may live on.
 func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
 
+// WithRestartWait sets how long a run may live that a worker has started on an
+// order for its earlier lifetime.
+func WithRestartWait(wait time.Duration) Option { return func(o *Options) { o.RestartWait = wait } }
+
 // WithTakeoverEnd sets when runs that earlier holders started have certainly
 // ended.
 func WithTakeoverEnd(end time.Time) Option { return func(o *Options) { o.TakeoverEnd = end } }
@@ -140,6 +146,7 @@
 	o := Options{
 		WallClock:   func(now time.Time) time.Time { return now },
 		Takeover:    lessor.TakeoverWait(lessor.DefaultLease),
+		RestartWait: lessor.TakeoverWait(lessor.DefaultLease),
 		GangTimeout: DefaultGangTimeout,
 		Reserve:     DefaultReserve,
 		InlineTasks: encoder.PieceTasks,
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -219,6 +219,31 @@
 	require.Empty(t, second.plan().Starts)
 }
 
+// TestOrderForAnEarlierLifetimeMayRun guards against a second run while the
+// worker, which has restarted and does not respond, may have carried out the
+// first start order: its lease is as long as the worker accepts, since it was
+// meant for the clock of the earlier lifetime.
+func TestOrderForAnEarlierLifetimeMayRun(t *testing.T) {
+	longest := 20 * time.Second
+	h := newHarness(t, 1, scheduler.WithRestartWait(lessor.ExpiryWait(longest)))
+	h.reportAllIdle()
+	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(8)}), h.now)
+	start := h.plan().Starts[0]
+	h.scheduler.HandleStartResult(start, primrosespar.CodeWorkerLost, h.now)
+	h.now = h.now.Add(time.Second)
+	i := h.workerIndex(start.Worker)
+	h.workers[i].StartedAt = h.now
+	h.scheduler.SetWorkers(h.workers, h.now)
+	h.scheduler.MarkUnresponsive(start.Worker, h.now)
+	for restartedAt := h.now; h.now.Sub(restartedAt) < longest; h.now = h.now.Add(time.Second) {
+		changes := h.plan()
+		require.Empty(t, changes.Starts, "%v after the restart", h.now.Sub(restartedAt))
+		for _, stop := range changes.Stops {
+			h.scheduler.HandleStopResult(stop, primrosespar.CodeWorkerLost, h.now)
+		}
+	}
+}
+
 // TestTaskRestartsOnlyAfterLeaseExpiry guards against concurrent runs of a
 // task: an unresponsive worker may continue until its lease has expired.
 func TestTaskRestartsOnlyAfterLeaseExpiry(t *testing.T) {
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -355,7 +355,7 @@
 		if m.unanswered || m.inFlight {
 			// The worker's clock started anew, which makes the old lease appear
 			// long.
-			w.extendLease(now.Add(s.opts.Takeover))
+			w.extendLease(now.Add(s.opts.RestartWait))
 			s.stopMember(m)
 			m.unanswered = true
 		}
