--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -22,7 +22,9 @@
 	"primrosespar.example/primrosespar/internal/entry/meter"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+	"primrosespar.example/primrosespar/internal/fleet/stopwatch"
 	"primrosespar.example/primrosespar/internal/fleet/viewer"
 	"primrosespar.example/primrosespar/internal/operator/handler"
 	"primrosespar.example/primrosespar/internal/record/spooler"
@@ -38,10 +40,6 @@
 	// shutdownMargin is the part of the platform's grace period that is left
 	// for the process to exit.
 	shutdownMargin = 700 * time.Millisecond
-	// maxWorkerLease limits the lease of a worker, so that the runs of a lost
-	// worker start elsewhere within seconds. A change of the lease holder takes
-	// 2 s.
-	maxWorkerLease = 6 * time.Second
 	// memoryLimitShare is the share of the host's memory that the Go runtime
 	// gets as its soft limit.
 	memoryLimitShare = 0.6
@@ -138,10 +136,10 @@
 	fleetDaemon, err := daemon.New(daemon.Settings{
 		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
 		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
-		Lease: min(maxWorkerLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
+		Lease: min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout, TurnInterval: h.settings.TurnInterval,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 	}, backend,
-		daemon.WithClock(h.clock), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
+		daemon.WithClock(h.clock), daemon.WithStopwatch(stopwatch.New()), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
 	if err != nil {
 		return err
 	}
@@ -154,6 +152,9 @@
 		_, age := fleetDaemon.Catalog()
 		return age.Seconds()
 	})
+	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
+		return fleetDaemon.UnconfirmedTime().Seconds()
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/fleet.go
+++ b/fleet.go
@@ -116,6 +116,15 @@
 	Repeat Repeat
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s Submission) Tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // Limits of a submission, beyond which the scheduler cannot carry it or sums of
 // its numbers overflow. What callers may submit is narrower.
 const (
@@ -216,7 +225,8 @@
 	Checkpoint string
 	Percent    float64
 	// Tail is the tail latency over the last half second of a task that serves
-	// users.
+	// users. For other tasks it only tells, where the platform reports it,
+	// whether they use a processor.
 	Tail time.Duration
 }
 
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -10,18 +10,23 @@
 //	seen, err := c.Read(ctx)
 //	err = c.Acquire(ctx, seen)
 //	err = c.Commit(ctx, writes)
+//	refused, err := c.CommitGroups(ctx, groups)
 //	err = c.Release(ctx)
 //
-// Commit returns only once the outcome is known: a commit without an answer is
-// repeated unchanged until the table confirms or denies it. It fails with
+// Both return only once the outcome is known: a commit without an answer is
+// repeated unchanged until the table confirms or denies it. They fail with
 // CodeLeaseLost if another host has acquired the lease, and with the error of
 // the context if that ends first.
+//
+// CommitGroups narrows a transaction that the table refuses for good to the
+// groups of writes that it refuses. The others are stored.
 package committer
 
 import (
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -75,24 +80,60 @@
 }
 
 // Committer acquires the fleet lease for one process and commits under it. It
-// is not safe for concurrent use, except for Version.
+// is not safe for concurrent use, except for Version and ConfirmedAt.
 type Committer struct {
 	table    primrosespar.Table
 	clock    primrosespar.Clock
 	identity Identity
+	opts     Options
 	// lease is the lease row as this process last wrote it.
 	lease Holder
 	// version is the version of the lease row, for Version.
 	version atomic.Uint64
+	// confirmed is when the last confirmed commit was sent, for ConfirmedAt and
+	// Unconfirmed.
+	confirmed atomic.Pointer[instant]
 	// lastCommitTime is how long the last commit took.
 	lastCommitTime time.Duration
 	// lastReadTime is how long the last read of the lease row took.
 	lastReadTime time.Duration
 }
 
+// instant is a moment by the clock and by the stopwatch of this process.
+type instant struct {
+	at      time.Time
+	elapsed time.Duration
+}
+
+// Options configure a Committer.
+type Options struct {
+	// Stopwatch measures the age of commits. Without one, the time for which
+	// the machine was suspended does not count.
+	Stopwatch primrosespar.Stopwatch
+}
+
+// Option sets one option.
+type Option func(*Options)
+
+// WithStopwatch sets the stopwatch that measures the age of commits.
+func WithStopwatch(s primrosespar.Stopwatch) Option { return func(o *Options) { o.Stopwatch = s } }
+
 // New returns a Committer without a lease.
-func New(table primrosespar.Table, clock primrosespar.Clock, identity Identity) *Committer {
-	return &Committer{table: table, clock: clock, identity: identity}
+func New(table primrosespar.Table, clock primrosespar.Clock, identity Identity, opts ...Option) *Committer {
+	c := &Committer{table: table, clock: clock, identity: identity}
+	for _, opt := range opts {
+		opt(&c.opts)
+	}
+	return c
+}
+
+// now returns the present moment.
+func (c *Committer) now() instant {
+	n := instant{at: c.clock.Now()}
+	if c.opts.Stopwatch != nil {
+		n.elapsed = c.opts.Stopwatch.Elapsed()
+	}
+	return n
 }
 
 // unreadableHost is the host of a lease row that cannot be decoded.
@@ -140,24 +181,120 @@
 // may be called at any time.
 func (c *Committer) Version() primrosespar.Version { return primrosespar.Version(c.version.Load()) }
 
-// setLease records the lease row as written.
-func (c *Committer) setLease(lease Holder) {
+// ConfirmedAt returns when the last confirmed commit was sent. A host that has
+// read the row of that commit, or a later one, read it after that time. It may
+// be called at any time.
+func (c *Committer) ConfirmedAt() time.Time {
+	if confirmed := c.confirmed.Load(); confirmed != nil {
+		return confirmed.at
+	}
+	return time.Time{}
+}
+
+// Unconfirmed returns how long ago the last confirmed commit was sent, with the
+// time for which the machine was suspended since. It may be called at any time.
+func (c *Committer) Unconfirmed() time.Duration {
+	confirmed := c.confirmed.Load()
+	if confirmed == nil {
+		return 0
+	}
+	now := c.now()
+	return max(now.at.Sub(confirmed.at), now.elapsed-confirmed.elapsed)
+}
+
+// setLease records the lease row as written by a commit that was sent at sentAt
+// or later.
+func (c *Committer) setLease(lease Holder, sentAt instant) {
 	c.lease = lease
 	c.version.Store(uint64(lease.Version))
+	c.confirmed.Store(&sentAt)
+}
+
+// CommitGroups stores groups of writes, several in one transaction. A group that
+// exceeds the limits of a transaction is split over several, in order. It
+// returns the groups that the table refuses for good, by index, with the
+// reason. Of such a group a part may be stored if it needs several
+// transactions.
+func (c *Committer) CommitGroups(ctx context.Context, groups [][]primrosespar.Write) (map[int]error, error) {
+	if len(groups) == 0 {
+		return nil, c.commitNext(ctx, nil)
+	}
+	n := narrowing{groups: groups}
+	for first := 0; first < len(groups); {
+		last := first + fittingGroups(groups[first:])
+		if err := c.commitGroups(ctx, &n, first, last); err != nil {
+			return nil, err
+		}
+		first = last
+	}
+	if len(n.refused) > 0 && !n.accepted {
+		// The lease row itself may be what the table refuses.
+		if err := c.commitNext(ctx, nil); err != nil {
+			return nil, err
+		}
+	}
+	return n.refused, nil
 }
 
-// Commit stores the writes. If they exceed the limits of a transaction, they
-// are split over several.
+// narrowing is a commit of several groups of writes.
+type narrowing struct {
+	groups [][]primrosespar.Write
+	// refused holds the groups that the table refuses, accepted is set once it
+	// has accepted a transaction.
+	refused  map[int]error
+	accepted bool
+}
+
+// fittingGroups returns how many of the groups fit into one transaction, at
+// least 1.
+func fittingGroups(groups [][]primrosespar.Write) int {
+	rows, size := 0, 0
+	for i, group := range groups {
+		rows += len(group)
+		for _, w := range group {
+			size += len(w.Value)
+		}
+		if i > 0 && (rows > MaxWrites || size > maxBytes) {
+			return i
+		}
+	}
+	return len(groups)
+}
+
+// commitGroups stores the groups from first up to last. If the table refuses
+// them together, it is tried with each half.
+func (c *Committer) commitGroups(ctx context.Context, n *narrowing, first, last int) error {
+	err := c.Commit(ctx, slices.Concat(n.groups[first:last]...))
+	switch {
+	case err == nil:
+		n.accepted = true
+		return nil
+	case primrosespar.CodeOf(err) != primrosespar.CodeBadRequest:
+		return err
+	case last-first == 1:
+		if n.refused == nil {
+			n.refused = map[int]error{}
+		}
+		n.refused[first] = err
+		return nil
+	}
+	middle := (first + last) / 2
+	if err := c.commitGroups(ctx, n, first, middle); err != nil {
+		return err
+	}
+	return c.commitGroups(ctx, n, middle, last)
+}
+
+// Commit stores the writes. If they exceed the limits of a transaction,
+// they are split over several.
 func (c *Committer) Commit(ctx context.Context, writes []primrosespar.Write) error {
 	for {
 		n, size := 0, 0
-		for n < len(writes) && n < MaxWrites && size < maxBytes {
+		for n < len(writes) && n < MaxWrites && (n == 0 || size+len(writes[n].Value) <= maxBytes) {
 			size += len(writes[n].Value)
 			n++
 		}
-		next := c.lease
-		next.Sequence++
-		if err := c.commitWithLease(ctx, next, writes[:n]); err != nil {
+		if err := c.commitNext(ctx, writes[:n]); err != nil {
 			return err
 		}
 		if writes = writes[n:]; len(writes) == 0 {
@@ -166,6 +303,13 @@
 	}
 }
 
+// commitNext makes the next transaction of the lease.
+func (c *Committer) commitNext(ctx context.Context, writes []primrosespar.Write) error {
+	next := c.lease
+	next.Sequence++
+	return c.commitWithLease(ctx, next, writes)
+}
+
 // Release releases the lease so that another host can acquire it at once.
 func (c *Committer) Release(ctx context.Context) error {
 	next := c.lease
@@ -187,29 +331,29 @@
 	}
 	backoff := minBackoff
 	outcomeUnknown := false
-	firstAttemptAt := c.clock.Now()
+	firstAttemptAt := c.now()
 	for n := 0; ; n++ {
-		startedAt := c.clock.Now()
+		startedAt := c.now()
 		versions, err := c.attempt(ctx, n, txn)
 		code := primrosespar.CodeOf(err)
 		switch {
 		case err == nil:
 			next.Version = versions[0]
-			c.setLease(next)
-			c.lastCommitTime = c.clock.Since(startedAt)
+			c.setLease(next, startedAt)
+			c.lastCommitTime = c.clock.Since(startedAt.at)
 			return nil
 		case code == primrosespar.CodeConflict && !outcomeUnknown:
 			return c.conflictError(next)
 		case code == primrosespar.CodeConflict:
-			err := c.resolveOutcome(ctx, next)
+			err := c.resolveOutcome(ctx, next, firstAttemptAt)
 			// An attempt was given up before its answer came. The next commit
 			// waits longer for it.
-			c.lastCommitTime = c.clock.Since(firstAttemptAt)
+			c.lastCommitTime = c.clock.Since(firstAttemptAt.at)
 			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
-			if c.tookEffect(ctx, next) {
-				c.lastCommitTime = c.clock.Since(firstAttemptAt)
+			if c.tookEffect(ctx, next, firstAttemptAt) {
+				c.lastCommitTime = c.clock.Since(firstAttemptAt.at)
 				return nil
 			}
 		case code != primrosespar.CodeStoreUnavailable:
@@ -249,7 +393,7 @@
 
 // resolveOutcome reads the lease row to find out whether a commit without an
 // answer or another writer has changed it.
-func (c *Committer) resolveOutcome(ctx context.Context, next Holder) error {
+func (c *Committer) resolveOutcome(ctx context.Context, next Holder, firstAttemptAt instant) error {
 	backoff := minBackoff
 	for n := 0; ; n++ {
 		readCtx, cancel := context.WithTimeout(ctx, c.attemptTimeout(n))
@@ -257,7 +401,7 @@
 		cancel()
 		if err == nil {
 			if seen.sameWrite(next) {
-				c.setLease(seen)
+				c.setLease(seen, firstAttemptAt)
 				return nil
 			}
 			return c.conflictError(next)
@@ -272,14 +416,14 @@
 // tookEffect reads the lease row and reports whether it shows the commit, which
 // got no answer. Reads do not wait for the transactions of others, which delay
 // another attempt while the store is slow.
-func (c *Committer) tookEffect(ctx context.Context, next Holder) bool {
+func (c *Committer) tookEffect(ctx context.Context, next Holder, firstAttemptAt instant) bool {
 	readCtx, cancel := context.WithTimeout(ctx, outcomeReadTimeout)
 	defer cancel()
 	seen, err := c.Read(readCtx)
 	if err != nil || !seen.sameWrite(next) {
 		return false
 	}
-	c.setLease(seen)
+	c.setLease(seen, firstAttemptAt)
 	return true
 }
 
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -27,8 +27,8 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/maintainer"
-	"primrosespar.example/primrosespar/internal/fleet/poller"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 )
 
@@ -62,6 +62,9 @@
 	// withdrawThreshold is how long a commit may take before the jobs that wait
 	// for the next one are refused. A store that is only slow answers within it.
 	withdrawThreshold = time.Second
+	// unconfirmedInterval is the time between two log lines while no commit is
+	// confirmed, and how old the last confirmed one is before the first of them.
+	unconfirmedInterval = time.Second
 	// endedJobRetention is how long the state of an ended job can be queried;
 	// the platform requires 120 s.
 	endedJobRetention = 150 * time.Second
@@ -93,6 +96,8 @@
 	Host      primrosespar.Host
 	Clock     primrosespar.Clock
 	Committer *committer.Committer
+	// Stopwatch measures the age of permissions; it may be nil.
+	Stopwatch primrosespar.Stopwatch
 	// Catalog returns the current catalog, or nil before the first one is read.
 	Catalog func() *primrosespar.Catalog
 	// WallClock converts a reading of Clock to wall-clock time.
@@ -109,8 +114,12 @@
 type Options struct {
 	// Lease is how long a worker keeps its runs without a renewal.
 	Lease time.Duration
-	// Takeover is how long runs of an earlier holder may survive.
-	Takeover time.Duration
+	// EarlierCommitAt is a time by which the earlier holder had sent its last
+	// commit. The leases that it gave are counted from there.
+	EarlierCommitAt time.Time
+	// TurnInterval is the time between maintenance orders of two holders for
+	// one machine.
+	TurnInterval time.Duration
 	// GangTimeout is how long a member of a gang waits for the others.
 	GangTimeout time.Duration
 	// MaxFirstPolls bounds the workers without runs whose first poll is in
@@ -124,8 +133,17 @@
 // WithLease sets how long a worker keeps its runs without a renewal.
 func WithLease(lease time.Duration) Option { return func(o *Options) { o.Lease = lease } }
 
-// WithTakeover sets how long runs of an earlier holder may survive.
-func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
+// WithEarlierCommitAt sets a time by which the earlier holder had sent its last
+// commit. The default is when the Controller is created.
+func WithEarlierCommitAt(at time.Time) Option {
+	return func(o *Options) { o.EarlierCommitAt = at }
+}
+
+// WithTurnInterval sets the time between maintenance orders of two holders for
+// one machine.
+func WithTurnInterval(interval time.Duration) Option {
+	return func(o *Options) { o.TurnInterval = interval }
+}
 
 // WithGangTimeout sets how long a member of a gang waits for the others; 0
 // keeps the default.
@@ -175,6 +193,9 @@
 	next         *batch
 	inFlight     *batch
 	lastCommitAt time.Time
+	// unconfirmedLoggedAt is when the age of the last confirmed commit was last
+	// logged.
+	unconfirmedLoggedAt time.Time
 	// plannedAt is when the last plan was made, and planTime how long it took.
 	plannedAt time.Time
 	planTime  time.Duration
@@ -199,7 +220,7 @@
 
 // New returns a Controller for the term of the committer's lease.
 func New(parts Parts, opts ...Option) (*Controller, error) {
-	o := Options{Lease: poller.DefaultLease, Takeover: scheduler.DefaultTakeover, GangTimeout: scheduler.DefaultGangTimeout, MaxFirstPolls: DefaultMaxFirstPolls}
+	o := Options{Lease: lessor.DefaultLease, EarlierCommitAt: parts.Clock.Now(), GangTimeout: scheduler.DefaultGangTimeout, MaxFirstPolls: DefaultMaxFirstPolls}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -219,9 +240,12 @@
 		adviceHosts:     make([]netip.AddrPort, 1),
 		adviceInFlight:  map[netip.AddrPort]bool{},
 		oddMessages:     map[string]bool{},
-		maintainer:      maintainer.New(),
+		maintainer: maintainer.New(maintainer.WithRepeatFrom(
+			o.EarlierCommitAt.Add(maxMaintenancePermission + maintenanceTimeout + o.TurnInterval))),
 	}
-	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock), scheduler.WithTakeover(o.Takeover),
+	takeover := lessor.TakeoverWait(o.Lease)
+	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock),
+		scheduler.WithTakeover(takeover), scheduler.WithTakeoverEnd(o.EarlierCommitAt.Add(takeover)),
 		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry))
 	return c, nil
 }
@@ -331,14 +355,18 @@
 	for _, e := range changes.Events {
 		c.parts.OnDecision(e)
 	}
+	mayOrder := c.mayOrder()
 	for _, stop := range changes.Stops {
-		if p := c.pollers[stop.Worker]; p != nil {
+		switch p := c.pollers[stop.Worker]; {
+		case p != nil && mayOrder:
 			p.Stop(c.ctx, stop.Run)
+		case p != nil:
+			c.scheduler.HandleStopResult(stop, primrosespar.CodePeerUnavailable, now)
 		}
 	}
 	for _, throttle := range changes.Throttles {
 		p := c.pollers[throttle.Worker]
-		if p == nil {
+		if p == nil || !mayOrder {
 			c.scheduler.HandleThrottleResult(throttle, primrosespar.CodePeerUnavailable, now)
 			continue
 		}
@@ -355,6 +383,7 @@
 // each plan.
 func (c *Controller) runPeriodicTasks() {
 	now := c.parts.Clock.Now()
+	c.logUnconfirmed(now)
 	c.withdrawSubmissions()
 	for _, id := range c.scheduler.Forget(now.Add(-endedJobRetention)) {
 		c.next.deleteJob(id)
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
 // Submit stores a job. It returns nil once the job is stored, also if it was
@@ -142,7 +143,7 @@
 }
 
 // load restores the jobs and maintenance waves of earlier holders. Rows that
-// cannot be decoded or describe no possible job are reported and skipped.
+// cannot be decoded or describe no possible job cost that job or wave only.
 func (c *Controller) load(ctx context.Context) error {
 	submissions, err := c.scan(ctx, primrosespar.SubmissionPrefix())
 	if err != nil {
@@ -165,25 +166,92 @@
 		}
 		jobs[primrosespar.JobID(strings.TrimPrefix(row.Key, primrosespar.SubmissionPrefix()))] = job
 	}
+	pieces := map[primrosespar.JobID][]primrosespar.Row{}
 	for _, row := range progress {
-		p, err := c.encoder.ParseProgress(row.Value)
-		if err != nil {
-			c.parts.OnError("load", eris.Wrap(err, row.Key))
-			continue
+		if id, _, isPiece := splitProgressKey(row.Key); isPiece {
+			pieces[id] = append(pieces[id], row)
 		}
-		id := primrosespar.JobID(strings.TrimPrefix(row.Key, primrosespar.ProgressPrefix()))
-		job, ok := jobs[id]
-		if !ok && !p.State.Ended() {
-			c.parts.OnError("load", eris.Errorf("job %q has progress but no submission", id))
+	}
+	for _, row := range progress {
+		id, _, isPiece := splitProgressKey(row.Key)
+		if isPiece {
 			continue
 		}
+		job, known := jobs[id]
 		job.ID = id
-		if recovered := panics.Try(func() { c.scheduler.Restore(job, p, now) }); recovered != nil {
-			c.scheduler.Withdraw(id)
-			c.parts.OnError("load", eris.Wrapf(recovered.AsError(), "job %q cannot be restored", id))
+		c.restore(job, known, row, pieces[id], now)
+		delete(pieces, id)
+	}
+	for _, rows := range pieces {
+		c.deletePieces(rows)
+	}
+	return nil
+}
+
+// splitProgressKey returns the job that a row of progress belongs to, and its
+// piece if it is one.
+func splitProgressKey(key string) (id primrosespar.JobID, piece string, isPiece bool) {
+	text, piece, isPiece := strings.Cut(strings.TrimPrefix(key, primrosespar.ProgressPrefix()), "/")
+	return primrosespar.JobID(text), piece, isPiece
+}
+
+// deletePieces deletes pieces that belong to no occurrence. Their job was split
+// or has dropped an occurrence, and the commit of that was cut short.
+func (c *Controller) deletePieces(rows []primrosespar.Row) {
+	for _, row := range rows {
+		c.next.deletedKeys[row.Key] = true
+	}
+}
+
+// restore restores a job of an earlier holder from the rows of its progress. A
+// row that cannot be decoded costs that job only.
+func (c *Controller) restore(job primrosespar.Submission, known bool, row primrosespar.Row, pieces []primrosespar.Row, now time.Time) {
+	p, err := c.encoder.ParseProgress(row.Value)
+	if err == nil {
+		err = c.parsePieces(&p, pieces)
+	}
+	switch {
+	case err != nil && p.State == "" && len(job.Steps) > 0:
+		// The steps are dropped when the job ends.
+		p.State = primrosespar.JobActive
+	case err != nil && p.State == "":
+		p.State = primrosespar.JobFailed
+	case !known && !p.State.Ended():
+		err = eris.Errorf("job %q has progress but no submission", job.ID)
+	}
+	if err == nil {
+		recovered := panics.Try(func() { c.scheduler.Restore(job, p, now) })
+		err = recovered.AsError()
+	}
+	if err != nil {
+		c.parts.OnError("load", eris.Wrap(err, row.Key))
+		c.scheduler.Withdraw(job.ID)
+		c.scheduler.RestoreUnreadable(job, p.State, err.Error(), now)
+	}
+	c.committedStates[job.ID] = p.State
+}
+
+// parsePieces decodes the pieces of the occurrences of a split job and deletes
+// the others.
+func (c *Controller) parsePieces(p *encoder.Progress, rows []primrosespar.Row) error {
+	occurrences := map[int]bool{}
+	for _, o := range p.Occurrences {
+		occurrences[o.Index] = p.Split
+	}
+	p.Pieces = make(map[encoder.PieceKey][]encoder.Unit, len(rows))
+	for _, row := range rows {
+		_, text, _ := splitProgressKey(row.Key)
+		key, err := encoder.ParsePieceKey(text)
+		if err != nil {
+			return err
+		}
+		if !occurrences[key.Occurrence] {
+			c.deletePieces([]primrosespar.Row{row})
 			continue
 		}
-		c.committedStates[id] = p.State
+		if p.Pieces[key], err = c.encoder.ParsePiece(row.Value); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -4,25 +4,17 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/lessor"
 )
 
 // Defaults and limits of scheduling decisions.
 const (
-	// DefaultTakeover is the time after which a run that an earlier holder
-	// started has certainly ended on a worker that does not respond: the
-	// longest lease, with the slowest worker clock.
-	DefaultTakeover = 11 * time.Second
 	// orderRetryDelay is the delay before an unanswered order is repeated.
 	orderRetryDelay = 150 * time.Millisecond
 	// stragglerDelay is how long the remaining members of a gang may take to
 	// end by themselves after the first one ended.
 	stragglerDelay = 700 * time.Millisecond
-	// stallTime is how long a run may make no progress before it is stopped.
-	// Tasks report progress at each poll, at most 2 s apart.
-	stallTime = 2500 * time.Millisecond
-	// minStallObserved is the part of stallTime that reports have to cover, so
-	// that at least one further poll lists the run without progress.
-	minStallObserved = 1500 * time.Millisecond
 	// quarantineTime is how long a faulty worker gets no new work.
 	quarantineTime = 8 * time.Second
 	// quarantineFailures is the number of different jobs that have to fail on a
@@ -86,9 +78,14 @@
 type Options struct {
 	// WallClock converts a reading of the monotonic clock to wall-clock time.
 	WallClock func(now time.Time) time.Time
-	// Takeover is how long runs that an earlier holder started may live on a
-	// worker that does not respond.
+	// Takeover is how long runs under a lease of an earlier holder, or of an
+	// order that a later lifetime of the worker carries out, may live on a worker
+	// that does not respond.
 	Takeover time.Duration
+	// TakeoverEnd is when runs that earlier holders started have certainly ended
+	// on a worker that does not respond. The zero time means Takeover after the
+	// worker became known.
+	TakeoverEnd time.Time
 	// Reserve is the share of the guarantees that work which is not urgent
 	// leaves free.
 	Reserve float64
@@ -99,6 +96,9 @@
 	// sent to a worker, answered or not, has certainly expired. It returns the
 	// zero time if none was sent.
 	LeaseExpiry func(primrosespar.Worker) time.Time
+	// InlineTasks is the most tasks of the live occurrences of a job whose
+	// progress is one row. That of larger jobs is split into pieces.
+	InlineTasks int
 }
 
 // Option sets one option.
@@ -112,6 +112,10 @@
 // WithTakeover sets how long runs that an earlier holder started may live on.
 func WithTakeover(takeover time.Duration) Option { return func(o *Options) { o.Takeover = takeover } }
 
+// WithTakeoverEnd sets when runs that earlier holders started have certainly
+// ended.
+func WithTakeoverEnd(end time.Time) Option { return func(o *Options) { o.TakeoverEnd = end } }
+
 // WithReserve sets the share of the guarantees that work which is not urgent
 // leaves free.
 func WithReserve(share float64) Option { return func(o *Options) { o.Reserve = share } }
@@ -128,13 +132,17 @@
 	return func(o *Options) { o.LeaseExpiry = expiry }
 }
 
+// WithInlineTasks sets the most tasks of a job whose progress is one row.
+func WithInlineTasks(tasks int) Option { return func(o *Options) { o.InlineTasks = tasks } }
+
 // applyOptions returns the defaults with the options applied.
 func applyOptions(opts []Option) Options {
 	o := Options{
 		WallClock:   func(now time.Time) time.Time { return now },
-		Takeover:    DefaultTakeover,
+		Takeover:    lessor.TakeoverWait(lessor.DefaultLease),
 		GangTimeout: DefaultGangTimeout,
 		Reserve:     DefaultReserve,
+		InlineTasks: encoder.PieceTasks,
 		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
 	}
 	for _, opt := range opts {
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -212,8 +212,8 @@
 
 // hasWaiting reports whether a unit of the step may start now.
 func (st *step) hasWaiting(now time.Time) bool {
-	for _, u := range st.units {
-		if u.waiting(now) {
+	for i, u := st.nextWaiting(0); i < st.unitCount(); i, u = st.nextWaiting(i + 1) {
+		if u == nil || u.waiting(now) {
 			return true
 		}
 	}
@@ -232,8 +232,8 @@
 // has not come.
 func (s *Scheduler) placeStep(r *rankedStep, from int, blockedSizes map[blockedShape]int, now time.Time) (*unit, int) {
 	r.singleTaskWorkers = nil
-	for i := from; i < len(r.step.units); i++ {
-		u := r.step.units[i]
+	for i, _ := r.step.nextWaiting(from); i < r.step.unitCount(); i, _ = r.step.nextWaiting(i + 1) {
+		u := r.step.at(i)
 		if !u.waiting(now) {
 			continue
 		}
@@ -307,12 +307,11 @@
 	u.run++
 	u.placedAt, u.progressAt, u.firstEndAt, u.firstSentAt = now, now, time.Time{}, time.Time{}
 	for i, w := range workers {
-		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w})
+		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w, lifetime: markLifetime(w.startedAt)})
 		if u.suspected() {
 			w.probationUntil = now.Add(probationTime)
 		}
 	}
-	j.started = true
 	if j.state == primrosespar.JobQueued {
 		j.state = primrosespar.JobActive
 	}
@@ -345,8 +344,13 @@
 		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
+				if st.memberCount == 0 {
+					continue
+				}
 				for _, u := range st.units {
-					s.checkUnit(u, now)
+					if u != nil {
+						s.checkUnit(u, now)
+					}
 				}
 			}
 		}
@@ -378,12 +382,7 @@
 		return
 	}
 	if u.stalled(now) {
-		for _, m := range u.members {
-			if m.stalled(now) {
-				u.avoidWorker(m.worker)
-				s.quarantine(m.worker, now, "a run made no progress")
-			}
-		}
+		s.recordStall(u, now)
 		s.stopUnit(u, "run made no progress")
 	}
 }
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -49,7 +49,7 @@
 	// crashedAt holds when a worker last crashed at an address, and lostContacts
 	// the runs that may have ended with a worker.
 	crashedAt    map[netip.AddrPort]time.Time
-	lostContacts map[netip.AddrPort]lostContact
+	lostContacts map[contact]lostContact
 	// claimants are the units that hold claims on freed capacity.
 	claimants map[*unit]bool
 	// capacityVersion counts the events after which a blocked unit may fit.
@@ -109,7 +109,13 @@
 	Job primrosespar.JobID
 	// Submission is set in the first record of a job only.
 	Submission *primrosespar.Submission
-	Progress   encoder.Progress
+	// Progress holds only the pieces that have changed since the last record.
+	// They must be stored before or together with the rest of the record.
+	Progress encoder.Progress
+	// Whole is set if the pieces have no meaning without the rest of the record.
+	Whole bool
+	// Dropped are pieces whose rows are to be deleted after that.
+	Dropped []encoder.PieceKey
 	// Priority is the priority of the job's queue; 0 comes first.
 	Priority int
 }
@@ -162,7 +168,7 @@
 		urgentAccelerators: map[primrosespar.Account]int{},
 		acknowledged:       map[primrosespar.Worker]Acknowledgement{},
 		crashedAt:          map[netip.AddrPort]time.Time{},
-		lostContacts:       map[netip.AddrPort]lostContact{},
+		lostContacts:       map[contact]lostContact{},
 
 		claimants: map[*unit]bool{},
 		replaced:  map[primrosespar.Worker]time.Time{},
@@ -212,15 +218,7 @@
 			return false
 		}
 	}
-	for _, u := range j.units() {
-		s.dropClaim(u)
-		for _, m := range slices.Clone(u.members) {
-			s.detach(m)
-		}
-	}
-	delete(s.jobs, id)
-	s.liveJobs = slices.DeleteFunc(s.liveJobs, func(other *job) bool { return other == j })
-	s.dirtyJobs = slices.DeleteFunc(s.dirtyJobs, func(other *job) bool { return other == j })
+	s.remove(j)
 	s.logEvent("job_withdrawn", j, nil, 0, "the store does not answer")
 	return true
 }
@@ -231,29 +229,34 @@
 	j := s.newJob(submission, time.UnixMilli(progress.Arrived), now)
 	j.state = progress.State
 	j.finished, j.created = progress.Finished, max(j.created, progress.Created)
+	j.started = j.finished > 0
 	s.addJob(j)
 	if j.state.Ended() {
 		j.endedAt = now
 		s.liveJobs = s.liveJobs[:len(s.liveJobs)-1]
-		s.restoreEnded(j, progress, now)
-		return
 	}
 	for _, stored := range progress.Occurrences {
 		s.restoreOccurrence(j, stored, now)
 	}
-}
-
-// restoreEnded restores the runs of an ended job that may still be active, so
-// that they are stopped.
-func (s *Scheduler) restoreEnded(j *job, progress encoder.Progress, now time.Time) {
-	for _, stored := range progress.Occurrences {
-		o := s.restoreOccurrence(j, stored, now)
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				s.stopUnit(u, "job ended")
-			}
+	s.restorePieces(j, progress.Pieces, now)
+	for _, o := range j.occurrences {
+		s.releaseSteps(o, now)
+	}
+	if j.state.Ended() {
+		// Its runs may still be active.
+		for _, u := range j.units() {
+			s.stopUnit(u, "job ended")
 		}
 	}
+	if j.split = progress.Split; j.split {
+		j.recorded = j.created
+		s.settleOccurrences(j, now)
+		return
+	}
+	for _, o := range j.occurrences {
+		// The last end of an occurrence is stored together with its count.
+		o.counted = o.done()
+	}
 }
 
 // Cancel cancels a job and reports whether the job is known. A job that has
@@ -278,7 +281,9 @@
 	return j.state, true
 }
 
-// Waiting returns the number of jobs that have not started any task, by queue.
+// Waiting returns the number of jobs of which no worker is known to have begun a
+// task, by queue. After a change of holder, jobs count again until a worker
+// lists a run or an end, if their records show no end and no checkpoint.
 func (s *Scheduler) Waiting() map[primrosespar.Queue]int {
 	waiting := map[primrosespar.Queue]int{}
 	for _, j := range s.liveJobs {
@@ -315,17 +320,19 @@
 	}
 }
 
+// markUnitDirty marks the unit and the record of its job to be stored.
+func (s *Scheduler) markUnitDirty(u *unit) {
+	u.touch()
+	s.markDirty(u.step.occurrence.job)
+}
+
 // endJob sets the job's final state and stops its runs.
 func (s *Scheduler) endJob(j *job, state primrosespar.JobState, now time.Time) {
 	j.state = state
 	j.endedAt = now
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				s.dropClaim(u)
-				s.stopUnit(u, "job "+string(state))
-			}
-		}
+	for _, u := range j.units() {
+		s.dropClaim(u)
+		s.stopUnit(u, "job "+string(state))
 	}
 	for i, other := range s.liveJobs {
 		if other == j {
@@ -359,7 +366,7 @@
 func (s *Scheduler) collectChanges() Changes {
 	c := Changes{Acknowledged: s.acknowledged, Events: s.events, AdviceRequests: s.adviceRequests, Throttles: s.throttles}
 	for _, j := range s.dirtyJobs {
-		r := j.record()
+		r := j.record(s.opts.InlineTasks)
 		r.Priority = s.terms(j).Priority
 		c.Records = append(c.Records, r)
 		j.dirty = false
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,7 +22,9 @@
 	// holder, so that it rejects the orders of earlier holders.
 	polled       bool
 	unresponsive bool
-	startedAt    time.Time
+	// reportedAt is when the worker last reported to this holder.
+	reportedAt time.Time
+	startedAt  time.Time
 	// leaseExpiry is when all runs on the worker have certainly ended unless it
 	// answers before.
 	leaseExpiry time.Time
@@ -51,15 +54,14 @@
 }
 
 // ensureWorker returns the worker and adds it if it is not known. Until it
-// answers a poll, runs that an earlier holder started there may live on for the
-// takeover time.
+// answers a poll, runs that an earlier holder started there may live on until
+// TakeoverEnd.
 func (s *Scheduler) ensureWorker(name primrosespar.Worker, now time.Time) *worker {
 	w := s.workers[name]
 	if w == nil {
-		w = &worker{
-			info:        primrosespar.WorkerInfo{Worker: name},
-			members:     map[primrosespar.Run]*member{},
-			leaseExpiry: now.Add(s.opts.Takeover),
+		w = &worker{info: primrosespar.WorkerInfo{Worker: name}, members: map[primrosespar.Run]*member{}, leaseExpiry: s.opts.TakeoverEnd}
+		if w.leaseExpiry.IsZero() {
+			w.leaseExpiry = now.Add(s.opts.Takeover)
 		}
 		s.workers[name] = w
 	}
@@ -219,7 +221,7 @@
 		}
 		s.handleRestart(w, report.StartedAt, now)
 	}
-	w.startedAt, w.unresponsive = report.StartedAt, false
+	w.startedAt, w.unresponsive, w.reportedAt = report.StartedAt, false, now
 	s.observeReport(w)
 	// The worker rejects orders of earlier holders from now on, but the lease
 	// that they gave is still valid.
@@ -237,8 +239,8 @@
 	for run, m := range w.members {
 		if !listed[run] && !m.unanswered && !m.inFlight && !m.answeredAt.IsZero() && m.answeredAt.Before(requestedAt) {
 			s.logEvent("run_missing", m.unit.step.occurrence.job, w, m.run, "worker does not list the run")
-			if m.phase == restored {
-				// The worker may have restarted before this holder knew it.
+			if m.phase == restored && w.restartedSince(m.lifetime) {
+				// Otherwise an earlier holder may never have sent the start.
 				s.countRunCrash(w.info.Worker, newLostRun(m), false, now)
 			}
 			s.endMember(m, "", "", now)
@@ -256,12 +258,18 @@
 	if known {
 		return
 	}
+	u := s.findUnit(ended.Run.Task)
+	if u != nil {
+		u.step.occurrence.job.started = true
+		s.observeEnd(u, ended)
+	}
 	if m := w.members[ended.Run]; m != nil {
 		s.logEvent("run_ended", m.unit.step.occurrence.job, w, m.run, string(ended.End))
 		s.endMember(m, ended.End, ended.Checkpoint, now)
 		return
 	}
-	if u := s.findUnit(ended.Run.Task); u != nil && !u.step.spec.LongRunning {
+	s.logEvent("late_end", s.jobs[ended.Run.Task.Job], w, ended.Run.Number, string(ended.End))
+	if u != nil && !u.step.spec.LongRunning {
 		s.handleLateEnd(u, ended, now)
 	}
 }
@@ -273,7 +281,7 @@
 		s.completeUnit(u, now)
 	case ended.End == primrosespar.EndFailed && u.phase != encoder.Done:
 		u.countFailure(ended.Run.Number)
-		s.markDirty(u.step.occurrence.job)
+		s.markUnitDirty(u)
 		if u.phase == encoder.Waiting {
 			s.requeue(u, now)
 		}
@@ -291,14 +299,14 @@
 		if o.index != task.Occurrence || task.Step < 0 || task.Step >= len(o.steps) {
 			continue
 		}
-		units := o.steps[task.Step].units
+		st := o.steps[task.Step]
 		switch {
-		case task.Index < 0 || task.Index >= o.steps[task.Step].spec.Count:
+		case task.Index < 0 || task.Index >= st.spec.Count:
 			return nil
-		case o.steps[task.Step].spec.Gang:
-			return units[0]
+		case st.spec.Gang:
+			return st.at(0)
 		default:
-			return units[task.Index]
+			return st.at(task.Index)
 		}
 	}
 	return nil
@@ -316,10 +324,12 @@
 		m.markRunning(now)
 	}
 	m.seenAt = now
+	m.unit.step.occurrence.job.started = true
+	m.pace.Observe(active, now)
 	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
-	if active.Checkpoint != "" && m.run == m.unit.run {
-		m.unit.checkpoint = active.Checkpoint
+	if m.run == m.unit.run {
+		m.unit.setCheckpoint(active.Checkpoint)
 	}
 	if active.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = active.Percent, now
@@ -366,7 +376,7 @@
 		if w.extendLease(s.opts.LeaseExpiry(w.info.Worker)); !now.After(w.leaseExpiry) {
 			continue
 		}
-		s.logEvent("worker_lost", nil, w, 0, "lease expired")
+		s.logEvent("worker_lost", nil, w, 0, w.describeContact(now))
 		w.polled = false
 		expired := slices.DeleteFunc(w.snapshot(), func(m *member) bool { return m.inFlight || !m.mayRun() })
 		s.recordLostContact(w, expired, now)
@@ -376,6 +386,15 @@
 	}
 }
 
+// describeContact says what this holder knows of a worker whose lease has
+// expired, for the log.
+func (w *worker) describeContact(now time.Time) string {
+	if w.reportedAt.IsZero() {
+		return "lease expired, the worker has never reported to this holder"
+	}
+	return fmt.Sprintf("lease expired, last report %v ago", now.Sub(w.reportedAt).Round(time.Millisecond))
+}
+
 // HandleReplacement records that another worker answers at the address of the
 // named one, so that its runs are gone and no order can reach it. It may still
 // be announced for a while.
@@ -406,7 +425,30 @@
 	}
 	w.failedJobs[j.submission.ID] = true
 	if len(w.failedJobs) >= quarantineFailures {
-		s.quarantine(w, now, "runs of several jobs failed")
+		s.quarantine(w, now, "runs of several jobs failed or made no progress")
+	}
+}
+
+// recordStall records that a run made no progress. If it had worked on its
+// worker before, that worker is likely to be at fault; if not, it counts as a
+// failure of the job there, once for each unit.
+func (s *Scheduler) recordStall(u *unit, now time.Time) {
+	proven := false
+	for _, m := range u.members {
+		if !m.stalled(now) {
+			continue
+		}
+		u.avoidWorker(m.worker)
+		switch {
+		case m.pace.Proven():
+			proven = true
+			s.quarantine(m.worker, now, "a run made no progress")
+		case u.stalls == 0:
+			s.recordFailure(m.worker, u.step.occurrence.job, now)
+		}
+	}
+	if !proven {
+		u.stalls++
 	}
 }
 
