Reject jobs that a host has no memory for

What callers saw: any job within the platform's limits was accepted, however many of them, and the process of the holder grew until it was killed; the next one loaded the same jobs.

Cause: neither the memory of a job nor that of all live jobs had a limit. All due occurrences of a repeated job were created at once, up to 100,000.

Change: the memory of live jobs is estimated when a job is handed in and limited to a quarter of limits.memoryMb, beside the runtime's soft limit of 0.6. A job over the limit is rejected with job_too_large (413), by every host and before the inbox is used; one for which the others leave no room with queue_full (429, not run), which the client may try again. A job that another host has accepted through the inbox is always taken over. A repeated job has at most 1,000 live occurrences, and no more than the memory allows; the next ones are created when earlier ones end, and occurrence_delayed is logged once. Occurrences of a large job are dropped when it has ended.

The largest job of the platform, 200 steps of 4,096 tasks, is estimated at 7.6 MB, within the limit of a host with 29 MB.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -45,6 +45,9 @@
 	// memoryLimitShare is the share of the host's memory that the Go runtime
 	// gets as its soft limit.
 	memoryLimitShare = 0.6
+	// jobMemoryShare is the share of the host's memory that live jobs may use
+	// beside their running tasks.
+	jobMemoryShare = 0.25
 	// leadingGCPercent is the garbage collector's target while the host leads.
 	// The scheduler keeps much live memory, so that collecting at the usual
 	// target costs a quarter of the processor time; the memory limit still
@@ -138,7 +141,8 @@
 	fleetDaemon, err := daemon.New(daemon.Settings{
 		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
 		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
-		Lease: min(maxWorkerLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
+		JobMemory: int64(jobMemoryShare * float64(h.settings.Memory)),
+		Lease:     min(maxWorkerLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 	}, backend,
 		daemon.WithClock(h.clock), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
--- a/code.go
+++ b/code.go
@@ -41,6 +41,7 @@
 	CodeWrongPlace      Code = 111
 	CodeImpossibleShape Code = 112
 	CodeBadSyntax       Code = 113
+	CodeJobTooLarge     Code = 114
 
 	CodeRateLimited      Code = 200
 	CodeQueueFull        Code = 201
@@ -147,6 +148,7 @@
 		{CodeWrongPlace, "wrong_place", 421, exitUsage, "The contract has no share in this place; the message names the places where it has one. Not run."},
 		{CodeImpossibleShape, "impossible_shape", 422, exitUsage, "The workers of the place could not hold the shape even if all were free. Not run."},
 		{CodeBadSyntax, "bad_syntax", 400, exitUsage, "The document is not valid TOML or JSON. Nothing was applied."},
+		{CodeJobTooLarge, "job_too_large", 413, exitUsage, "The job needs more memory than a host may use for jobs. Not run."},
 
 		{CodeRateLimited, "rate_limited", 429, exitRefused, "The rate of the account's class is used up. Not run."},
 		{CodeQueueFull, "queue_full", 429, exitRefused, "The queue of the account's class is full. Not run."},
--- a/fleet.go
+++ b/fleet.go
@@ -125,6 +125,24 @@
 	return n
 }
 
+// Memory that a host needs for a live job, beside its tasks that run: for the
+// job, for each step and for each task.
+const (
+	jobMemory  = 4 << 10
+	stepMemory = 1 << 10
+	taskMemory = 9
+)
+
+// Memory returns an estimate of the bytes that the host which schedules the job
+// needs for each live occurrence, beside those for tasks that run.
+func (s Submission) Memory() int64 {
+	n := jobMemory + len(s.Spec)
+	for i := range s.Steps {
+		n += stepMemory + taskMemory*s.Steps[i].Count
+	}
+	return int64(n)
+}
+
 // JobState is the state of a submitted job as its caller sees it.
 type JobState string
 
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -114,6 +114,8 @@
 	// MaxFirstPolls bounds the workers without runs whose first poll is in
 	// flight.
 	MaxFirstPolls int
+	// JobMemory limits the memory of all live jobs.
+	JobMemory int64
 }
 
 // Option sets one option.
@@ -140,6 +142,15 @@
 // while it gets to know a large fleet.
 func WithMaxFirstPolls(n int) Option { return func(o *Options) { o.MaxFirstPolls = n } }
 
+// WithJobMemory limits the memory of all live jobs; 0 keeps the default.
+func WithJobMemory(limit int64) Option {
+	return func(o *Options) {
+		if limit > 0 {
+			o.JobMemory = limit
+		}
+	}
+}
+
 // Controller runs one term of a holder of the fleet lease. It cannot be reused
 // for another term.
 type Controller struct {
@@ -194,7 +205,7 @@
 
 // New returns a Controller for the term of the committer's lease.
 func New(parts Parts, opts ...Option) (*Controller, error) {
-	o := Options{Lease: poller.DefaultLease, Takeover: scheduler.DefaultTakeover, GangTimeout: scheduler.DefaultGangTimeout, MaxFirstPolls: DefaultMaxFirstPolls}
+	o := Options{Lease: poller.DefaultLease, Takeover: scheduler.DefaultTakeover, GangTimeout: scheduler.DefaultGangTimeout, MaxFirstPolls: DefaultMaxFirstPolls, JobMemory: scheduler.DefaultJobMemory}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -216,7 +227,7 @@
 		maintainer:      maintainer.New(),
 	}
 	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock), scheduler.WithTakeover(o.Takeover),
-		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry))
+		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry), scheduler.WithJobMemory(o.JobMemory))
 	return c, nil
 }
 
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -18,6 +18,10 @@
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
 	}
 	return c.runInLoop(ctx, func(reply func(error)) {
+		if !c.scheduler.HasRoom(job) {
+			reply(c.noRoom(job))
+			return
+		}
 		if c.scheduler.Submit(job, c.parts.Clock.Now()) {
 			c.next.submitted[job.ID] = true
 		}
@@ -25,6 +29,14 @@
 	})
 }
 
+// noRoom returns the refusal of a job for which there is no memory.
+func (c *Controller) noRoom(job primrosespar.Submission) error {
+	if need := job.Memory(); need > c.opts.JobMemory {
+		return primrosespar.Fail(primrosespar.CodeJobTooLarge, "the job needs %d bytes, a host has %d for jobs", need, c.opts.JobMemory)
+	}
+	return primrosespar.Fail(primrosespar.CodeQueueFull, "the jobs that have not ended use the %d bytes that a host has for jobs", c.opts.JobMemory)
+}
+
 // Cancel cancels a job. It returns nil once the cancellation is stored.
 func (c *Controller) Cancel(ctx context.Context, id primrosespar.JobID) error {
 	if c.Stalled() {
--- a/internal/fleet/controller/size_test.go
+++ b/internal/fleet/controller/size_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -315,3 +316,31 @@
 		require.Zero(t, fleet.twice)
 	})
 }
+
+// TestJobThatCannotBeCarriedIsRejected guards against jobs that are accepted and
+// that the host has no memory for.
+func TestJobThatCannotBeCarriedIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newControllerOf(t, keeper.New(keeper.WithClock(clockwork.NewRealClock())), source{}, controller.WithJobMemory(100_000))
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		requireRefused := func(code primrosespar.Code, submission primrosespar.Submission) {
+			err := c.Submit(ctx, submission)
+			require.Equal(t, code, primrosespar.CodeOf(err))
+			var failure *primrosespar.Failure
+			require.ErrorAs(t, err, &failure)
+			require.Equal(t, primrosespar.RanNot, failure.Ran)
+			_, err = c.State(ctx, submission.ID)
+			require.Equal(t, primrosespar.CodeNotFound, primrosespar.CodeOf(err))
+		}
+		requireRefused(primrosespar.CodeJobTooLarge, largeJob(12_000))
+		require.NoError(t, c.Submit(ctx, largeJob(9_000)))
+		require.NoError(t, c.Submit(ctx, largeJob(9_000)), "a job that is known is accepted again")
+		requireRefused(primrosespar.CodeQueueFull, job("a"))
+		require.NoError(t, c.Cancel(ctx, "large"))
+		require.NoError(t, c.Submit(ctx, job("a")))
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -67,6 +67,8 @@
 	// MaxFirstPolls bounds the idle workers that a new holder polls at once; 0 is
 	// the default.
 	MaxFirstPolls int
+	// JobMemory limits the memory of all live jobs; 0 is the default.
+	JobMemory int64
 	// Lease is how long a worker keeps its runs without a renewal.
 	Lease time.Duration
 	// GangTimeout is how long a member of a gang waits for the others; 0 is the
@@ -171,6 +173,7 @@
 	d.submitter, err = submitter.New(submitter.Parts{
 		Table: backend.Table, Peers: d.messenger, Clock: d.opts.Clock,
 		Term: d.currentTerm, Holder: d.elector.Holder, StoreSlow: d.elector.StoreSlow, Waiting: d.elector.Waiting, Catalog: d.follower.Usable,
+		JobMemory: settings.JobMemory,
 	})
 	return d, err
 }
@@ -272,7 +275,7 @@
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock,
 		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
-	}, controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
+	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
 		controller.WithTakeover(time.Duration(float64(d.settings.Lease)/minWorkerClockRate)+takeoverMargin))
 	if err != nil {
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -34,6 +34,10 @@
 	// setAside is set once the store has refused the record or if the rows of an
 	// earlier holder cannot be decoded. Only the state of the job is stored then.
 	setAside bool
+	// memory is the estimated memory of an occurrence. delayed is set once an
+	// occurrence had to wait for it.
+	memory  int64
+	delayed bool
 	// split is set if the units are stored in pieces. recorded is the number of
 	// created occurrences that the last record named. droppedPieces are pieces of
 	// dropped occurrences that still have rows.
@@ -143,7 +147,7 @@
 
 // newJob creates a job, with its occurrence if it does not repeat.
 func (s *Scheduler) newJob(submission primrosespar.Submission, arrived, now time.Time) *job {
-	j := &job{submission: submission, state: primrosespar.JobQueued, arrived: arrived}
+	j := &job{submission: submission, state: primrosespar.JobQueued, arrived: arrived, memory: submission.Memory()}
 	j.arrivedMonotonic = now.Add(-max(0, s.opts.WallClock(now).Sub(arrived)))
 	if submission.Repeat.Count == 0 {
 		s.addOccurrence(j, 0, now)
@@ -361,14 +365,6 @@
 		return
 	}
 	wallNow := s.opts.WallClock(now)
-	for j.created < j.submission.Repeat.Count {
-		startsAt := j.submission.Repeat.Start.Add(time.Duration(j.created) * j.submission.Repeat.Every)
-		if wallNow.Before(startsAt) {
-			break
-		}
-		s.addOccurrence(j, j.created, now)
-		s.markDirty(j)
-	}
 	kept := j.occurrences[:0]
 	for _, o := range j.occurrences {
 		if !o.done() || o.hasMembers() {
@@ -379,6 +375,14 @@
 		}
 	}
 	j.occurrences = kept
+	for j.created < j.submission.Repeat.Count {
+		startsAt := j.submission.Repeat.Start.Add(time.Duration(j.created) * j.submission.Repeat.Every)
+		if wallNow.Before(startsAt) || !s.mayCreateOccurrence(j) {
+			break
+		}
+		s.addOccurrence(j, j.created, now)
+		s.markDirty(j)
+	}
 }
 
 // record returns the record to store for the job.
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -78,6 +78,11 @@
 	gatherShare = 0.6
 	// checkInterval is the time between two checks of the runs.
 	checkInterval = 100 * time.Millisecond
+	// DefaultJobMemory is a quarter of the memory of a small host.
+	DefaultJobMemory = 64 << 20
+	// maxLiveOccurrences limits the live occurrences of a job, all of which its
+	// row names.
+	maxLiveOccurrences = 1000
 	// coresPerAccelerator is the weight of an accelerator in cores when lost
 	// work is compared.
 	coresPerAccelerator = 8
@@ -103,6 +108,9 @@
 	// InlineTasks is the most tasks of the live occurrences of a job whose
 	// progress is one row. That of larger jobs is split into pieces.
 	InlineTasks int
+	// JobMemory limits the memory of all live jobs, as Submission.Memory
+	// estimates it.
+	JobMemory int64
 }
 
 // Option sets one option.
@@ -135,6 +143,9 @@
 // WithInlineTasks sets the most tasks of a job whose progress is one row.
 func WithInlineTasks(tasks int) Option { return func(o *Options) { o.InlineTasks = tasks } }
 
+// WithJobMemory limits the memory of all live jobs.
+func WithJobMemory(limit int64) Option { return func(o *Options) { o.JobMemory = limit } }
+
 // applyOptions returns the defaults with the options applied.
 func applyOptions(opts []Option) Options {
 	o := Options{
@@ -143,6 +154,7 @@
 		GangTimeout: DefaultGangTimeout,
 		Reserve:     DefaultReserve,
 		InlineTasks: encoder.PieceTasks,
+		JobMemory:   DefaultJobMemory,
 		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
 	}
 	for _, opt := range opts {
--- a/internal/fleet/scheduler/pieces_test.go
+++ b/internal/fleet/scheduler/pieces_test.go
@@ -32,11 +32,11 @@
 }
 
 // newRowFleet returns a fleet of idle workers to which the job was submitted.
-func newRowFleet(t *testing.T, submission primrosespar.Submission) *rowFleet {
+func newRowFleet(t *testing.T, submission primrosespar.Submission, opts ...scheduler.Option) *rowFleet {
 	e, err := encoder.New()
 	require.NoError(t, err)
 	f := &rowFleet{
-		harness: newHarness(t, 12), encoder: e, random: rand.New(rand.NewPCG(1, 2)), job: submission,
+		harness: newHarness(t, 12, opts...), encoder: e, random: rand.New(rand.NewPCG(1, 2)), job: submission,
 		pieces: map[encoder.PieceKey][]byte{}, active: map[primrosespar.Worker][]primrosespar.Run{},
 		ends: map[primrosespar.Worker]uint64{}, started: map[primrosespar.TaskName]bool{},
 	}
@@ -208,3 +208,26 @@
 		require.LessOrEqual(t, len(h.records["a"].Progress.Occurrences[0].Steps[0][0].Failed), encoder.MaxFailedRuns+1)
 	}
 }
+
+// TestOccurrencesThatOverlapAreBounded guards against a repeated job whose
+// occurrences are all due, and that uses memory and bytes of its row for each.
+func TestOccurrencesThatOverlapAreBounded(t *testing.T) {
+	for _, limit := range []int64{1 << 40, 1 << 20} {
+		f := newRowFleet(t, primrosespar.Submission{
+			ID: "a", Queue: "plain", Account: "nord", Spec: "x",
+			Repeat: primrosespar.Repeat{Count: 3000, Start: time.Unix(1000, 0), Every: time.Second},
+			Steps:  []primrosespar.Step{{Count: 1, Need: primrosespar.Resources{Millicores: 50, MemoryMiB: 64}, Estimate: time.Second}},
+		}, scheduler.WithJobMemory(limit))
+		f.store()
+		running := len(f.started)
+		require.Positive(t, running)
+		require.LessOrEqual(t, running, 1000)
+		require.LessOrEqual(t, int64(running)*f.job.Memory(), limit)
+		for round := 0; !jobEnded(f); round++ {
+			require.Less(t, round, 400, "the job does not end")
+			f.report(1)
+			f.store()
+		}
+		require.Len(t, f.started, 3000)
+	}
+}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -295,6 +295,7 @@
 func (s *Scheduler) Forget(before time.Time) []primrosespar.JobID {
 	var ids []primrosespar.JobID
 	for id, j := range s.jobs {
+		j.releaseEnded()
 		if j.state.Ended() && j.endedAt.Before(before) && j.memberCount == 0 {
 			delete(s.jobs, id)
 			ids = append(ids, id)
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -65,6 +65,9 @@
 	// Catalog returns the current catalog, or nil if the host knows none that
 	// is recent enough to serve callers.
 	Catalog func() *primrosespar.Catalog
+	// JobMemory limits the memory of a job that is accepted without the holder;
+	// 0 is no limit.
+	JobMemory int64
 }
 
 // Submitter implements primrosespar.JobService. It is safe for concurrent use.
@@ -130,7 +133,12 @@
 // isFinal reports whether a refusal by the holder is final, so that the inbox
 // must not be used.
 func isFinal(code primrosespar.Code) bool {
-	return code == primrosespar.CodeStoreUnavailable || code == primrosespar.CodeSetAside
+	switch code {
+	case primrosespar.CodeStoreUnavailable, primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull:
+		return true
+	default:
+		return false
+	}
 }
 
 // withUnknownOutcome turns a refusal into an unknown outcome if an earlier
@@ -175,6 +183,9 @@
 	if s.parts.StoreSlow() {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "there is no holder and the store is slow")
 	}
+	if need := job.Memory(); s.parts.JobMemory > 0 && need > s.parts.JobMemory {
+		return primrosespar.Fail(primrosespar.CodeJobTooLarge, "the job needs %d bytes, a host has %d for jobs", need, s.parts.JobMemory)
+	}
 	value, err := s.encoder.Submission(job)
 	if err != nil {
 		return err
--- a/internal/fleet/submitter/submitter_test.go
+++ b/internal/fleet/submitter/submitter_test.go
@@ -14,6 +14,9 @@
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
+// jobMemory is the limit of the tests on the memory of a job.
+const jobMemory = 1 << 20
+
 // failingPeers fails every call with err.
 type failingPeers struct {
 	primrosespar.FleetPeers
@@ -49,6 +52,7 @@
 		Holder:    func() (netip.AddrPort, bool) { return netip.MustParseAddrPort("10.0.0.1:1"), true },
 		Catalog:   func() *primrosespar.Catalog { return &primrosespar.Catalog{} },
 		StoreSlow: func() bool { return storeSlow },
+		JobMemory: jobMemory,
 	})
 	require.NoError(t, newErr)
 	return s, table
@@ -122,9 +126,25 @@
 // TestRejectedJobIsNotLeftInTheInbox guards against a job that the holder has
 // rejected for good and that the inbox then accepts.
 func TestRejectedJobIsNotLeftInTheInbox(t *testing.T) {
-	s, table := newSubmitter(t, primrosespar.Fail(primrosespar.CodeSetAside, "refused"))
-	err := s.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q"})
-	require.Equal(t, primrosespar.CodeSetAside, primrosespar.CodeOf(err))
+	for _, code := range []primrosespar.Code{primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull} {
+		s, table := newSubmitter(t, primrosespar.Fail(code, "refused"))
+		err := s.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q"})
+		require.Equal(t, code, primrosespar.CodeOf(err))
+		requireEmptyInbox(t, table)
+	}
+}
+
+// TestJobThatCannotBeCarriedIsNotLeftInTheInbox guards against a job that is
+// accepted while there is no holder and that no holder has memory for.
+func TestJobThatCannotBeCarriedIsNotLeftInTheInbox(t *testing.T) {
+	s, table := newSubmitter(t, primrosespar.Fail(primrosespar.CodePeerUnavailable, "holder unreachable"))
+	err := s.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q", Steps: []primrosespar.Step{{Count: jobMemory}}})
+	require.Equal(t, primrosespar.CodeJobTooLarge, primrosespar.CodeOf(err))
+	requireEmptyInbox(t, table)
+}
+
+// requireEmptyInbox requires that the inbox has no messages.
+func requireEmptyInbox(t *testing.T, table *keeper.Keeper) {
 	rows, err := table.Scan(t.Context(), primrosespar.FleetInboxPrefix(), "", 10)
 	require.NoError(t, err)
 	require.Empty(t, rows)
