Let other jobs and acknowledgements pass the pieces of a large job

Cause: the pieces of the large job changed faster than a transaction takes them, and they stood first in the batch. All of them had to be stored before the row of the job, before any start of their step, and before the acknowledgements of any job.

The row of a job is written only when it has changed. A start waits for its own piece. Acknowledgements and deletions are closed into a group that waits for the records that were there, so that they get their turn. When the job changes over from one row, the pieces of that row come before the new row.

The tests let the workers check in the table that each start and each acknowledged end is stored, instead of waiting for a task that runs twice.

--- a/internal/fleet/controller/setaside.go
+++ b/internal/fleet/controller/setaside.go
@@ -34,20 +34,16 @@
 func (c *Controller) setAsideRefused(b *batch) {
 	now := c.parts.Clock.Now()
 	for id, reason := range b.refused {
-		r, complete := b.records[id]
-		if !complete {
-			// The rest of the record waits for the pieces that are refused.
-			r = c.next.records[id]
-			b.fromInbox[id] = c.next.deletedKeys[primrosespar.FleetInboxSubmitKey(id)]
-		}
+		r := b.records[id]
+		fromInbox := b.fromInbox[id] || c.next.deletes(primrosespar.FleetInboxSubmitKey(id))
 		replies := b.replies[id]
 		delete(b.records, id)
 		delete(b.replies, id)
-		if r.Submission != nil && !b.fromInbox[id] {
+		if r.Submission != nil && !fromInbox {
 			replies = append(replies, c.next.withdraw(id)...)
 			c.scheduler.Reject(id, reason.Error())
 		} else if c.scheduler.SetAside(id, reason.Error(), now) {
-			if b.fromInbox[id] {
+			if fromInbox {
 				c.next.deletedKeys[primrosespar.FleetInboxSubmitKey(id)] = true
 			}
 			c.next.replies[id] = append(c.next.replies[id], replies...)
@@ -64,6 +60,7 @@
 // commit, which stores that a job is set aside. They may cover ends of its
 // runs.
 func (c *Controller) keepAcknowledgements(b *batch) {
+	c.next.reopen()
 	for w, acknowledgement := range b.acknowledged {
 		if _, later := c.next.acknowledged[w]; !later {
 			c.next.acknowledged[w] = acknowledgement
--- a/internal/fleet/controller/size_test.go
+++ b/internal/fleet/controller/size_test.go
@@ -17,6 +17,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
+	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -36,6 +37,13 @@
 	left    atomic.Int64
 }
 
+// newLimitedTable returns an empty table whose commits take a while.
+func newLimitedTable(latency time.Duration) *limitedTable {
+	table := &limitedTable{Table: keeper.New(keeper.WithClock(clockwork.NewRealClock())), latency: latency}
+	table.left.Store(1 << 40)
+	return table
+}
+
 // Commit implements primrosespar.Table.
 func (t *limitedTable) Commit(ctx context.Context, txn primrosespar.Txn) ([]primrosespar.Version, error) {
 	if t.left.Add(-1) < 0 {
@@ -68,22 +76,28 @@
 	// success was acknowledged.
 	active       map[primrosespar.TaskName]int
 	acknowledged map[primrosespar.TaskName]bool
-	// twice counts the tasks that were started beside another run or after that.
-	twice int
+	// twice counts the tasks that were started beside another run or after that,
+	// unstored the starts and acknowledgements that the table does not show.
+	twice    int
+	unstored int
+	table    primrosespar.Table
 }
 
 // workingWorker is a worker of a workingFleet.
 type workingWorker struct {
 	cores    int
 	taskTime time.Duration
+	// endAfter is a time before which no task ends.
+	endAfter time.Time
 	runs     map[primrosespar.Run]time.Time
 	ended    []primrosespar.EndedRun
 	ends     uint64
 }
 
 // newWorkingFleet returns a fleet of idle workers.
-func newWorkingFleet(workers ...*workingWorker) *workingFleet {
+func newWorkingFleet(table primrosespar.Table, workers ...*workingWorker) *workingFleet {
 	f := &workingFleet{
+		table:   table,
 		workers: map[primrosespar.Worker]*workingWorker{}, active: map[primrosespar.TaskName]int{}, acknowledged: map[primrosespar.TaskName]bool{},
 	}
 	for i, w := range workers {
@@ -114,6 +128,42 @@
 	return workers, nil
 }
 
+// storedUnit returns the stored unit of a task, with the workers of its piece if
+// its job is split. It returns false if there is none. A task of an occurrence
+// that has ended is done.
+func (f *workingFleet) storedUnit(task primrosespar.TaskName) (encoder.Unit, bool) {
+	e, err := encoder.New()
+	if err != nil {
+		return encoder.Unit{}, false
+	}
+	key := encoder.PieceKey{Occurrence: task.Occurrence, Step: task.Step, Index: task.Index / encoder.PieceTasks}
+	rows, err := f.table.Get(context.Background(), primrosespar.ProgressKey(task.Job), primrosespar.ProgressPieceKey(task.Job, key.String()))
+	if err != nil || rows[0].Version == 0 {
+		return encoder.Unit{}, false
+	}
+	progress, err := e.ParseProgress(rows[0].Value)
+	if err != nil {
+		return encoder.Unit{}, false
+	}
+	i := slices.IndexFunc(progress.Occurrences, func(o encoder.Occurrence) bool { return o.Index == task.Occurrence })
+	switch {
+	case i < 0:
+		return encoder.Unit{Phase: encoder.Done}, progress.State.Ended() || task.Occurrence < progress.Created
+	case !progress.Split:
+		units := progress.Occurrences[i].Steps[task.Step]
+		return units[min(task.Index, len(units)-1)], true
+	case progress.Occurrences[i].Counted:
+		return encoder.Unit{Phase: encoder.Done}, true
+	case rows[1].Version == 0:
+		return encoder.Unit{}, true
+	}
+	units, err := e.ParsePiece(rows[1].Value)
+	if err != nil || units == nil {
+		return encoder.Unit{Phase: encoder.Done}, err == nil
+	}
+	return units[min(task.Index%encoder.PieceTasks, len(units)-1)], true
+}
+
 // Start implements primrosespar.Fleet.
 func (f *workingFleet) Start(_ context.Context, start primrosespar.Start) error {
 	f.mu.Lock()
@@ -122,6 +172,9 @@
 	if _, known := w.runs[start.Run]; known {
 		return nil
 	}
+	if u, known := f.storedUnit(start.Run.Task); !known || u.Run != start.Run.Number || !slices.Contains(u.Workers, start.Worker) {
+		f.unstored++
+	}
 	if f.active[start.Run.Task] > 0 || f.acknowledged[start.Run.Task] {
 		f.twice++
 	}
@@ -161,12 +214,15 @@
 			kept = append(kept, e)
 		} else if e.End == primrosespar.EndDone {
 			f.acknowledged[e.Run.Task] = true
+			if u, _ := f.storedUnit(e.Run.Task); u.Phase != encoder.Done {
+				f.unstored++
+			}
 		}
 	}
 	w.ended = kept
 	report := primrosespar.WorkerReport{StartedAt: time.UnixMilli(1), Clock: time.Duration(time.Now().UnixNano() % int64(time.Hour))}
 	for run, startedAt := range w.runs {
-		if time.Since(startedAt) > w.taskTime {
+		if time.Since(startedAt) > w.taskTime && time.Now().After(w.endAfter) {
 			f.end(w, run, primrosespar.EndDone)
 		} else {
 			report.Active = append(report.Active, primrosespar.ActiveRun{Run: run, Percent: time.Since(startedAt).Seconds()})
@@ -199,10 +255,9 @@
 // against other jobs that do not go on beside it.
 func TestLargeJobIsDone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := &limitedTable{Table: keeper.New(keeper.WithClock(clockwork.NewRealClock()))}
-		table.left.Store(1 << 40)
+		table := newLimitedTable(0)
 		ctx, cancel := context.WithCancel(t.Context())
-		c := newControllerOf(t, table, newWorkingFleet(equalWorkers()...))
+		c := newControllerOf(t, table, newWorkingFleet(table, equalWorkers()...))
 		ended := make(chan error, 1)
 		go func() { ended <- c.Run(ctx) }()
 		time.Sleep(time.Second)
@@ -221,40 +276,43 @@
 	})
 }
 
+// wideJob returns a job with more pieces than fit into two transactions, and a
+// gang.
+func wideJob() primrosespar.Submission {
+	need := primrosespar.Resources{Millicores: 1000, MemoryMiB: 16}
+	submission := primrosespar.Submission{ID: "large", Queue: "q", Steps: []primrosespar.Step{
+		{Count: 600, Need: need, Estimate: time.Second, Gang: true},
+	}}
+	for range 250 {
+		submission.Steps = append(submission.Steps, primrosespar.Step{Count: 1, Need: need, Estimate: time.Second})
+	}
+	return submission
+}
+
 // TestHolderMayDieAtAnyCommitOfALargeJob guards against a large start whose rows
-// need several transactions, and of which a task runs twice or not at all after
-// the holder died between two of them.
+// need several transactions, and of which a task is started before its row is
+// stored, runs twice or not at all after the holder died between two of them.
 func TestHolderMayDieAtAnyCommitOfALargeJob(t *testing.T) {
-	const tasks = 12_000
-	for commits := int64(0); commits < 40; commits += 3 {
+	for commits := range int64(30) {
 		synctest.Test(t, func(t *testing.T) {
-			table := &limitedTable{Table: keeper.New(keeper.WithClock(clockwork.NewRealClock())), latency: 100 * time.Millisecond}
-			table.left.Store(1 << 40)
-			fleet := newWorkingFleet(equalWorkers()...)
-			term := func(left int64) {
-				ctx, cancel := context.WithCancel(t.Context())
-				c := newControllerOf(t, table, fleet)
-				ended := make(chan error, 1)
-				go func() { ended <- c.Run(ctx) }()
-				time.Sleep(time.Second)
-				table.left.Store(left)
-				go func() { _ = c.Submit(ctx, largeJob(tasks)) }()
-				time.Sleep(4 * time.Second)
-				if left > 100 {
-					time.Sleep(30 * time.Second)
-					state, err := c.State(ctx, "large")
-					require.NoError(t, err)
-					require.Equal(t, primrosespar.JobCompleted, state)
-					requireRows(t, table, 1)
-				}
-				cancel()
-				require.Error(t, <-ended)
+			table := newLimitedTable(100 * time.Millisecond)
+			fleet := newWorkingFleet(table, equalWorkers()...)
+			for _, left := range []int64{commits, commits + 1} {
+				term(t, table, fleet, wideJob(), func(*controller.Controller) {
+					table.left.Store(left)
+					time.Sleep(4 * time.Second)
+				})
 				table.left.Store(1 << 40)
 			}
-			term(commits)
-			term(commits + 1)
-			term(1 << 40)
+			term(t, table, fleet, wideJob(), func(c *controller.Controller) {
+				time.Sleep(20 * time.Second)
+				state, err := c.State(t.Context(), "large")
+				require.NoError(t, err)
+				require.Equal(t, primrosespar.JobCompleted, state)
+				requireRows(t, table, 1)
+			})
 			require.Zero(t, fleet.twice)
+			require.Zero(t, fleet.unstored)
 			require.Zero(t, table.refused.Load())
 		})
 	}
@@ -289,31 +347,109 @@
 	})
 }
 
-// TestPiecesThatWaitForACommitAreKept guards against changes of a job that are
-// lost because the job changes again while they wait for the next transaction.
-func TestPiecesThatWaitForACommitAreKept(t *testing.T) {
+// term runs a term of a controller for a while, in which it submits the job.
+func term(t *testing.T, table primrosespar.Table, fleet *workingFleet, submission primrosespar.Submission, f func(*controller.Controller)) {
+	ctx, cancel := context.WithCancel(t.Context())
+	c := newControllerOf(t, table, fleet)
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	time.Sleep(time.Second)
+	go func() { _ = c.Submit(ctx, submission) }()
+	f(c)
+	cancel()
+	require.Error(t, <-ended)
+}
+
+// TestEndsOfLargeJobAreStoredBeforeTheyAreAcknowledged guards against ends of a
+// job that are acknowledged and whose pieces are not stored, because they wait
+// for another transaction, the job changes again meanwhile or the holder dies.
+func TestEndsOfLargeJobAreStoredBeforeTheyAreAcknowledged(t *testing.T) {
+	for commits := range int64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			table := newLimitedTable(200 * time.Millisecond)
+			// Tasks in all pieces end on the last worker at once, then some on the
+			// worker before, and the job goes on.
+			end := time.Now().Add(5 * time.Second)
+			submission := wideJob()
+			submission.Steps = submission.Steps[1:]
+			fleet := newWorkingFleet(table, &workingWorker{cores: 1, taskTime: 20 * time.Second},
+				&workingWorker{cores: 2, endAfter: end.Add(150 * time.Millisecond)}, &workingWorker{cores: 100_000, endAfter: end})
+			term(t, table, fleet, submission, func(*controller.Controller) {
+				time.Sleep(time.Until(end))
+				table.left.Store(commits)
+				time.Sleep(3 * time.Second)
+			})
+			table.left.Store(1 << 40)
+			term(t, table, fleet, submission, func(*controller.Controller) { time.Sleep(5 * time.Second) })
+			require.Len(t, fleet.acknowledged, 249)
+			require.Zero(t, fleet.twice)
+			require.Zero(t, fleet.unstored)
+		})
+	}
+}
+
+// TestHolderMayDieWhileAJobIsSplit guards against a job whose occurrences overlap
+// until its row is split, and of which a task runs twice because its holder died
+// before all of it was stored.
+func TestHolderMayDieWhileAJobIsSplit(t *testing.T) {
+	steps := make([]primrosespar.Step, 100)
+	for i := range steps {
+		steps[i] = primrosespar.Step{Count: 1, Need: primrosespar.Resources{Millicores: 50, MemoryMiB: 16}, Estimate: time.Second}
+	}
+	for commits := range int64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			table := newLimitedTable(100 * time.Millisecond)
+			fleet := newWorkingFleet(table, &workingWorker{cores: 1000, taskTime: 6 * time.Second})
+			due := time.Now().Add(2 * time.Second)
+			submission := primrosespar.Submission{
+				ID: "large", Queue: "q", Steps: steps, Repeat: primrosespar.Repeat{Count: 4, Start: due, Every: time.Second},
+			}
+			term(t, table, fleet, submission, func(*controller.Controller) {
+				time.Sleep(time.Until(due.Add(900 * time.Millisecond)))
+				table.left.Store(commits)
+				time.Sleep(time.Second)
+			})
+			table.left.Store(1 << 40)
+			term(t, table, fleet, submission, func(*controller.Controller) { time.Sleep(15 * time.Second) })
+			require.Len(t, fleet.acknowledged, 400)
+			require.Zero(t, fleet.twice)
+			require.Zero(t, fleet.unstored)
+		})
+	}
+}
+
+// TestOtherJobsGoOnBesideALargeOne guards against jobs that wait while the pieces
+// of a large one change faster than the store takes them.
+func TestOtherJobsGoOnBesideALargeOne(t *testing.T) {
+	const steps = 100
 	synctest.Test(t, func(t *testing.T) {
-		table := &limitedTable{Table: keeper.New(keeper.WithClock(clockwork.NewRealClock())), latency: 200 * time.Millisecond}
-		table.left.Store(1 << 40)
-		// Tasks in all pieces end on the last worker, then one of the first piece
-		// on the one before, and the job goes on.
-		fleet := newWorkingFleet(&workingWorker{cores: 1, taskTime: 20 * time.Second},
-			&workingWorker{cores: 1, taskTime: 1100 * time.Millisecond}, &workingWorker{cores: 100_000, taskTime: time.Second})
-		for range 2 {
-			ctx, cancel := context.WithCancel(t.Context())
-			c := newControllerOf(t, table, fleet)
-			ended := make(chan error, 1)
-			go func() { ended <- c.Run(ctx) }()
-			time.Sleep(time.Second)
-			require.NoError(t, c.Submit(ctx, primrosespar.Submission{ID: "large", Queue: "q", Steps: []primrosespar.Step{
-				{Count: 12_000, Need: primrosespar.Resources{Millicores: 1000, MemoryMiB: 16}, Estimate: time.Second},
-			}}))
-			time.Sleep(6 * time.Second)
-			cancel()
-			require.Error(t, <-ended)
+		// 200 changes of a piece each 300 ms, of which the store takes 135.
+		large := primrosespar.Submission{ID: "large", Queue: "q", Repeat: primrosespar.Repeat{
+			Count: 60, Start: time.Now().Add(time.Second), Every: 300 * time.Millisecond,
+		}}
+		for range steps {
+			large.Steps = append(large.Steps, primrosespar.Step{
+				Count: 1, Need: primrosespar.Resources{Millicores: 50, MemoryMiB: 16}, Estimate: time.Second,
+			})
 		}
-		require.Len(t, fleet.acknowledged, 12_000-1)
-		require.Zero(t, fleet.twice)
+		table := newLimitedTable(200 * time.Millisecond)
+		fleet := newWorkingFleet(table, &workingWorker{cores: 1000, taskTime: 200 * time.Millisecond})
+		term(t, table, fleet, large, func(c *controller.Controller) {
+			time.Sleep(time.Second)
+			for i := range 4 {
+				small := job(primrosespar.JobID(fmt.Sprint(i)))
+				require.NoError(t, c.Submit(t.Context(), small))
+				time.Sleep(3 * time.Second)
+				state, err := c.State(t.Context(), small.ID)
+				require.NoError(t, err)
+				require.Equal(t, primrosespar.JobCompleted, state, "job %d", i)
+			}
+			state, err := c.State(t.Context(), large.ID)
+			require.NoError(t, err)
+			require.Equal(t, primrosespar.JobActive, state, "the large job is not large enough")
+			require.Greater(t, len(fleet.active), 10*steps)
+		})
+		require.Zero(t, fleet.unstored)
 	})
 }
 
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -38,11 +38,12 @@
 	// occurrence had to wait for it.
 	memory  int64
 	delayed bool
-	// split is set if the units are stored in pieces. recorded is the number of
-	// created occurrences that the last record named. droppedPieces are pieces of
-	// dropped occurrences that still have rows.
+	// split is set if the units are stored in pieces. recordedHead is what the
+	// last record held besides them, if headRecorded is set. droppedPieces are
+	// pieces of dropped occurrences that still have rows.
 	split         bool
-	recorded      int
+	headRecorded  bool
+	recordedHead  encoder.Progress
 	droppedPieces []encoder.PieceKey
 }
 
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -80,6 +80,7 @@
 		Spec:       m.unit.step.occurrence.job.submission.Spec,
 		Checkpoint: m.unit.checkpoint,
 		Ticket:     m.unit.step.tickets[m.worker.info.Worker].text,
+		Gang:       m.unit.step.spec.Gang,
 	}
 }
 
--- a/internal/fleet/scheduler/pieces.go
+++ b/internal/fleet/scheduler/pieces.go
@@ -111,7 +111,7 @@
 	if j.split || j.setAside || j.submission.Tasks()*len(j.occurrences) <= limit {
 		return
 	}
-	j.split, j.recorded = true, 0
+	j.split = true
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for i, u := range st.units {
@@ -131,7 +131,6 @@
 // record, and the pieces that are not needed any more.
 func (j *job) recordPieces(r *Record) {
 	r.Progress.Split = true
-	r.Whole, j.recorded = j.created != j.recorded, j.created
 	r.Dropped, j.droppedPieces = j.droppedPieces, nil
 	for _, o := range j.occurrences {
 		if j.setAside || !o.hasMembers() && (o.counted || j.state.Ended()) {
@@ -153,6 +152,20 @@
 			}
 		}
 	}
+	r.PiecesOnly = j.headRecorded && r.Submission == nil && sameHead(j.recordedHead, r.Progress)
+	r.HeadLast = !j.headRecorded && r.Submission == nil
+	r.HeadFirst = !j.headRecorded || j.recordedHead.Created != r.Progress.Created
+	j.headRecorded, j.recordedHead = true, r.Progress
+	j.recordedHead.Pieces = nil
+}
+
+// sameHead reports whether the rows of a split job would be the same, beside
+// its pieces.
+func sameHead(a, b encoder.Progress) bool {
+	return a.State == b.State && a.Finished == b.Finished && a.Created == b.Created &&
+		slices.EqualFunc(a.Occurrences, b.Occurrences, func(x, y encoder.Occurrence) bool {
+			return x.Index == y.Index && x.Counted == y.Counted
+		})
 }
 
 // pieceKey returns the key of a piece of the step.
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -110,10 +110,13 @@
 	// Submission is set in the first record of a job only.
 	Submission *primrosespar.Submission
 	// Progress holds only the pieces that have changed since the last record.
-	// They must be stored before or together with the rest of the record.
-	Progress encoder.Progress
-	// Whole is set if the pieces have no meaning without the rest of the record.
-	Whole bool
+	// PiecesOnly is set if nothing else of it has changed.
+	Progress   encoder.Progress
+	PiecesOnly bool
+	// HeadFirst is set if the rest of the record must be stored before starts are
+	// sent, HeadLast if the pieces must be stored before or together with it.
+	HeadFirst bool
+	HeadLast  bool
 	// Dropped are pieces whose rows are to be deleted after that.
 	Dropped []encoder.PieceKey
 	// Priority is the priority of the job's queue; 0 comes first.
@@ -127,6 +130,8 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	// Gang is set if the task starts only together with the others of its step.
+	Gang bool
 }
 
 // Throttle is an order to limit a run to a percentage of its full speed.
@@ -248,7 +253,8 @@
 		}
 	}
 	if j.split = progress.Split; j.split {
-		j.recorded = j.created
+		j.headRecorded, j.recordedHead = true, progress
+		j.recordedHead.Pieces = nil
 		s.settleOccurrences(j, now)
 		return
 	}
