Read what tests share with goroutines without a race

go test -race ./internal/fleet/controller reported races in two tests, between TestOtherJobsGoOnBesideALargeOne and a worker of its model, and between the goroutines of TestRefusedJobCostsThatJobOnly and the map of their results. It passes now.

--- a/internal/fleet/controller/setaside_test.go
+++ b/internal/fleet/controller/setaside_test.go
@@ -65,8 +65,9 @@
 		c, stop := runTerm(t, table)
 		results := map[primrosespar.JobID]chan error{}
 		for _, id := range []primrosespar.JobID{"a", "bad", "b", "c"} {
-			results[id] = make(chan error, 1)
-			go func() { results[id] <- c.Submit(t.Context(), job(id)) }()
+			result := make(chan error, 1)
+			results[id] = result
+			go func() { result <- c.Submit(t.Context(), job(id)) }()
 		}
 		time.Sleep(time.Second)
 		err := <-results["bad"]
--- a/internal/fleet/controller/size_test.go
+++ b/internal/fleet/controller/size_test.go
@@ -447,6 +447,8 @@
 			state, err := c.State(t.Context(), large.ID)
 			require.NoError(t, err)
 			require.Equal(t, primrosespar.JobActive, state, "the large job is not large enough")
+			fleet.mu.Lock()
+			defer fleet.mu.Unlock()
 			require.Greater(t, len(fleet.active), 10*steps)
 		})
 		require.Zero(t, fleet.unstored)
