--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -26,6 +26,10 @@
 			reply(primrosespar.Fail(primrosespar.CodeForbidden, "the ID of job %q is in use by another caller", job.ID))
 			return
 		}
+		if !c.scheduler.HasRoom(job) {
+			reply(c.noRoom(job))
+			return
+		}
 		if c.scheduler.Submit(job, c.parts.Clock.Now()) {
 			c.next.submitted[job.ID] = true
 		}
@@ -33,6 +37,14 @@
 	})
 }
 
+// noRoom returns the refusal of a job for which there is no memory.
+func (c *Controller) noRoom(job primrosespar.Submission) error {
+	if need := job.Memory(); need > c.opts.JobMemory {
+		return primrosespar.Fail(primrosespar.CodeJobTooLarge, "the job needs %d bytes, a host has %d for jobs", need, c.opts.JobMemory)
+	}
+	return primrosespar.Fail(primrosespar.CodeQueueFull, "the jobs that have not ended use the %d bytes that a host has for jobs", c.opts.JobMemory)
+}
+
 // Cancel cancels a job that the caller has a right to. It returns nil once the
 // cancellation is stored.
 func (c *Controller) Cancel(ctx context.Context, request primrosespar.JobRequest) error {
