Hold checkpoints of old rows to the limit, test an unreadable piece

A checkpoint that an earlier release stored could be longer than the bound of a piece allows. It is read with the same limit as a new one.

TestUnreadablePieceCostsItsJobOnly: a job with a piece that cannot be decoded is known, is not begun anew, can be cancelled, and its pieces are deleted by the holder after that.

--- a/internal/fleet/controller/setaside_test.go
+++ b/internal/fleet/controller/setaside_test.go
@@ -162,3 +162,31 @@
 		stop()
 	})
 }
+
+// TestUnreadablePieceCostsItsJobOnly guards against a term that ends, or a job
+// that begins anew, because one of its pieces cannot be decoded.
+func TestUnreadablePieceCostsItsJobOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		c, stop := runTerm(t, table)
+		require.NoError(t, c.Submit(t.Context(), largeJob(200)))
+		require.NoError(t, c.Submit(t.Context(), job("a")))
+		stop()
+		unreadable := primrosespar.Write{Key: primrosespar.ProgressPieceKey("large", "000000.000.000"), Value: []byte{0xff}}
+		_, err := table.Commit(t.Context(), primrosespar.Txn{Writes: []primrosespar.Write{unreadable}})
+		require.NoError(t, err)
+		c, stop = runTerm(t, table)
+		for _, id := range []primrosespar.JobID{"a", "large"} {
+			state, err := c.State(t.Context(), id)
+			require.NoError(t, err)
+			require.Equal(t, primrosespar.JobQueued, state)
+		}
+		require.NoError(t, c.Submit(t.Context(), largeJob(200)))
+		require.NoError(t, c.Cancel(t.Context(), "large"))
+		stop()
+		// The next holder deletes what is left of the job.
+		_, stop = runTerm(t, table)
+		requireRows(t, table, 2)
+		stop()
+	})
+}
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -248,7 +248,8 @@
 
 // restoreUnit restores a unit from its stored progress.
 func (s *Scheduler) restoreUnit(u *unit, stored encoder.Unit, now time.Time) {
-	u.run, u.checkpoint = stored.Run, stored.Checkpoint
+	u.run = stored.Run
+	u.setCheckpoint(stored.Checkpoint)
 	u.restoreFailures(stored.Failed)
 	u.trimFailures()
 	u.setPhase(stored.Phase)
