--- a/internal/fleet/controller/setaside_test.go
+++ b/internal/fleet/controller/setaside_test.go
@@ -179,12 +179,12 @@
 		require.NoError(t, err)
 		c, stop = runTerm(t, table)
 		for _, id := range []primrosespar.JobID{"a", "large"} {
-			state, err := c.State(t.Context(), id)
+			state, err := c.State(t.Context(), own(id))
 			require.NoError(t, err)
 			require.Equal(t, primrosespar.JobQueued, state)
 		}
 		require.NoError(t, c.Submit(t.Context(), largeJob(200)))
-		require.NoError(t, c.Cancel(t.Context(), "large"))
+		require.NoError(t, c.Cancel(t.Context(), own("large")))
 		stop()
 		// The next holder deletes what is left of the job.
 		_, stop = runTerm(t, table)
