Test that sound workers are not quarantined when holders are killed

TestSoundWorkersGiveUpNoTask checks the events of all holders, too: no worker is quarantined and no task given up while holders are killed between a decision and the answers to its orders and workers are cut off.

--- a/internal/fleet/scheduler/soundworkers_test.go
+++ b/internal/fleet/scheduler/soundworkers_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -48,9 +49,9 @@
 	m.pollAll()
 }
 
-// TestSoundWorkersGiveUpNoTask guards against jobs that are shown as failed
-// although no run of their tasks failed and no worker crashed, while holders
-// are killed and workers are cut off.
+// TestSoundWorkersGiveUpNoTask guards against jobs that are shown as failed, and
+// workers that are quarantined, although no run failed and no worker crashed,
+// while holders are killed and workers are cut off.
 func TestSoundWorkersGiveUpNoTask(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newStateMachine(t)
@@ -63,5 +64,7 @@
 				m.killHolder(t)
 			}
 		}
+		require.Zero(t, count(m.events, "worker_quarantined"))
+		require.Zero(t, count(m.events, "task_given_up"))
 	})
 }
--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -82,6 +82,8 @@
 	replacements int
 	// unsent are changes that are stored and whose orders have not been sent.
 	unsent scheduler.Changes
+	// events are the decisions of all holders.
+	events []scheduler.Event
 }
 
 // Parameters of the model.
@@ -150,6 +152,7 @@
 // plan stores what the scheduler decides. sendUnsent sends the orders.
 func (m *stateMachine) plan() {
 	changes := m.scheduler.Plan(m.now)
+	m.events = append(m.events, changes.Events...)
 	for _, record := range changes.Records {
 		if record.Submission == nil {
 			record.Submission = m.stored[record.Job].Submission
