--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -86,6 +86,8 @@
 	// are those of the others.
 	inlineTasks int
 	pieces      map[primrosespar.JobID]map[encoder.PieceKey][]byte
+	// events are the decisions of all holders.
+	events []scheduler.Event
 }
 
 // Parameters of the model.
@@ -162,6 +164,7 @@
 // plan stores what the scheduler decides. sendUnsent sends the orders.
 func (m *stateMachine) plan() {
 	changes := m.scheduler.Plan(m.now)
+	m.events = append(m.events, changes.Events...)
 	for _, record := range changes.Records {
 		if record.Submission == nil {
 			record.Submission = m.stored[record.Job].Submission
