--- a/cmd/standin/soakfaults.go
+++ b/cmd/standin/soakfaults.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,9 +33,10 @@
 	kinds  []trouble
 	// tasks are the goroutines that end the active faults and restart hosts.
 	tasks conc.WaitGroup
-	// cutting is held while a region is cut off, and cutCount counts the drawn
-	// cuts.
+	// cutting is held while a region is cut off, quiet is set during a quiet cut,
+	// and cutCount counts the drawn cuts.
 	cutting  sync.Mutex
+	quiet    atomic.Bool
 	cutCount int
 	// waveCount is the number of maintenance waves so far.
 	waveCount int
@@ -88,7 +91,12 @@
 	h := f.soak.hosts[f.random.IntN(len(f.soak.hosts))]
 	w := f.soak.fleet.Workers()[f.random.IntN(len(f.soak.fleet.Workers()))]
 	duration := f.drawDuration()
-	kind := f.kinds[f.random.IntN(len(f.kinds))]
+	kind := f.drawKind()
+	// Each fault draws for itself, so that one that is left out changes no other.
+	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
+	if f.quiet.Load() && slices.Contains([]trouble{troubleKill, troubleTerm, troubleFreeze, troubleLink, troubleStore}, kind) {
+		return
+	}
 	f.soak.fleet.Remark(fmt.Sprintf("trouble %s, host %s, worker %s, %v", kind, h.name, w, duration))
 	switch kind {
 	case troubleKill:
@@ -99,35 +107,47 @@
 		h.signal(syscall.SIGSTOP)
 		f.healAfter(duration, func() { h.signal(syscall.SIGCONT) })
 	case troubleLink:
-		h.proxy.Set([]proxier.Mode{proxier.Silent, proxier.Answerless, proxier.Reset, proxier.Delay}[f.random.IntN(4)])
+		h.proxy.Set([]proxier.Mode{proxier.Silent, proxier.Answerless, proxier.Reset, proxier.Delay}[random.IntN(4)])
 		f.healAfter(duration, func() { h.proxy.Set(proxier.Pass) })
 	case troubleStore:
 		f.soak.fleet.Store().SetFaults([]standin.StoreFaults{
 			{Busy: true}, {Silent: true}, {Slow: 300 * time.Millisecond}, {LoseEvery: 3},
-		}[f.random.IntN(4)])
+		}[random.IntN(4)])
 		f.healAfter(duration, func() { f.soak.fleet.Store().SetFaults(standin.StoreFaults{}) })
 	case troubleWorker:
 		w.SetFaults([]standin.WorkerFaults{
 			{Silent: true}, {Late: 2 * time.Second}, {Fails: true}, {Hangs: true},
-		}[f.random.IntN(4)])
+		}[random.IntN(4)])
 		f.healAfter(2*duration, func() { w.SetFaults(standin.WorkerFaults{}) })
 	case troubleRestart:
 		w.Restart()
 	case troubleConfig:
-		f.soak.fleet.Configure(time.Duration(2+f.random.IntN(3)) * time.Second)
+		f.soak.fleet.Configure(time.Duration(2+random.IntN(3)) * time.Second)
 	case troubleReload:
 		h.signal(syscall.SIGHUP)
 	case troubleWave:
 		f.waveCount++
-		f.soak.fleet.Provider().StartWave(f.waveCount, 1+f.random.IntN(3), 1+f.random.IntN(2), waveWindow)
+		f.soak.fleet.Provider().StartWave(f.waveCount, 1+random.IntN(3), 1+random.IntN(2), waveWindow)
 	case troubleReplace:
 		w.Replace()
 	case troubleRegion, troubleOneWay, troubleSeries:
-		f.cutRegion(f.drawCut(kind))
+		f.cutRegion(f.drawCut(random, kind))
 	default:
 	}
 }
 
+// drawKind draws the kind of the next fault. The first is a cut where there are
+// any, so that each seed has one.
+func (f *soakFaults) drawKind() trouble {
+	kinds := f.kinds
+	if f.soak.troubles.cut() && f.cutCount == 0 {
+		kinds = slices.DeleteFunc(slices.Clone(kinds), func(t trouble) bool {
+			return t != troubleRegion && t != troubleOneWay && t != troubleSeries
+		})
+	}
+	return kinds[f.random.IntN(len(kinds))]
+}
+
 // restart stops a host with the signal and starts it again after the downtime.
 func (f *soakFaults) restart(ctx context.Context, h *soakHost, sig syscall.Signal, downtime time.Duration) {
 	child := h.beginStop()
