Send no order after a poller has ended

Cause: orders are begun by the loop, which may be behind the end of the context; nothing tells it that the poller has ended.

Change: a poller that has ended begins no order. The order was not sent, and the term that would read its result is over.

--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -118,6 +118,8 @@
 	info   primrosespar.WorkerInfo
 	busy   bool
 	shared bool
+	// ended is set once Run waits for the orders in flight only.
+	ended bool
 	// polled is set once the worker has answered a poll since the last Reset,
 	// unresponsive while the last poll has failed.
 	polled       bool
@@ -162,6 +164,7 @@
 // for the orders in flight.
 func (p *Poller) Run(ctx context.Context) {
 	defer p.tasks.Wait()
+	defer p.end()
 	for ctx.Err() == nil {
 		if !p.needsPoll() {
 			select {
@@ -174,6 +177,22 @@
 	}
 }
 
+// end keeps orders from being sent after the last poll.
+func (p *Poller) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+}
+
+// goOrder sends an order on its own goroutine, unless the poller has ended.
+func (p *Poller) goOrder(send func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		p.tasks.Go(send)
+	}
+}
+
 // SetBusy sets whether the worker has to be polled.
 func (p *Poller) SetBusy(busy bool) {
 	p.mu.Lock()
@@ -450,7 +469,7 @@
 // Throttle sets the share of its speed at which a run works and passes the
 // result to the sink.
 func (p *Poller) Throttle(ctx context.Context, run primrosespar.Run, percent int) {
-	p.tasks.Go(func() {
+	p.goOrder(func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		p.mu.Lock()
@@ -468,7 +487,7 @@
 // sendOrder sends one order on its own goroutine, with at most
 // maxOrdersInFlight at once.
 func (p *Poller) sendOrder(ctx context.Context, send func(context.Context, primrosespar.WorkerInfo) (time.Time, error), run primrosespar.Run, start bool) {
-	p.tasks.Go(func() {
+	p.goOrder(func() {
 		select {
 		case p.orderSlots <- struct{}{}:
 			defer func() { <-p.orderSlots }()
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -253,3 +254,42 @@
 		<-ended
 	})
 }
+
+// TestNoOrderIsSentAfterTheEnd guards against an order that leaves after the term
+// has ended and has stopped waiting for its orders.
+func TestNoOrderIsSentAfterTheEnd(t *testing.T) {
+	worker := &orderedWorker{}
+	p := poller.New(worker, clockwork.NewRealClock(), primrosespar.WorkerInfo{Worker: "w"}, 1, &slowStore{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p.Run(ctx)
+	p.Start(t.Context(), primrosespar.Start{})
+	p.Stop(t.Context(), primrosespar.Run{})
+	p.Throttle(t.Context(), primrosespar.Run{}, 50)
+	p.Run(ctx)
+	require.Zero(t, worker.orders.Load())
+}
+
+// orderedWorker is a primrosespar.Fleet that counts orders.
+type orderedWorker struct {
+	primrosespar.Fleet
+	orders atomic.Int64
+}
+
+// Start implements primrosespar.Fleet.
+func (w *orderedWorker) Start(context.Context, primrosespar.Start) error {
+	w.orders.Add(1)
+	return nil
+}
+
+// Stop implements primrosespar.Fleet.
+func (w *orderedWorker) Stop(context.Context, primrosespar.Stop) error {
+	w.orders.Add(1)
+	return nil
+}
+
+// Throttle implements primrosespar.Fleet.
+func (w *orderedWorker) Throttle(context.Context, primrosespar.Throttle) error {
+	w.orders.Add(1)
+	return nil
+}
