Acknowledge ends while others keep coming

Cause: once storing takes longer than the window for acknowledgements, a poll confirms the lifetime of the worker and the next one acknowledges. The report of the first held new ends, so that the second waited for those to be stored, past the window again.

Change: no wait if some ends are stored.

Evidence: TestEndsAreAcknowledgedWhileOthersCome fails before (100 of 100 ends still listed after 10 s) and passes; it bounds the polls.

--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -300,7 +300,7 @@
 	}
 	leaseExpiry := p.handleReport(request, report)
 	p.sink.OnReport(p.worker, report, requestedAt, leaseExpiry)
-	if len(report.Ended) > 0 {
+	if len(report.Ended) > 0 && !p.mayAcknowledge() {
 		p.awaitAcknowledgement(ctx)
 	}
 }
@@ -378,6 +378,14 @@
 	return p.leaseExpiry
 }
 
+// mayAcknowledge reports whether the next poll acknowledges ends: some are stored,
+// and the worker has just confirmed its lifetime.
+func (p *Poller) mayAcknowledge() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stored > p.acknowledged
+}
+
 // awaitAcknowledgement waits until the reported ends of runs are stored, at most
 // for acknowledgeTimeout. A poll before that would report them again.
 func (p *Poller) awaitAcknowledgement(ctx context.Context) {
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -206,6 +206,34 @@
 	require.Less(t, w.polls, 100)
 }
 
+// TestEndsAreAcknowledgedWhileOthersCome guards against ends that are stored and
+// never acknowledged, because storing takes longer than the window for
+// acknowledgements and further ends keep coming.
+func TestEndsAreAcknowledgedWhileOthersCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := &restartingWorker{startedAt: time.Now(), listed: map[primrosespar.Run]bool{}}
+		store := &slowStore{latency: 700 * time.Millisecond, stored: map[primrosespar.Run]bool{}}
+		store.poller = poller.New(w, clockwork.NewRealClock(), primrosespar.WorkerInfo{Worker: "w"}, 1, store)
+		store.poller.SetBusy(true)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			store.poller.Run(ctx)
+		}()
+		for run := range uint64(100) {
+			w.end(run + 1)
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.mu.Lock()
+		require.Less(t, len(w.ends), 50, "ends that the worker still lists")
+		require.Less(t, w.polls, 100)
+		w.mu.Unlock()
+		cancel()
+		<-ended
+	})
+}
+
 // brokenFleet is a primrosespar.Fleet whose calls panic.
 type brokenFleet struct{ primrosespar.Fleet }
 
