Store the lifetimes of workers in the pieces of a gang

Change: each piece holds the marks of its tasks.

Evidence: TestCrashUnderAGangInPiecesCounts fails before (0 crashes) and passes.

--- a/internal/fleet/scheduler/pieces.go
+++ b/internal/fleet/scheduler/pieces.go
@@ -228,15 +228,19 @@
 	if first == 0 {
 		part.Checkpoint = all.Checkpoint
 	}
-	if workers := all.Workers; len(workers) > 0 {
-		workers = workers[first:last]
-		if slices.ContainsFunc(workers, func(w primrosespar.Worker) bool { return w != "" }) {
-			part.Workers = workers
-		}
-	}
+	part.Workers = pieceOfWorkers(all.Workers, u.size, first, last)
 	return []encoder.Unit{part}
 }
 
+// pieceOfWorkers returns the workers of the tasks first to last of a gang with
+// the marks of their lifetimes, nil if there are none.
+func pieceOfWorkers(all []primrosespar.Worker, size, first, last int) []primrosespar.Worker {
+	if len(all) == 0 || !slices.ContainsFunc(all[first:last], func(w primrosespar.Worker) bool { return w != "" }) {
+		return nil
+	}
+	return append(slices.Clone(all[first:last]), all[size][first:last])
+}
+
 // restorePieces restores the units of a split job from its pieces.
 func (s *Scheduler) restorePieces(j *job, pieces map[encoder.PieceKey][]encoder.Unit, now time.Time) {
 	occurrences := map[int]*occurrence{}
@@ -305,17 +309,25 @@
 	part := units[0]
 	if p == 0 {
 		gang = part
-		gang.Workers = slices.Clone(gang.Workers)
+		gang.Workers = nil
 	} else {
 		gang.Failed = append(gang.Failed, part.Failed...)
 	}
 	if part.Run != gang.Run || len(part.Workers) == 0 {
 		return gang
 	}
-	if len(gang.Workers) < size {
-		gang.Workers = append(gang.Workers, make([]primrosespar.Worker, size-len(gang.Workers))...)
+	if gang.Workers == nil {
+		gang.Workers = make([]primrosespar.Worker, size+1)
+		gang.Workers[size] = primrosespar.Worker(make([]byte, size))
+	}
+	first := p * encoder.PieceTasks
+	last := min(first+encoder.PieceTasks, size)
+	n := copy(gang.Workers[first:last], part.Workers)
+	if len(part.Workers) > n {
+		marks := []byte(gang.Workers[size])
+		copy(marks[first:last], part.Workers[n])
+		gang.Workers[size] = primrosespar.Worker(marks)
 	}
-	copy(gang.Workers[p*encoder.PieceTasks:], part.Workers)
 	return gang
 }
 
--- a/internal/fleet/scheduler/pieces_test.go
+++ b/internal/fleet/scheduler/pieces_test.go
@@ -231,3 +231,31 @@
 		require.Len(t, f.started, 3000)
 	}
 }
+
+// TestCrashUnderAGangInPiecesCounts guards against a crash that the next holder
+// does not notice, because the pieces of a gang do not hold the lifetimes of the
+// workers that it was placed on.
+func TestCrashUnderAGangInPiecesCounts(t *testing.T) {
+	f := newRowFleet(t, primrosespar.Submission{ID: "a", Queue: "plain", Account: "nord", Steps: []primrosespar.Step{
+		{Count: encoder.PieceTasks + 2, Need: primrosespar.Resources{Millicores: 50}, Estimate: time.Minute, Gang: true},
+	}})
+	for len(f.started) == 0 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.store()
+	}
+	f.report(0)
+	f.changeHolder()
+	for i, w := range f.workers {
+		if len(f.active[w.Worker]) > 0 {
+			f.workers[i].StartedAt = f.now
+			f.active[w.Worker] = nil
+			break
+		}
+	}
+	f.scheduler.SetWorkers(f.workers, f.now)
+	f.now = f.now.Add(time.Second)
+	f.report(0)
+	view, known := f.scheduler.Explain("a", f.now)
+	require.True(t, known)
+	require.Positive(t, view.Steps[0].Crashes)
+}
