Count suspensions in the age of contracts and in the terms of slots

Seen by callers (would be, nobody has reported it): a place without the table serves by a contract that was replaced long ago, as if it were current; an upstream gets more requests at once than it has slots.

Cause: a host of the entry tier measures how long ago it knew its contracts to be current, and how long it had no contact to its peers, by a clock that stands still while the machine is suspended. Woken up, it takes a view of 30 s ago for a recent one, says so in its replies to heartbeats, and goes on using slots that its peers took over when it had been silent for 3 s.

Change: stopwatch.Clock adds the time for which the clock stood still to its readings. Follower, heartbeater and the membership of the dispatcher share one; calls, queues and upstreams stay by the plain clock, since their deadlines are readings of it. The stopwatch, not the read counts of the fleet's follower: read counts would mend what a host confirms to others, but not what it does itself, and here any host confirms to any other. It is one commit because the readings of the heartbeater go to both places.

--- a/cmd/primrosespar/entry.go
+++ b/cmd/primrosespar/entry.go
@@ -16,6 +16,7 @@
 	"primrosespar.example/primrosespar/internal/entry/certifier"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/daemon"
+	"primrosespar.example/primrosespar/internal/fleet/stopwatch"
 	"primrosespar.example/primrosespar/internal/operator/handler"
 	"primrosespar.example/primrosespar/internal/service/commander"
 	"primrosespar.example/primrosespar/internal/service/tabler"
@@ -44,7 +45,12 @@
 	if err != nil {
 		return err
 	}
+	elapsed, err := stopwatch.New()
+	if err != nil {
+		return err
+	}
 	err = daemon.New(settings, newPlatform(settings, keys),
+		daemon.WithStopwatch(elapsed),
 		daemon.WithKeys(keys),
 		daemon.WithVersion(handler.Version),
 		daemon.WithOnError(func(part string, err error) { logError(log, part, err) }),
--- a/internal/contract/follower/follower.go
+++ b/internal/contract/follower/follower.go
@@ -106,9 +106,9 @@
 	return f.loaded
 }
 
-// Observe processes the reply to a heartbeat that this host sent at sentAt. The
-// age of the view in the reply is counted from sentAt, which can overstate but
-// never understate it.
+// Observe processes the reply to a heartbeat that this host sent at sentAt, a
+// reading of the clock of the Follower. The age of the view in the reply is
+// counted from sentAt, which can overstate but never understate it.
 func (f *Follower) Observe(heartbeat primrosespar.Heartbeat, sentAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/contract/follower/options.go
+++ b/internal/contract/follower/options.go
@@ -13,7 +13,8 @@
 type Options struct {
 	// Table holds the contracts.
 	Table primrosespar.Table
-	// Clock provides the time and timers.
+	// Clock provides the time and timers. It should count suspensions of the
+	// machine, since the age of the view does.
 	Clock primrosespar.Clock
 	// Jitter returns a random number from 0 to 1.
 	Jitter func() float64
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -41,6 +41,9 @@
 // Options are the optional parts of a Daemon.
 type Options struct {
 	Clock primrosespar.Clock
+	// Stopwatch measures the age of contracts and the time without contact to
+	// other hosts. Without one, suspensions of the machine do not count.
+	Stopwatch primrosespar.Stopwatch
 	// OnError receives the errors that do not stop the daemon, with the name of
 	// the part that failed.
 	OnError func(part string, err error)
@@ -63,6 +66,12 @@
 // Option sets one of the Options.
 type Option func(*Options)
 
+// WithStopwatch sets the stopwatch that measures the age of contracts and the
+// time without contact to other hosts.
+func WithStopwatch(s primrosespar.Stopwatch) Option {
+	return func(o *Options) { o.Stopwatch = s }
+}
+
 // WithOnError sets the function that receives errors.
 func WithOnError(f func(part string, err error)) Option {
 	return func(o *Options) { o.OnError = f }
--- a/internal/entry/daemon/export_test.go
+++ b/internal/entry/daemon/export_test.go
@@ -8,8 +8,10 @@
 	"primrosespar.example/primrosespar/internal/contract/follower"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/server"
+	"primrosespar.example/primrosespar/internal/member/divider"
 	"primrosespar.example/primrosespar/internal/member/leaser"
 	"primrosespar.example/primrosespar/internal/member/messenger"
+	"primrosespar.example/primrosespar/internal/operator/caller"
 	"primrosespar.example/primrosespar/internal/place/controller"
 	"primrosespar.example/primrosespar/internal/place/submitter"
 	"primrosespar.example/primrosespar/internal/record/recorder"
@@ -52,6 +54,32 @@
 	}
 }
 
+// StatusAroundSuspension returns the status of a host that runs for a while, and
+// its status right after it was suspended. suspend suspends it for a time.
+func (d *Daemon) StatusAroundSuspension(ctx context.Context, suspend func(time.Duration), duration time.Duration) (before, after caller.StatusAnswer, err error) {
+	open, err := d.openListeners(ctx)
+	if err != nil {
+		return before, after, err
+	}
+	defer open.close()
+	h := d.newHost(open)
+	directory, err := d.platform.Hosts.List(ctx, d.settings.Place)
+	if err != nil {
+		return before, after, err
+	}
+	h.dispatcher.SetDirectory(directory)
+	for range divider.HandoverTimeout / time.Second {
+		suspend(time.Second)
+		h.members.Tick()
+	}
+	if _, err = h.follower.Step(ctx); err != nil {
+		return before, after, err
+	}
+	before = h.status()
+	suspend(duration)
+	return before, h.status(), nil
+}
+
 // List reads the host list of the platform as the daemon does.
 func (d *Daemon) List(ctx context.Context) error {
 	_, err := d.platform.Hosts.List(ctx, "")
--- a/internal/entry/daemon/host.go
+++ b/internal/entry/daemon/host.go
@@ -13,6 +13,7 @@
 	"primrosespar.example/primrosespar/internal/entry/authorizer"
 	"primrosespar.example/primrosespar/internal/entry/meter"
 	"primrosespar.example/primrosespar/internal/entry/server"
+	"primrosespar.example/primrosespar/internal/fleet/stopwatch"
 	"primrosespar.example/primrosespar/internal/member/heartbeater"
 	"primrosespar.example/primrosespar/internal/member/leaser"
 	"primrosespar.example/primrosespar/internal/member/messenger"
@@ -114,22 +115,33 @@
 func (h *host) buildMembers() {
 	d := h.daemon
 	clock, s := d.options.Clock, d.settings
+	memberClock := d.memberClock()
 	h.follower = follower.New(append(followerOptions(s),
 		follower.WithTable(d.platform.Table),
-		follower.WithClock(clock),
+		follower.WithClock(memberClock),
 		follower.WithJitter(mathrand.Float64),
 		follower.WithLeader(func() bool { return h.dispatcher.View().Rank(s.Host) == 0 }),
 	)...)
 	h.dispatcher = dispatcher.New(
 		dispatcher.WithHost(s.Host, s.Place, h.incarnation, h.addresses.Peers),
 		dispatcher.WithClock(clock),
+		dispatcher.WithMemberClock(memberClock),
 		dispatcher.WithContracts(h.follower),
 		dispatcher.WithRandom(mathrand.IntN),
 		dispatcher.WithMinted(minter.IsMinted),
 	)
 	h.members = newMembers(h.dispatcher, h.follower)
 	h.messenger = messenger.New(h.messengerOptions()...)
-	h.heartbeater = heartbeater.New(h.members, h.messenger, heartbeater.WithClock(clock))
+	h.heartbeater = heartbeater.New(h.members, h.messenger, heartbeater.WithClock(memberClock))
+}
+
+// memberClock returns the clock that the follower, the dispatcher and the
+// heartbeater share, which exchange its readings.
+func (d *Daemon) memberClock() primrosespar.Clock {
+	if d.options.Stopwatch == nil {
+		return d.options.Clock
+	}
+	return stopwatch.NewClock(d.options.Clock, d.options.Stopwatch)
 }
 
 func (h *host) messengerOptions() []messenger.Option {
--- a/internal/member/divider/divider.go
+++ b/internal/member/divider/divider.go
@@ -9,7 +9,9 @@
 //
 // # Usage
 //
-// A Divider is not safe for concurrent use and reads no clock:
+// A Divider is not safe for concurrent use and reads no clock. The times that it
+// is given must advance while this host is suspended, since its peers take over
+// its slots then:
 //
 //	d := divider.New("host-1")
 //	d.SetUpstreams(directory.Upstreams, now)
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -42,6 +42,7 @@
 
 // Options are the settings of a Heartbeater.
 type Options struct {
+	// Clock provides the time and timers. The Members get its readings.
 	Clock primrosespar.Clock
 	// OnError is called for each heartbeat without a reply; it may be nil.
 	OnError func(to watcher.Target, err error)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -51,7 +51,8 @@
 	revision        primrosespar.Revision
 	contractsLoaded bool
 	draining        bool
-	nextSlotSync    time.Time
+	// nextSlotSync is a reading of the member clock.
+	nextSlotSync time.Time
 }
 
 var _ primrosespar.Dispatcher = (*Dispatcher)(nil)
@@ -76,6 +77,9 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	if o.MemberClock == nil {
+		o.MemberClock = o.Clock
+	}
 	var balancerOpts []balancer.Option
 	if o.Random != nil {
 		balancerOpts = append(balancerOpts, balancer.WithRandom(o.Random))
@@ -185,7 +189,7 @@
 
 // startWaiting starts waiting calls while slots are free.
 func (d *Dispatcher) startWaiting(now time.Time) {
-	if !now.Before(d.nextSlotSync) {
+	if !d.opts.MemberClock.Now().Before(d.nextSlotSync) {
 		d.syncSlots(now)
 	}
 	for d.admitter.Ready() && d.balancer.Free(now) {
--- a/internal/request/dispatcher/membership.go
+++ b/internal/request/dispatcher/membership.go
@@ -15,7 +15,7 @@
 	now := d.opts.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watcher.SetList(directory.Hosts, now)
+	d.watcher.SetList(directory.Hosts, d.opts.MemberClock.Now())
 	d.upstreams = d.upstreams[:0:0]
 	for _, u := range directory.Upstreams {
 		if u.Place == d.opts.Place {
@@ -25,7 +25,7 @@
 	// The hosts are updated first. Otherwise this host could take slots of a
 	// new upstream that belong to a host it does not know yet.
 	d.updateMembers(now)
-	d.divider.SetUpstreams(d.upstreams, now)
+	d.divider.SetUpstreams(d.upstreams, d.opts.MemberClock.Now())
 	d.balancer.SetUpstreams(d.upstreams, now)
 	d.syncSlots(now)
 	d.startWaiting(now)
@@ -75,8 +75,9 @@
 func (d *Dispatcher) updateMembers(now time.Time) {
 	// A draining host keeps its slots until no call waits for one.
 	d.watcher.SetDraining(d.draining && len(d.waiters) == 0)
-	view := d.watcher.View(now)
-	d.divider.SetHosts(view.Live, view.Draining, now)
+	memberNow := d.opts.MemberClock.Now()
+	view := d.watcher.View(memberNow)
+	d.divider.SetHosts(view.Live, view.Draining, memberNow)
 	d.admitter.SetHosts(len(view.Live), max(0, view.Rank(d.opts.Host)), now)
 	for _, name := range view.Leaving {
 		d.balancer.MarkLeaving(name, now)
@@ -86,18 +87,18 @@
 
 // syncSlots passes the slots that this host may use now to the balancer.
 func (d *Dispatcher) syncSlots(now time.Time) {
-	d.nextSlotSync = now.Add(slotSyncInterval)
+	memberNow := d.opts.MemberClock.Now()
+	d.nextSlotSync = memberNow.Add(slotSyncInterval)
 	for _, u := range d.upstreams {
-		d.balancer.SetSlots(u.Upstream, d.divider.Usable(u.Upstream, now), now)
+		d.balancer.SetSlots(u.Upstream, d.divider.Usable(u.Upstream, memberNow), now)
 	}
 }
 
 // View returns the membership of the place as this host sees it.
 func (d *Dispatcher) View() watcher.View {
-	now := d.opts.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.watcher.View(now)
+	return d.watcher.View(d.opts.MemberClock.Now())
 }
 
 // Heartbeat returns the heartbeat to send to the peer.
@@ -115,11 +116,11 @@
 	now := d.opts.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.watcher.Observe(heartbeat, now) {
+	if !d.watcher.Observe(heartbeat, d.opts.MemberClock.Now()) {
 		return primrosespar.Heartbeat{}, primrosespar.Fail(primrosespar.CodeWrongPlace, "heartbeat of host %s is from place %s", heartbeat.Host, heartbeat.Place)
 	}
 	d.updateMembers(now)
-	d.divider.Observe(heartbeat.Host, heartbeat.Usage, time.Time{}, now)
+	d.divider.Observe(heartbeat.Host, heartbeat.Usage, time.Time{}, d.opts.MemberClock.Now())
 	wantedByPeer := map[primrosespar.Upstream]int{}
 	for _, u := range heartbeat.Usage {
 		if u.Wanted > 0 {
@@ -136,16 +137,16 @@
 }
 
 // HandleHeartbeatReply processes the reply to a heartbeat that was sent at
-// sentAt.
+// sentAt by the member clock.
 func (d *Dispatcher) HandleHeartbeatReply(reply primrosespar.Heartbeat, sentAt time.Time) {
 	now := d.opts.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.watcher.Observe(reply, now) {
+	if !d.watcher.Observe(reply, d.opts.MemberClock.Now()) {
 		return
 	}
 	d.updateMembers(now)
-	d.divider.Observe(reply.Host, reply.Usage, sentAt, now)
+	d.divider.Observe(reply.Host, reply.Usage, sentAt, d.opts.MemberClock.Now())
 	d.syncSlots(now)
 	d.startWaiting(now)
 }
@@ -162,7 +163,7 @@
 		Address:     d.opts.Address,
 		Revision:    view.Revision,
 		ViewAge:     age,
-		Usage:       d.divider.Report(to, used, d.wantedSlots(now), wantedByPeer, now),
+		Usage:       d.divider.Report(to, used, d.wantedSlots(now), wantedByPeer, d.opts.MemberClock.Now()),
 		Leaving:     d.balancer.Leaving(now),
 		Ejected:     d.balancer.Ejected(),
 		Draining:    d.draining && len(d.waiters) == 0,
@@ -204,12 +205,13 @@
 	now := d.opts.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	memberNow := d.opts.MemberClock.Now()
 	used, ejected, candidates := d.balancer.Used(), d.balancer.Ejected(), d.balancer.Candidates(now)
 	states := make([]UpstreamState, 0, len(d.upstreams))
 	for _, u := range d.upstreams {
 		isEjected := slices.Contains(ejected, u.Upstream)
 		states = append(states, UpstreamState{
-			Upstream: u.Upstream, Slots: d.divider.Usable(u.Upstream, now), Used: used[u.Upstream],
+			Upstream: u.Upstream, Slots: d.divider.Usable(u.Upstream, memberNow), Used: used[u.Upstream],
 			Ejected: isEjected, Leaving: !isEjected && !slices.Contains(candidates, u.Upstream),
 		})
 	}
--- a/internal/request/dispatcher/options.go
+++ b/internal/request/dispatcher/options.go
@@ -13,6 +13,9 @@
 	Incarnation primrosespar.Incarnation
 	Address     netip.AddrPort
 	Clock       primrosespar.Clock
+	// MemberClock measures the time without contact to other hosts and the terms
+	// of slots. If it is nil, Clock does.
+	MemberClock primrosespar.Clock
 	Contracts   primrosespar.ContractSource
 	// Random returns a random number from 0 to n-1. If it is nil, upstreams are
 	// taken round-robin.
@@ -37,6 +40,13 @@
 	return func(o *Options) { o.Clock = clock }
 }
 
+// WithMemberClock sets the clock that measures the time without contact to other
+// hosts and the terms of slots. It should count suspensions of the machine, since
+// the other hosts do.
+func WithMemberClock(clock primrosespar.Clock) Option {
+	return func(o *Options) { o.MemberClock = clock }
+}
+
 // WithContracts sets the source of contracts; it is required.
 func WithContracts(source primrosespar.ContractSource) Option {
 	return func(o *Options) { o.Contracts = source }
