Drop what a cut holds back when its sender resets the connection

The platform loses such bytes if their sender resets the connection, as the adapter does since its linger time is 0.

Change: the proxy looks for a reset before it forwards what it held back.

--- a/internal/standin/proxier/proxier.go
+++ b/internal/standin/proxier/proxier.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 )
 
 // Mode selects the fault that the proxy injects.
@@ -216,7 +218,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := source.Read(buffer)
-		if n > 0 && !p.waitToForward(fromTarget) {
+		if n > 0 && (!p.waitToForward(fromTarget) || wasReset(source)) {
 			return
 		}
 		if n > 0 {
@@ -231,6 +233,20 @@
 	}
 }
 
+// wasReset reports whether the peer has reset the connection. What it had sent
+// and was held back is lost then.
+func wasReset(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peekErr error
+	controlErr := raw.Control(func(fd uintptr) {
+		_, _, peekErr = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return controlErr == nil && errors.Is(peekErr, unix.ECONNRESET)
+}
+
 // waitToForward waits for as long as the mode holds the bytes back and reports
 // whether to forward them. It reports false if the connection has to be closed:
 // in mode Reset, after Close, and after a wait in mode Silent or Answerless,
