Conclude a lost run from complete reports only

Cause: a worker lists at most 500 ends that are not acknowledged. The scheduler took each run that a report names neither as active nor as ended for lost and started its task again, also if the report had no room for its end.

The zero value is the safe one. Until the list has drained the run keeps its room.

Tests: the workers of the state machine list 1, 2 or all ends, those of the large jobs 500, and count a start after a run that is done, acknowledged or not.

--- a/fleet.go
+++ b/fleet.go
@@ -264,4 +264,8 @@
 	Clock  time.Duration
 	Active []ActiveRun
 	Ended  []EndedRun
+	// Complete is set if Active and Ended name all runs of the worker. If not,
+	// more ends follow once these are acknowledged, and a run that is not named
+	// may be among them.
+	Complete bool
 }
--- a/internal/fleet/controller/advice_test.go
+++ b/internal/fleet/controller/advice_test.go
@@ -38,7 +38,7 @@
 		return primrosespar.WorkerReport{}, ctx.Err()
 	case <-time.After(poll.Wait):
 	}
-	return primrosespar.WorkerReport{StartedAt: time.Unix(1000, 0), Clock: time.Hour}, nil
+	return primrosespar.WorkerReport{StartedAt: time.Unix(1000, 0), Clock: time.Hour, Complete: true}, nil
 }
 
 // Advise implements primrosespar.Fleet.
--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -267,7 +267,7 @@
 	}
 	time.Sleep(60 * time.Millisecond)
 	f.answered.Add(1)
-	return primrosespar.WorkerReport{StartedAt: time.UnixMilli(1)}, nil
+	return primrosespar.WorkerReport{StartedAt: time.UnixMilli(1), Complete: true}, nil
 }
 
 // TestNewHolderPollsALargeFleetInPortions guards against a small host that
--- a/internal/fleet/controller/cut_test.go
+++ b/internal/fleet/controller/cut_test.go
@@ -160,7 +160,7 @@
 	time.Sleep(min(poll.Wait, 200*time.Millisecond))
 	var report primrosespar.WorkerReport
 	err = v.order(ctx, poll.Worker, poll.Token, func(w *leasedWorker) {
-		report.StartedAt, report.Clock = w.info.StartedAt, w.clock()
+		report.StartedAt, report.Clock, report.Complete = w.info.StartedAt, w.clock(), true
 		for i, r := range w.runs {
 			switch {
 			case r.end == "":
--- a/internal/fleet/controller/odd_test.go
+++ b/internal/fleet/controller/odd_test.go
@@ -42,7 +42,7 @@
 	time.Sleep(20 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	report := primrosespar.WorkerReport{StartedAt: time.UnixMilli(1)}
+	report := primrosespar.WorkerReport{StartedAt: time.UnixMilli(1), Complete: true}
 	if poll.Worker == "sound" {
 		report.Ended = f.ended
 		return report, nil
--- a/internal/fleet/controller/size_test.go
+++ b/internal/fleet/controller/size_test.go
@@ -72,12 +72,13 @@
 	primrosespar.Fleet
 	mu      sync.Mutex
 	workers map[primrosespar.Worker]*workingWorker
-	// active counts the runs of a task, acknowledged holds the tasks whose
-	// success was acknowledged.
+	// active counts the runs of a task, done holds the tasks that are done and
+	// acknowledged those whose success was acknowledged.
 	active       map[primrosespar.TaskName]int
+	done         map[primrosespar.TaskName]bool
 	acknowledged map[primrosespar.TaskName]bool
-	// twice counts the tasks that were started beside another run or after that,
-	// unstored the starts and acknowledgements that the table does not show.
+	// twice counts the tasks that were started beside another run or after one
+	// that is done, unstored the starts and acknowledgements that the table does not show, if there is a table to compare with.
 	twice    int
 	unstored int
 	table    primrosespar.Table
@@ -98,7 +99,8 @@
 func newWorkingFleet(table primrosespar.Table, workers ...*workingWorker) *workingFleet {
 	f := &workingFleet{
 		table:   table,
-		workers: map[primrosespar.Worker]*workingWorker{}, active: map[primrosespar.TaskName]int{}, acknowledged: map[primrosespar.TaskName]bool{},
+		workers: map[primrosespar.Worker]*workingWorker{}, active: map[primrosespar.TaskName]int{},
+		done: map[primrosespar.TaskName]bool{}, acknowledged: map[primrosespar.TaskName]bool{},
 	}
 	for i, w := range workers {
 		w.runs = map[primrosespar.Run]time.Time{}
@@ -133,7 +135,7 @@
 // that has ended is done.
 func (f *workingFleet) storedUnit(task primrosespar.TaskName) (encoder.Unit, bool) {
 	e, err := encoder.New()
-	if err != nil {
+	if err != nil || f.table == nil {
 		return encoder.Unit{}, false
 	}
 	key := encoder.PieceKey{Occurrence: task.Occurrence, Step: task.Step, Index: task.Index / encoder.PieceTasks}
@@ -172,10 +174,10 @@
 	if _, known := w.runs[start.Run]; known {
 		return nil
 	}
-	if u, known := f.storedUnit(start.Run.Task); !known || u.Run != start.Run.Number || !slices.Contains(u.Workers, start.Worker) {
+	if u, known := f.storedUnit(start.Run.Task); f.table != nil && (!known || u.Run != start.Run.Number || !slices.Contains(u.Workers, start.Worker)) {
 		f.unstored++
 	}
-	if f.active[start.Run.Task] > 0 || f.acknowledged[start.Run.Task] {
+	if f.active[start.Run.Task] > 0 || f.done[start.Run.Task] {
 		f.twice++
 	}
 	f.active[start.Run.Task]++
@@ -198,6 +200,7 @@
 	}
 	delete(w.runs, run)
 	f.active[run.Task]--
+	f.done[run.Task] = f.done[run.Task] || end == primrosespar.EndDone
 	w.ends++
 	w.ended = append(w.ended, primrosespar.EndedRun{Sequence: w.ends, Run: run, End: end})
 }
@@ -214,7 +217,7 @@
 			kept = append(kept, e)
 		} else if e.End == primrosespar.EndDone {
 			f.acknowledged[e.Run.Task] = true
-			if u, _ := f.storedUnit(e.Run.Task); u.Phase != encoder.Done {
+			if u, _ := f.storedUnit(e.Run.Task); f.table != nil && u.Phase != encoder.Done {
 				f.unstored++
 			}
 		}
@@ -228,7 +231,8 @@
 			report.Active = append(report.Active, primrosespar.ActiveRun{Run: run, Percent: time.Since(startedAt).Seconds()})
 		}
 	}
-	report.Ended = append(report.Ended, w.ended...)
+	report.Ended = append(report.Ended, w.ended[:min(listedEnds, len(w.ended))]...)
+	report.Complete = len(report.Ended) < listedEnds
 	return report, nil
 }
 
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -123,7 +123,7 @@
 	for _, e := range w.ends {
 		w.listed[e.Run] = true
 	}
-	return primrosespar.WorkerReport{StartedAt: w.startedAt, Clock: time.Since(w.startedAt), Ended: append([]primrosespar.EndedRun(nil), w.ends...)}, true
+	return primrosespar.WorkerReport{StartedAt: w.startedAt, Clock: time.Since(w.startedAt), Ended: append([]primrosespar.EndedRun(nil), w.ends...), Complete: true}, true
 }
 
 // slowStore is a poller.Sink that acknowledges reported ends after a while, as
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -70,7 +70,7 @@
 // report lets a worker report the given runs and ends.
 func (h *harness) report(index int, active []primrosespar.ActiveRun, ended ...primrosespar.EndedRun) {
 	h.scheduler.HandleReport(h.workers[index].Worker, primrosespar.WorkerReport{
-		StartedAt: h.workers[index].StartedAt, Active: active, Ended: ended,
+		StartedAt: h.workers[index].StartedAt, Active: active, Ended: ended, Complete: true,
 	}, h.now, h.now.Add(leaseTime), h.now)
 }
 
@@ -214,6 +214,7 @@
 	second.scheduler.HandleReport(starts[0].Worker, primrosespar.WorkerReport{
 		StartedAt: second.workers[index].StartedAt,
 		Active:    []primrosespar.ActiveRun{{Run: starts[0].Run}},
+		Complete:  true,
 	}, second.now, time.Time{}, second.now)
 	second.now = second.now.Add(100 * time.Millisecond)
 	require.Empty(t, second.plan().Starts)
--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -85,7 +86,9 @@
 	// inlineTasks is the most tasks of a job whose progress is one row; pieces
 	// are those of the others.
 	inlineTasks int
-	pieces      map[primrosespar.JobID]map[encoder.PieceKey][]byte
+	// listedEnds is how many ends a worker lists at most per report.
+	listedEnds int
+	pieces     map[primrosespar.JobID]map[encoder.PieceKey][]byte
 	// events are the decisions of all holders.
 	events []scheduler.Event
 }
@@ -105,6 +108,7 @@
 		acknowledgedDone: map[primrosespar.TaskName]bool{}, acknowledgedFailures: map[primrosespar.TaskName]int{},
 		failures:      map[primrosespar.TaskName]map[uint64]bool{},
 		leaseExpiries: map[primrosespar.Worker]time.Time{},
+		listedEnds:    rapid.SampledFrom([]int{1, 2, math.MaxInt}).Draw(t, "listedEnds"),
 		inlineTasks:   inlineTasks, pieces: map[primrosespar.JobID]map[encoder.PieceKey][]byte{},
 	}
 	workers := newHarness(&testing.T{}, 1).workers
@@ -591,7 +595,10 @@
 	if leaseUntil := m.now.Add(modelLease); len(w.runs) > 0 && leaseUntil.After(w.leaseUntil) {
 		w.leaseUntil = leaseUntil
 	}
-	report := primrosespar.WorkerReport{StartedAt: w.info.StartedAt, Ended: append([]primrosespar.EndedRun(nil), w.unacknowledged...)}
+	listed := w.unacknowledged[:min(m.listedEnds, len(w.unacknowledged))]
+	report := primrosespar.WorkerReport{
+		StartedAt: w.info.StartedAt, Ended: append([]primrosespar.EndedRun(nil), listed...), Complete: len(listed) < m.listedEnds,
+	}
 	for _, run := range w.sortedRuns() {
 		w.runs[run].percent++
 		report.Active = append(report.Active, primrosespar.ActiveRun{Run: run, Percent: w.runs[run].percent})
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -236,15 +236,24 @@
 		listed[active.Run] = true
 		s.handleActive(w, active, now)
 	}
+	if report.Complete {
+		s.endMissingRuns(w, listed, requestedAt, now)
+	}
+}
+
+// endMissingRuns gives up the runs that a complete report, requested at
+// requestedAt, does not list although their orders were answered before.
+func (s *Scheduler) endMissingRuns(w *worker, listed map[primrosespar.Run]bool, requestedAt, now time.Time) {
 	for run, m := range w.members {
-		if !listed[run] && !m.unanswered && !m.inFlight && !m.answeredAt.IsZero() && m.answeredAt.Before(requestedAt) {
-			s.logEvent("run_missing", m.unit.step.occurrence.job, w, m.run, "worker does not list the run")
-			if m.phase == restored && w.restartedSince(m.lifetime) {
-				// Otherwise an earlier holder may never have sent the start.
-				s.countRunCrash(w.info.Worker, newLostRun(m), false, now)
-			}
-			s.endMember(m, "", "", now)
+		if listed[run] || m.unanswered || m.inFlight || m.answeredAt.IsZero() || !m.answeredAt.Before(requestedAt) {
+			continue
+		}
+		s.logEvent("run_missing", m.unit.step.occurrence.job, w, m.run, "worker does not list the run")
+		if m.phase == restored && w.restartedSince(m.lifetime) {
+			// Otherwise an earlier holder may never have sent the start.
+			s.countRunCrash(w.info.Worker, newLostRun(m), false, now)
 		}
+		s.endMember(m, "", "", now)
 	}
 }
 
--- a/internal/standin/simulator/simulator.go
+++ b/internal/standin/simulator/simulator.go
@@ -223,7 +223,7 @@
 		progress := float64(s.now.Sub(r.startedAt)) / float64(r.endsAt.Sub(r.startedAt))
 		active = append(active, primrosespar.ActiveRun{Run: r.order.Run, Percent: 100 * progress})
 	}
-	s.scheduler.HandleReport(w.info.Worker, primrosespar.WorkerReport{StartedAt: w.info.StartedAt, Active: active, Ended: ended},
+	s.scheduler.HandleReport(w.info.Worker, primrosespar.WorkerReport{StartedAt: w.info.StartedAt, Active: active, Ended: ended, Complete: true},
 		s.now, s.now.Add(time.Minute), s.now)
 }
 
