Read lists of rows of the entry host to the first empty page

A page is limited in bytes too, so a short one may be followed by others. A new holder then knew some gangs only and stopped the tasks of the others as those of unknown jobs.

Change: the interface says that only an empty page is the last, and all callers read up to it, which is one more read for each list.

--- a/internal/contract/amender/queries.go
+++ b/internal/contract/amender/queries.go
@@ -93,6 +93,9 @@
 		if err != nil {
 			return err
 		}
+		if len(rows) == 0 {
+			return nil
+		}
 		for _, row := range rows {
 			record, err := decodeRow[Record](row)
 			if err != nil {
@@ -103,9 +106,6 @@
 			}
 			after = row.Key
 		}
-		if len(rows) < pageSize {
-			return nil
-		}
 	}
 }
 
--- a/internal/contract/follower/follower.go
+++ b/internal/contract/follower/follower.go
@@ -249,6 +249,9 @@
 		if err != nil {
 			return head, err
 		}
+		if len(rows) == 0 {
+			break
+		}
 		for _, row := range rows {
 			var record amender.Record
 			if err = decodeRow(row, &record); err != nil {
@@ -265,9 +268,6 @@
 			}
 			after = row.Key
 		}
-		if len(rows) < pageSize {
-			break
-		}
 	}
 	f.revision = max(f.revision, head)
 	return target, nil
--- a/internal/place/cleaner/cleaner.go
+++ b/internal/place/cleaner/cleaner.go
@@ -77,6 +77,10 @@
 		if err != nil {
 			return deleted, eris.Wrap(err, "scan gangs")
 		}
+		if len(rows) == 0 {
+			c.dropStale()
+			return deleted, nil
+		}
 		for _, row := range rows {
 			after = row.Key
 			removed, err := c.processRow(ctx, row)
@@ -87,10 +91,6 @@
 				deleted++
 			}
 		}
-		if len(rows) < c.options.PageSize {
-			c.dropStale()
-			return deleted, nil
-		}
 		if err := c.throttle(ctx); err != nil {
 			return deleted, err
 		}
--- a/internal/place/controller/inbox.go
+++ b/internal/place/controller/inbox.go
@@ -49,15 +49,15 @@
 		if err != nil {
 			return eris.Wrap(err, "scan gangs")
 		}
+		if len(rows) == 0 {
+			return nil
+		}
 		for _, row := range rows {
 			after = row.Key
 			if err := c.restoreGang(row); err != nil {
 				return err
 			}
 		}
-		if len(rows) < c.options.PageSize {
-			return nil
-		}
 	}
 }
 
--- a/internal/place/submitter/submitter.go
+++ b/internal/place/submitter/submitter.go
@@ -141,6 +141,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(rows) == 0 {
+			return jobs, nil
+		}
 		for _, row := range rows {
 			after = row.Key
 			var g primrosespar.Gang
@@ -151,9 +154,6 @@
 				jobs = append(jobs, g)
 			}
 		}
-		if len(rows) < pageSize {
-			return jobs, nil
-		}
 	}
 }
 
--- a/internal/request/claimer/record.go
+++ b/internal/request/claimer/record.go
@@ -238,6 +238,9 @@
 		if err != nil {
 			return deleted, eris.Wrap(err, "scan claims")
 		}
+		if len(rows) == 0 {
+			return deleted, nil
+		}
 		for _, row := range rows {
 			after = row.Key
 			account, _, _ := strings.Cut(strings.TrimPrefix(row.Key, prefix), "/")
@@ -261,9 +264,6 @@
 			case <-c.opts.Clock.After(time.Second / time.Duration(c.opts.SweepDeletesPerSecond)):
 			}
 		}
-		if len(rows) < c.opts.SweepPageSize {
-			return deleted, nil
-		}
 	}
 }
 
--- a/platform.go
+++ b/platform.go
@@ -45,7 +45,8 @@
 	// Get returns the rows with the keys, in the order of the keys.
 	Get(ctx context.Context, keys ...string) ([]Row, error)
 	// Scan returns up to limit rows whose keys have the prefix and are greater
-	// than after, in key order.
+	// than after, in key order. It may return fewer although there are more; only
+	// an empty page is the last.
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies the transaction and returns the new versions of the
 	// written rows, in the order of the writes.
