Take no machine for gone on a list that names not all

A machine of a maintenance wave that several lists in a row do not name counts as gone, and its wave can be reported as completed. An entry that names no machine is skipped, so the machine of that entry counted as gone as well.

Change: the list says whether it is complete, and a list that is not counts for nothing here. A wave with a machine that has left then stays open as long as such entries come.

Evidence: TestMachineOfIncompleteListHasNotLeft fails without the condition and passes.

--- a/internal/fleet/controller/maintenance.go
+++ b/internal/fleet/controller/maintenance.go
@@ -65,12 +65,12 @@
 	requestedAt := c.parts.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	machines, err := c.parts.Maintenance.Machines(ctx)
+	list, err := c.parts.Maintenance.Machines(ctx)
 	if err != nil {
 		c.parts.OnError("machines", err)
 		return
 	}
-	c.enqueue(func() { c.maintainer.SetMachines(machines, requestedAt) })
+	c.enqueue(func() { c.maintainer.SetMachines(list, requestedAt) })
 }
 
 // planMaintenance runs the maintainer, passes cordoned workers to the scheduler
--- a/internal/fleet/controller/permission_test.go
+++ b/internal/fleet/controller/permission_test.go
@@ -68,8 +68,8 @@
 }
 
 // Machines implements primrosespar.MaintenanceService.
-func (*wavingProvider) Machines(context.Context) ([]primrosespar.MachineState, error) {
-	return []primrosespar.MachineState{{Machine: "m", Worker: "w", Up: true}}, nil
+func (*wavingProvider) Machines(context.Context) (primrosespar.MachineList, error) {
+	return primrosespar.MachineList{Machines: []primrosespar.MachineState{{Machine: "m", Worker: "w", Up: true}}, Complete: true}, nil
 }
 
 // Maintain implements primrosespar.MaintenanceService.
--- a/internal/fleet/maintainer/maintainer.go
+++ b/internal/fleet/maintainer/maintainer.go
@@ -6,7 +6,7 @@
 //
 //	m := maintainer.New(maintainer.WithDowntime(3*time.Second))
 //	m.SetWaves(waves, now)
-//	m.SetMachines(machines, requestedAt)
+//	m.SetMachines(list, requestedAt)
 //	changes := m.Plan(fleet, now)
 //	// store changes.Records; then send changes.Orders
 //	m.HandleOrderResult(order, code, now)
@@ -208,17 +208,20 @@
 }
 
 // SetMachines sets the list of machines, which was requested at the given time.
-func (m *Maintainer) SetMachines(machines []primrosespar.MachineState, requestedAt time.Time) {
+func (m *Maintainer) SetMachines(list primrosespar.MachineList, requestedAt time.Time) {
 	m.listedAt = requestedAt
-	m.machines = make(map[primrosespar.Machine]primrosespar.MachineState, len(machines))
-	for _, state := range machines {
+	m.machines = make(map[primrosespar.Machine]primrosespar.MachineState, len(list.Machines))
+	for _, state := range list.Machines {
 		m.machines[state.Machine] = state
 	}
 	for _, w := range m.waves {
 		for _, wm := range w.machines {
-			wm.missedLists++
-			if _, known := m.machines[wm.machine]; known {
+			_, known := m.machines[wm.machine]
+			switch {
+			case known:
 				wm.missedLists = 0
+			case list.Complete:
+				wm.missedLists++
 			}
 		}
 	}
--- a/internal/fleet/maintainer/maintainer_test.go
+++ b/internal/fleet/maintainer/maintainer_test.go
@@ -1,6 +1,7 @@
 package maintainer_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 	fleet      *fakeFleet
 	now        time.Time
 	machines   []primrosespar.MachineState
+	// incomplete is set if the lists of machines are not complete.
+	incomplete bool
 }
 
 // newFixture returns a fixture whose wave allows maxUnavailable machines to be
@@ -54,7 +57,9 @@
 }
 
 // refreshMachines passes the current list of machines to the maintainer.
-func (f *fixture) refreshMachines() { f.maintainer.SetMachines(f.machines, f.now) }
+func (f *fixture) refreshMachines() {
+	f.maintainer.SetMachines(primrosespar.MachineList{Machines: f.machines, Complete: !f.incomplete}, f.now)
+}
 
 // step advances the time, refreshes the list of machines and plans.
 func (f *fixture) step(elapsed time.Duration) maintainer.Changes {
@@ -155,6 +160,24 @@
 	require.False(t, f.maintainer.Active())
 }
 
+// TestMachineOfIncompleteListHasNotLeft guards against a wave that is reported as
+// completed although a machine of it, which the list does not name, was not
+// maintained.
+func TestMachineOfIncompleteListHasNotLeft(t *testing.T) {
+	f := newFixture(4, time.Minute)
+	f.machines = f.machines[:3]
+	for _, incomplete := range []bool{true, false} {
+		f.incomplete = incomplete
+		left := false
+		for range 10 {
+			for _, e := range f.step(time.Second).Events {
+				left = left || strings.Contains(e.Detail, "has left")
+			}
+		}
+		require.Equal(t, !incomplete, left)
+	}
+}
+
 // TestNextHolderDoesNotRepeatOrdersAtOnce guards against orders for one machine
 // from two holders in turn: the earlier one may have sent its order a moment ago.
 func TestNextHolderDoesNotRepeatOrdersAtOnce(t *testing.T) {
@@ -163,11 +186,11 @@
 	m.Restore(maintainer.Record{Number: 7, Started: []primrosespar.Machine{"a"}, Deadline: now.Add(time.Minute)})
 	m.SetWaves([]primrosespar.Wave{{Number: 7, Machines: []primrosespar.Machine{"a", "b"}, Window: time.Minute, MaxUnavailable: 2}}, now)
 	machines := []primrosespar.MachineState{{Machine: "a", Worker: "w-a", Up: true}, {Machine: "b", Worker: "w-b", Up: true}}
-	m.SetMachines(machines, now)
+	m.SetMachines(primrosespar.MachineList{Machines: machines, Complete: true}, now)
 	fleet := &fakeFleet{}
 	require.Equal(t, []maintainer.Order{{Wave: 7, Machine: "b"}}, m.Plan(fleet, now).Orders, "no holder has ordered it")
 	now = now.Add(5 * time.Second)
-	m.SetMachines(machines, now)
+	m.SetMachines(primrosespar.MachineList{Machines: machines, Complete: true}, now)
 	require.Equal(t, []maintainer.Order{{Wave: 7, Machine: "a"}}, m.Plan(fleet, now).Orders)
 }
 
--- a/maintenance.go
+++ b/maintenance.go
@@ -18,6 +18,14 @@
 	Up bool
 }
 
+// MachineList is a list of the machines of the fleet's provider.
+type MachineList struct {
+	Machines []MachineState
+	// Complete is set if Machines has all machines. If not, a machine that is
+	// not listed may be there all the same.
+	Complete bool
+}
+
 // Wave is an operator's request for maintenance of each of the machines within
 // the window, at most MaxUnavailable of them at once.
 type Wave struct {
@@ -42,8 +50,8 @@
 type MaintenanceService interface {
 	// Waves returns all requested waves.
 	Waves(ctx context.Context) ([]Wave, error)
-	// Machines returns all machines.
-	Machines(ctx context.Context) ([]MachineState, error)
+	// Machines returns the machines.
+	Machines(ctx context.Context) (MachineList, error)
 	// Maintain begins the maintenance of a machine. It fails with
 	// CodeStaleToken if the machine has seen a later holder, with
 	// CodeMachineBusy if it is not up, and with CodeNotFound if it does not
