--- a/cmd/standin/soakjobs.go
+++ b/cmd/standin/soakjobs.go
@@ -39,6 +39,13 @@
 	longJobInterval    = 10
 	refusedJobInterval = 40
 	commitJobInterval  = 20
+	endsJobInterval    = 50
+)
+
+// Tasks of a job whose tasks all end at once.
+const (
+	endsJobTasks = 4000
+	endsJobWork  = 2500 * time.Millisecond
 )
 
 // soakJob is one job as its caller sees it.
@@ -72,6 +79,8 @@
 	refusedJob
 	// killJob is one at whose commits the lease holder is killed.
 	killJob
+	// endsJob is one whose tasks all end at once, beside a fault.
+	endsJob
 )
 
 // ended reports whether the last state of the job is a final one.
@@ -104,6 +113,9 @@
 		d.makeLarge(j)
 	case longJob:
 		d.makeLong(j)
+	case endsJob:
+		j.Steps = []standin.Step{{Count: endsJobTasks, Millicores: 50, MemoryMiB: 64, EstimateMS: endsJobWork.Milliseconds()}}
+		j.Spec = fmt.Sprintf("ms=%d", endsJobWork.Milliseconds())
 	default:
 		d.makePlain(j)
 	}
@@ -130,8 +142,11 @@
 			kind = k.kind
 		}
 	}
-	if strings.HasPrefix(id, "0") {
+	switch {
+	case strings.HasPrefix(id, "0"):
 		return deadlyJob
+	case d.count%endsJobInterval == endsJobInterval/4 && d.troubles[troubleEnds]:
+		return endsJob
 	}
 	return kind
 }
--- a/cmd/standin/soakload.go
+++ b/cmd/standin/soakload.go
@@ -28,6 +28,7 @@
 	soak   *soak
 	random *rand.Rand
 	drawer *jobDrawer
+	ends   endsDisturber
 
 	mu   sync.Mutex
 	jobs []*soakJob
@@ -41,7 +42,7 @@
 	for _, w := range s.fleet.Workers() {
 		drawer.racks = append(drawer.racks, w.Rack())
 	}
-	return &soakLoad{soak: s, random: random, drawer: drawer}
+	return &soakLoad{soak: s, random: random, drawer: drawer, ends: endsDisturber{soak: s}}
 }
 
 // run submits jobs for the duration and cancels some of them. It returns once
@@ -60,8 +61,12 @@
 			if j.acceptedAt.IsZero() {
 				return
 			}
-			if j.kind == refusedJob {
+			switch j.kind {
+			case refusedJob:
 				l.soak.fleet.Store().RefuseJob(j.ID)
+			case endsJob:
+				l.ends.disturb(ctx, j)
+			default:
 			}
 			if foreign && l.soak.troubles[troubleForeign] {
 				l.callAsOther(ctx, j, hostIndex)
--- a/cmd/standin/soaktroubles.go
+++ b/cmd/standin/soaktroubles.go
@@ -43,6 +43,9 @@
 	// between a tenth of a second and minutes.
 	troubleLarge trouble = "large"
 	troubleLong  trouble = "long"
+	// troubleEnds draws jobs of which thousands of tasks end at once, while the
+	// workers are silent, the holder is killed or the store is silent.
+	troubleEnds trouble = "ends"
 	// troubleForeign calls with the key of another tenant.
 	troubleForeign trouble = "foreign"
 )
@@ -62,7 +65,7 @@
 
 // loadTroubles returns the kinds of demanding jobs and callers.
 func loadTroubles() []trouble {
-	return []trouble{troubleCommit, troubleRefuse, troubleLarge, troubleLong, troubleForeign}
+	return []trouble{troubleCommit, troubleRefuse, troubleLarge, troubleLong, troubleForeign, troubleEnds}
 }
 
 // troubleSet holds the troubles that a soak draws.
