Raise the token with each lifetime of a worker

A poll without an answer was carried out late by its worker, restarted under its name, with a deadline of the earlier clock, which the worker cut to the longest lease. Neither holder counted that lease.

Cause: nothing of an order says for which lifetime it was meant; the name is the same. It is a permission of an earlier lifetime that is used in a later one.

The token for a worker is raised when it restarts, and the worker gets work once it has answered under the new one; it refuses late orders then. A refusal of an order under an outdated token does not end the term.

A fake read the list of workers without its lock.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -34,6 +34,7 @@
 	"github.com/rotisserie/eris"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/fencer"
 )
 
 // Limits of a transaction and its retries.
@@ -135,7 +136,7 @@
 
 // Read reads the lease row. A row that cannot be decoded names no host that
 // answers, so another one acquires the lease after the usual time. Each term is
-// a write of the row, so no token is higher than the row's version.
+// a write of the row, so no token is higher than Stride times the row's version.
 func (c *Committer) Read(ctx context.Context) (Holder, error) {
 	startedAt := c.clock.Now()
 	rows, err := c.table.Get(ctx, primrosespar.FleetLeaseKey())
@@ -145,8 +146,8 @@
 	c.lastReadTime = c.clock.Since(startedAt)
 	var h Holder
 	if rows[0].Version > 0 {
-		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil || h.Token == math.MaxUint64 {
-			h = Holder{Host: unreadableHost, Token: primrosespar.Token(rows[0].Version)}
+		if err := cbor.Unmarshal(rows[0].Value, &h); err != nil || h.Token > math.MaxUint64-fencer.Stride {
+			h = Holder{Host: unreadableHost, Token: fencer.Stride * primrosespar.Token(rows[0].Version)}
 		}
 	}
 	h.Version = rows[0].Version
@@ -158,7 +159,7 @@
 func (c *Committer) Acquire(ctx context.Context, seen Holder) error {
 	next := Holder{
 		Host: c.identity.Host, Incarnation: c.identity.Incarnation, Address: c.identity.Address,
-		Token: seen.Token + 1, Version: seen.Version,
+		Token: seen.Token + fencer.Stride, Version: seen.Version,
 	}
 	return c.commitWithLease(ctx, next, nil)
 }
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -27,6 +27,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/fencer"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/maintainer"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
@@ -185,6 +186,7 @@
 	parts      Parts
 	opts       Options
 	token      primrosespar.Token
+	fencer     *fencer.Fencer
 	encoder    *encoder.Encoder
 	scheduler  *scheduler.Scheduler
 	maintainer *maintainer.Maintainer
@@ -251,7 +253,7 @@
 		return nil, err
 	}
 	c := &Controller{
-		parts: parts, opts: o, encoder: enc, token: parts.Committer.Token(),
+		parts: parts, opts: o, encoder: enc, token: parts.Committer.Token(), fencer: fencer.New(parts.Committer.Token()),
 		actions:         make(chan func(), maxQueuedActions),
 		done:            make(chan struct{}),
 		endRequested:    make(chan struct{}),
--- a/internal/fleet/controller/cut_test.go
+++ b/internal/fleet/controller/cut_test.go
@@ -115,6 +115,8 @@
 
 // ListWorkers implements primrosespar.Source.
 func (v *leasedFleetView) ListWorkers(context.Context) ([]primrosespar.WorkerInfo, error) {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
 	var workers []primrosespar.WorkerInfo
 	for _, w := range v.fleet.workers {
 		workers = append(workers, w.info)
--- a/internal/fleet/controller/polling.go
+++ b/internal/fleet/controller/polling.go
@@ -53,7 +53,7 @@
 func (c *Controller) startPoller(info primrosespar.WorkerInfo) *workerPoller {
 	ctx, cancel := context.WithCancel(c.ctx)
 	p := &workerPoller{
-		Poller: poller.New(c.parts.Fleet, c.parts.Clock, info, c.Token(), pollSink{c}, poller.WithLease(c.opts.Lease),
+		Poller: poller.New(c.parts.Fleet, c.parts.Clock, info, c.fencer, pollSink{c}, poller.WithLease(c.opts.Lease),
 			poller.WithConfirmedAt(c.parts.Committer.ConfirmedAt), poller.WithStopwatch(c.parts.Stopwatch)),
 		cancel: cancel,
 	}
--- a/internal/fleet/poller/orders.go
+++ b/internal/fleet/poller/orders.go
@@ -27,13 +27,13 @@
 		}
 		p.mu.Lock()
 		grant := p.extendLease(p.clock.Now())
-		leaseExpiry := p.leaseExpiry
+		leaseExpiry, token := p.leaseExpiry, p.fencer.Token(p.worker)
 		p.mu.Unlock()
 		if grant.Until == 0 {
 			return time.Time{}, primrosespar.Fail(primrosespar.CodeWorkerLate, "there is no lease to give to the worker")
 		}
-		start.Worker, start.Address, start.Token, start.LeaseUntil = p.worker, info.Address, p.token, grant.Until
-		return leaseExpiry, p.fleet.Start(ctx, start)
+		start.Worker, start.Address, start.Token, start.LeaseUntil = p.worker, info.Address, token, grant.Until
+		return leaseExpiry, p.ignoreOutdated(token, p.fleet.Start(ctx, start))
 	}, start.Run, true)
 }
 
@@ -46,16 +46,19 @@
 	if fresh {
 		return nil
 	}
-	request := primrosespar.Poll{Worker: p.worker, Address: info.Address, Token: p.token}
+	request := primrosespar.Poll{Worker: p.worker, Address: info.Address, Token: p.fencer.Token(p.worker)}
 	requestedAt := p.clock.Now()
 	report, err := p.fleet.Poll(ctx, request)
 	if primrosespar.CodeOf(err) == primrosespar.CodeWorkerLost {
 		return primrosespar.Fail(primrosespar.CodePeerUnavailable, "the worker did not report before the start").WithCause(err)
 	}
-	if err != nil {
+	if err = p.ignoreOutdated(request.Token, err); err != nil {
 		return err
 	}
-	leaseExpiry := p.handleReport(request, report)
+	leaseExpiry, current := p.handleReport(request, report)
+	if !current {
+		return primrosespar.Fail(primrosespar.CodePeerUnavailable, "the worker has restarted")
+	}
 	p.sink.OnReport(p.worker, report, requestedAt, leaseExpiry)
 	return nil
 }
@@ -63,7 +66,9 @@
 // Stop sends a stop order and passes the result to the sink.
 func (p *Poller) Stop(ctx context.Context, run primrosespar.Run) {
 	p.sendOrder(ctx, func(ctx context.Context, info primrosespar.WorkerInfo) (time.Time, error) {
-		return time.Time{}, p.fleet.Stop(ctx, primrosespar.Stop{Worker: p.worker, Address: info.Address, Token: p.token, Run: run})
+		token := p.fencer.Token(p.worker)
+		err := p.fleet.Stop(ctx, primrosespar.Stop{Worker: p.worker, Address: info.Address, Token: token, Run: run})
+		return time.Time{}, p.ignoreOutdated(token, err)
 	}, run, false)
 }
 
@@ -74,13 +79,14 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		p.mu.Lock()
-		info := p.info
+		info, token := p.info, p.fencer.Token(p.worker)
 		p.mu.Unlock()
 		err := protect(func() error {
 			return p.fleet.Throttle(ctx, primrosespar.Throttle{
-				Worker: p.worker, Address: info.Address, Token: p.token, Run: run, Percent: percent,
+				Worker: p.worker, Address: info.Address, Token: token, Run: run, Percent: percent,
 			})
 		})
+		err = p.ignoreOutdated(token, err)
 		p.sink.OnThrottleResult(p.worker, run, percent, err)
 	})
 }
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	p := poller.New(fleet, clock, info, token, sink,
+//	p := poller.New(fleet, clock, info, fencer.New(term), sink,
 //		poller.WithLease(6*time.Second))
 //	go p.Run(ctx)
 //	p.SetBusy(true)
@@ -24,6 +24,7 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/fencer"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 )
 
@@ -105,7 +106,7 @@
 type Poller struct {
 	fleet      primrosespar.Fleet
 	clock      primrosespar.Clock
-	token      primrosespar.Token
+	fencer     *fencer.Fencer
 	sink       Sink
 	opts       Options
 	worker     primrosespar.Worker
@@ -143,9 +144,9 @@
 }
 
 // New returns a Poller that has not polled yet.
-func New(fleet primrosespar.Fleet, clock primrosespar.Clock, info primrosespar.WorkerInfo, token primrosespar.Token, sink Sink, opts ...Option) *Poller {
+func New(fleet primrosespar.Fleet, clock primrosespar.Clock, info primrosespar.WorkerInfo, f *fencer.Fencer, sink Sink, opts ...Option) *Poller {
 	p := &Poller{
-		fleet: fleet, clock: clock, token: token, sink: sink, info: info, worker: info.Worker,
+		fleet: fleet, clock: clock, fencer: f, sink: sink, info: info, worker: info.Worker,
 		orderSlots: make(chan struct{}, maxOrdersInFlight), wake: make(chan struct{}, 1),
 		opts: Options{
 			Lease:       lessor.DefaultLease,
@@ -246,8 +247,12 @@
 }
 
 // beginLifetime discards what belongs to an earlier lifetime of the worker,
-// which numbers the ends of its runs from 1 again. The caller holds the lock.
+// which numbers the ends of its runs from 1 again, and raises the token, so that
+// orders to that lifetime have no effect on this one. The caller holds the lock.
 func (p *Poller) beginLifetime(startedAt time.Time) {
+	if !p.startedAt.IsZero() {
+		p.fencer.Raise(p.worker)
+	}
 	p.startedAt, p.isolated = startedAt, false
 	p.stored, p.acknowledged, p.lastSequence, p.polled = 0, 0, 0, false
 	p.lessor.Forget()
@@ -279,7 +284,7 @@
 		report, err = p.fleet.Poll(pollCtx, request)
 		return err
 	})
-	if err != nil {
+	if err = p.ignoreOutdated(request.Token, err); err != nil {
 		p.mu.Lock()
 		p.unresponsive = true
 		leaseExpiry := p.leaseExpiry
@@ -288,7 +293,10 @@
 		p.sleep(ctx, retryDelay)
 		return
 	}
-	leaseExpiry := p.handleReport(request, report)
+	leaseExpiry, current := p.handleReport(request, report)
+	if !current {
+		return
+	}
 	p.sink.OnReport(p.worker, report, requestedAt, leaseExpiry)
 	if len(report.Ended) > 0 && !p.mayAcknowledge() {
 		p.awaitAcknowledgement(ctx)
@@ -299,7 +307,7 @@
 func (p *Poller) nextPoll(now time.Time) primrosespar.Poll {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	request := primrosespar.Poll{Worker: p.worker, Address: p.info.Address, Token: p.token}
+	request := primrosespar.Poll{Worker: p.worker, Address: p.info.Address, Token: p.fencer.Token(p.worker)}
 	if p.unresponsive || !p.polled {
 		// The lease of a worker that does not answer is not extended, so that
 		// its runs expire. The poll does not wait either, to get an answer
@@ -350,8 +358,19 @@
 	return grant
 }
 
-// handleReport records the answer to a poll and returns leaseExpiry.
-func (p *Poller) handleReport(request primrosespar.Poll, report primrosespar.WorkerReport) time.Time {
+// ignoreOutdated returns the error of an order with the token. If the token was
+// raised since, a refusal by the fence says nothing about a later holder.
+func (p *Poller) ignoreOutdated(token primrosespar.Token, err error) error {
+	if primrosespar.CodeOf(err) == primrosespar.CodeStaleToken && token < p.fencer.Token(p.worker) {
+		return primrosespar.Fail(primrosespar.CodePeerUnavailable, "the order was for an earlier lifetime of the worker").WithCause(err)
+	}
+	return err
+}
+
+// handleReport records the answer to a poll and returns leaseExpiry. It reports
+// false if the worker has restarted and this lifetime may not have seen the
+// present token, so that it has to be polled again first.
+func (p *Poller) handleReport(request primrosespar.Poll, report primrosespar.WorkerReport) (time.Time, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !report.StartedAt.Equal(p.startedAt) {
@@ -359,13 +378,14 @@
 	} else {
 		p.acknowledged = max(p.acknowledged, request.Acknowledged)
 	}
-	p.unresponsive, p.polled = false, true
+	current := request.Token == p.fencer.Token(p.worker)
+	p.unresponsive, p.polled = false, current
 	p.reportedAt, p.reportedElapsed = p.clock.Now(), p.elapsed()
 	p.lessor.Observe(report.Clock, primrosespar.Instant{At: p.reportedAt, Elapsed: p.reportedElapsed})
 	for _, e := range report.Ended {
 		p.lastSequence = max(p.lastSequence, e.Sequence)
 	}
-	return p.leaseExpiry
+	return p.leaseExpiry, current
 }
 
 // mayAcknowledge reports whether the next poll acknowledges ends: some are stored,
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -20,7 +20,10 @@
 	evacuating bool
 	// polled is set once the worker has answered a poll under the token of this
 	// holder, so that it rejects the orders of earlier holders.
-	polled       bool
+	polled bool
+	// restarted is set from a restart of the worker until it has answered a poll
+	// under the token that was raised for its new lifetime.
+	restarted    bool
 	unresponsive bool
 	// reportedAt is when the worker last reported to this holder.
 	reportedAt time.Time
@@ -227,6 +230,12 @@
 	// that they gave is still valid.
 	w.polled = true
 	w.extendLease(leaseExpiry)
+	if w.restarted {
+		// A poll of the earlier lifetime that got no answer may have been carried
+		// out by this one before it saw the new token.
+		w.restarted = false
+		w.extendLease(now.Add(s.opts.RestartWait))
+	}
 	listed := map[primrosespar.Run]bool{}
 	for _, end := range report.Ended {
 		listed[end.Run] = true
@@ -359,7 +368,7 @@
 func (s *Scheduler) handleRestart(w *worker, startedAt, now time.Time) {
 	s.logEvent("worker_reborn", nil, w, 0, "")
 	s.recordCrash(w, now)
-	w.startedAt, w.acknowledged, w.polled = startedAt, 0, false
+	w.startedAt, w.acknowledged, w.polled, w.restarted = startedAt, 0, false, true
 	for _, m := range w.memberList {
 		if m.unanswered || m.inFlight {
 			// The worker's clock started anew, which makes the old lease appear
