Count any answered command as a worker reached by the holder

The first renewal of a new holder takes up to 3 s. A worker that died in between kept its gang until it was back, though it had answered the release under the new token.

--- a/internal/place/controller/gangs.go
+++ b/internal/place/controller/gangs.go
@@ -144,9 +144,13 @@
 func (c *Controller) handleResults(commands []primrosespar.Command, results []primrosespar.CommandResult) {
 	now := c.parts.Clock.Now()
 	for i, result := range results {
-		if result.Code == primrosespar.CodeStaleToken {
+		switch result.Code {
+		case primrosespar.CodeStaleToken:
 			c.parts.Lease.StepDown()
 			return
+		case primrosespar.CodeOK, primrosespar.CodeNotFound:
+			c.markReached(commands[i].Worker, c.loadedToken)
+		default:
 		}
 		entry := c.gangs[commands[i].Gang]
 		if entry != nil && entry.assembler != nil {
