Cut the holder's region off for an hour in the test of the cut

Nobody had played work that lasts longer than such a cut. The job also has to be done at the end. Holds with the code as it is, and fails without the limit of leases, as the other two cases do.

--- a/internal/fleet/controller/cut_test.go
+++ b/internal/fleet/controller/cut_test.go
@@ -217,7 +217,12 @@
 // the holder that started the first one is cut off from the store, together with
 // the worker, and against one after the first run ended there.
 func TestTasksOfCutOffRegionRunOnce(t *testing.T) {
-	for name, work := range map[string]time.Duration{"at work behind the cut": 40 * time.Second, "done behind the cut": 9 * time.Second} {
+	for name, play := range map[string]struct{ work, cut time.Duration }{
+		"at work behind the cut":          {40 * time.Second, 18 * time.Second},
+		"done behind the cut":             {9 * time.Second, 18 * time.Second},
+		"at work for longer than an hour": {70 * time.Minute, time.Hour},
+	} {
+		work := play.work
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fleet := newLeasedFleet(work)
@@ -240,11 +245,14 @@
 				secondView.setCut("a")
 				second := newControllerOf(t, stored, secondView)
 				go func() { ended <- second.Run(ctx) }()
-				time.Sleep(18 * time.Second)
+				time.Sleep(play.cut)
 				table.silent.Store(false)
 				firstView.setCut()
 				secondView.setCut()
-				time.Sleep(time.Minute)
+				time.Sleep(time.Minute + max(0, work-play.cut))
+				state, err := second.State(ctx, own("j"))
+				require.NoError(t, err)
+				require.Equal(t, primrosespar.JobCompleted, state)
 				cancel()
 				require.Error(t, <-ended)
 				require.Error(t, <-ended)
