Expect the new field of advice in the test of names

The names that were there stay. A host of an earlier release sends none, which says that the advice is not complete.

--- a/names_test.go
+++ b/names_test.go
@@ -114,7 +114,7 @@
 		"Job", "Occurrence", "Step", "Workers.0",
 	}, messagePaths(t, filled[primrosespar.AdviceRequest]()))
 	require.Equal(t, []string{
-		"Tickets.x", "Validity",
+		"Complete", "Tickets.x", "Validity",
 	}, messagePaths(t, filled[primrosespar.Advice]()))
 }
 
