Withdraw the starts of a stopped run that wait to be sent

Cause: three orders at a time are in flight to a worker, and thousands of starts wait for that. Whether a start is still wanted was asked when it was queued.

Change: the scheduler names the starts in flight of runs that it stops, and the poller drops those that have not left. They end without an order.

--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -380,6 +380,11 @@
 	for _, e := range changes.Events {
 		c.parts.OnDecision(e)
 	}
+	for _, start := range changes.Withdrawals {
+		if p := c.pollers[start.Worker]; p != nil {
+			p.Withdraw(start.Run)
+		}
+	}
 	mayOrder := c.mayOrder()
 	for _, stop := range changes.Stops {
 		switch p := c.pollers[stop.Worker]; {
--- a/internal/fleet/poller/orders.go
+++ b/internal/fleet/poller/orders.go
@@ -21,7 +21,13 @@
 // Start sends a start order and passes the result to the sink. The poller sets
 // the worker, address, token and lease of the order.
 func (p *Poller) Start(ctx context.Context, start primrosespar.Start) {
+	p.mu.Lock()
+	p.queued[start.Run] = false
+	p.mu.Unlock()
 	p.sendOrder(ctx, func(ctx context.Context, info primrosespar.WorkerInfo) (time.Time, error) {
+		if p.takeWithdrawn(start.Run) {
+			return time.Time{}, primrosespar.Fail(primrosespar.CodePeerUnavailable, "the start was withdrawn before it was sent")
+		}
 		if err := p.refreshClock(ctx, info); err != nil {
 			return time.Time{}, err
 		}
@@ -37,6 +43,25 @@
 	}, start.Run, true)
 }
 
+// Withdraw keeps a start from being sent that still waits for others to be
+// answered. A worker may have thousands of them.
+func (p *Poller) Withdraw(run primrosespar.Run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, waits := p.queued[run]; waits {
+		p.queued[run] = true
+	}
+}
+
+// takeWithdrawn ends the wait of a start and reports whether it was withdrawn.
+func (p *Poller) takeWithdrawn(run primrosespar.Run) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	withdrawn := p.queued[run]
+	delete(p.queued, run)
+	return withdrawn
+}
+
 // refreshClock polls a worker that has been idle for so long that the reading of
 // its clock is too old for a lease. A failure means that no order was sent.
 func (p *Poller) refreshClock(ctx context.Context, info primrosespar.WorkerInfo) error {
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -118,6 +118,9 @@
 	info   primrosespar.WorkerInfo
 	busy   bool
 	shared bool
+	// queued holds the starts that wait for an order slot; the value is set for
+	// those that were withdrawn.
+	queued map[primrosespar.Run]bool
 	// ended is set once Run waits for the orders in flight only.
 	ended bool
 	// polled is set once the worker has answered a poll since the last Reset,
@@ -148,6 +151,7 @@
 	p := &Poller{
 		fleet: fleet, clock: clock, fencer: f, sink: sink, info: info, worker: info.Worker,
 		orderSlots: make(chan struct{}, maxOrdersInFlight), wake: make(chan struct{}, 1),
+		queued: map[primrosespar.Run]bool{},
 		opts: Options{
 			Lease:       lessor.DefaultLease,
 			ConfirmedAt: func() primrosespar.Instant { return primrosespar.Instant{At: clock.Now()} },
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -166,6 +166,9 @@
 func (s *Scheduler) stopMember(m *member) {
 	if !m.stopping {
 		m.stopping = true
+		if m.inFlight {
+			s.withdrawals = append(s.withdrawals, Order{Worker: m.worker.info.Worker, Run: primrosespar.Run{Task: m.task(), Number: m.run}})
+		}
 		m.worker.ordersDue = true
 		m.retryAt = time.Time{}
 	}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -83,6 +83,7 @@
 	events        []Event
 	// strayStops are stop orders for runs that are in no record.
 	strayStops     []Order
+	withdrawals    []Order
 	adviceRequests []primrosespar.AdviceRequest
 	throttles      []Throttle
 	// adviceInFlight counts the advice requests in flight, of at most
@@ -154,8 +155,10 @@
 	Records      []Record
 	Starts       []Order
 	Acknowledged map[primrosespar.Worker]Acknowledgement
-	// Stops, Throttles and AdviceRequests may be sent at once.
+	// Stops, Throttles and AdviceRequests may be sent at once. Withdrawals are
+	// starts of earlier changes that must not be sent any more.
 	Stops          []Order
+	Withdrawals    []Order
 	Throttles      []Throttle
 	AdviceRequests []primrosespar.AdviceRequest
 	Events         []Event
@@ -386,6 +389,7 @@
 		c.Stops = append(c.Stops, m.order())
 	}
 	c.Stops = append(c.Stops, s.strayStops...)
+	c.Withdrawals, s.withdrawals = s.withdrawals, nil
 	s.dirtyJobs, s.pendingStarts, s.pendingStops, s.strayStops, s.adviceRequests, s.throttles, s.events = nil, nil, nil, nil, nil, nil, nil
 	s.acknowledged = map[primrosespar.Worker]Acknowledgement{}
 	return c
