--- a/internal/fleet/controller/longlists_test.go
+++ b/internal/fleet/controller/longlists_test.go
@@ -37,7 +37,9 @@
 				}
 				term(t, table, fleet, submission, func(*controller.Controller) {
 					time.Sleep(time.Until(end.Add(-time.Second)))
+					fleet.mu.Lock()
 					started := len(fleet.active)
+					fleet.mu.Unlock()
 					require.Equal(t, tasks, started)
 					if silent {
 						table.left.Store(0)
@@ -49,7 +51,10 @@
 				began := time.Now()
 				term(t, table, fleet, submission, func(c *controller.Controller) {
 					time.Sleep(time.Until(began.Add(acknowledgeBound)))
-					require.Len(t, fleet.acknowledged, tasks)
+					fleet.mu.Lock()
+					acknowledged := len(fleet.acknowledged)
+					fleet.mu.Unlock()
+					require.Equal(t, tasks, acknowledged)
 					state, err := c.State(t.Context(), own("large"))
 					require.NoError(t, err)
 					require.Equal(t, primrosespar.JobCompleted, state)
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -15,6 +15,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/elector"
+	"primrosespar.example/primrosespar/internal/fleet/fencer"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -91,7 +92,7 @@
 // leadingReply returns the reply of a healthy holder.
 func (f *fixture) leadingReply() (primrosespar.FleetHeartbeatReply, error) {
 	return primrosespar.FleetHeartbeatReply{
-		Leading: true, Token: f.holder.Token(), LeaseVersion: f.holder.Version(), Hosts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1")},
+		Leading: true, Token: fencer.Stride, LeaseVersion: f.holder.Version(), Hosts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1")},
 	}, nil
 }
 
@@ -203,7 +204,7 @@
 		acquired := make(chan struct{})
 		f.peers.setReply(func() (primrosespar.FleetHeartbeatReply, error) {
 			if next.Version() > 0 {
-				return primrosespar.FleetHeartbeatReply{Leading: true, Token: next.Token(), LeaseVersion: next.Version()}, nil
+				return primrosespar.FleetHeartbeatReply{Leading: true, Token: 2 * fencer.Stride, LeaseVersion: next.Version()}, nil
 			}
 			// The other successor is faster than this reply.
 			seen, err := next.Read(ctx)
