Start nothing in a place that an operator empties (ready to merge)

The holder reads the requests after a fifth of the bound that the settings give, and none where they give none. The evacuator holds them; the scheduler asks it per place, and a start leaves only while the last answered read is younger than three fifths of the bound, asked at the dispatch and again right before the order leaves. Starts that have not left, that got no answer or whose gang has not gathered are stopped and go elsewhere; orders that have left are withdrawn if they still wait for others; what runs goes on. Closed places count neither as room nor for the reserve.

The tests of the scheduler fail without updateClosedPlaces, mayStart, withdrawFrom, allSent and dropClaim (each taken out in turn).

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -132,7 +132,7 @@
 	client := platform.New(h.settings, func(key, reason string) {
 		h.log.WithFields(logrus.Fields{"worker": key, "reason": reason}).Warn("skipped an unusable worker entry")
 	})
-	backend := daemon.Backend{Table: client, Source: client, Fleet: client}
+	backend := daemon.Backend{Table: client, Source: client, Fleet: client, Evacuations: client}
 	if h.settings.HasMachines() {
 		backend.Maintenance = client
 	}
@@ -147,6 +147,7 @@
 		Lease:     min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
 		TurnInterval: h.settings.TurnInterval, LongestLease: h.settings.LongestLease,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
+		EvacuationBound: h.settings.EvacuationBound,
 	}, backend,
 		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
 	if err != nil {
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -27,6 +27,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/evacuator"
 	"primrosespar.example/primrosespar/internal/fleet/fencer"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/maintainer"
@@ -89,6 +90,8 @@
 	Source primrosespar.Source
 	// Maintenance is nil if the platform has no machine maintenance.
 	Maintenance primrosespar.MaintenanceService
+	// Evacuations is read where EvacuationBound is set.
+	Evacuations primrosespar.EvacuationSource
 	// Peers and Hosts reach the other hosts, which send advice requests on
 	// behalf of the holder. Hosts may be nil.
 	Peers primrosespar.FleetPeers
@@ -131,6 +134,10 @@
 	MaxFirstPolls int
 	// JobMemory limits the memory of all live jobs.
 	JobMemory int64
+	// EvacuationBound is how long after an operator's request that a place is
+	// emptied a start may still reach its workers. 0 means that there are no such
+	// requests.
+	EvacuationBound time.Duration
 }
 
 // Option sets one option.
@@ -190,6 +197,8 @@
 	encoder    *encoder.Encoder
 	scheduler  *scheduler.Scheduler
 	maintainer *maintainer.Maintainer
+	// evacuator is nil where there are no evacuations.
+	evacuator *evacuator.Evacuator
 	// maintenanceActive is set while a wave of maintenance is open.
 	maintenanceActive atomic.Bool
 	// actions are functions to run on the goroutine of the loop.
@@ -267,11 +276,14 @@
 		maintainer: maintainer.New(maintainer.WithRepeatFrom(
 			o.EarlierCommitAt.Add(maxMaintenancePermission + maintenanceTimeout + o.TurnInterval))),
 	}
+	if o.EvacuationBound > 0 && parts.Evacuations != nil {
+		c.evacuator = evacuator.New(o.EvacuationBound)
+	}
 	takeover := lessor.TakeoverWait(o.Lease)
 	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock),
 		scheduler.WithTakeover(takeover), scheduler.WithTakeoverEnd(o.EarlierCommitAt.Add(takeover)),
 		scheduler.WithRestartWait(max(takeover, lessor.ExpiryWait(o.LongestLease))),
-		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry), scheduler.WithJobMemory(o.JobMemory))
+		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry), scheduler.WithJobMemory(o.JobMemory), scheduler.WithAccepts(c.evacuator.Accepts))
 	return c, nil
 }
 
@@ -296,6 +308,7 @@
 	c.goTask("read of the workers", func() { c.runPeriodically(runCtx, workersInterval, c.readWorkers) })
 	c.goTask("read of the inbox", func() { c.runPeriodically(runCtx, inboxInterval, c.readInbox) })
 	c.startMaintenance(runCtx)
+	c.startEvacuations(runCtx)
 	err := c.loop(runCtx)
 	c.failPendingReplies(err)
 	return err
--- /dev/null
+++ b/internal/fleet/controller/evacuation.go
@@ -0,0 +1,84 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/evacuator"
+	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+)
+
+// WithEvacuationBound sets how long after an operator's request that a place is
+// emptied a start may still reach its workers; 0 means that there are no such
+// requests.
+func WithEvacuationBound(bound time.Duration) Option {
+	return func(o *Options) { o.EvacuationBound = bound }
+}
+
+// startEvacuations starts the goroutine that reads the requests of evacuations
+// until the context ends. A read does not wait for the one before, so that a
+// single answer that is lost or late does not hold up the starts.
+func (c *Controller) startEvacuations(ctx context.Context) {
+	if c.evacuator == nil {
+		return
+	}
+	c.goTask("read of the evacuations", func() {
+		c.runPeriodically(ctx, c.evacuator.ReadInterval(), func(ctx context.Context) {
+			c.goTask("read of the evacuations", func() { c.readEvacuations(ctx) })
+		})
+	})
+}
+
+// readEvacuations reads the requests. An answer that comes later than MaxAge
+// permits no start.
+func (c *Controller) readEvacuations(ctx context.Context) {
+	requestedAt := c.instant()
+	ctx, cancel := context.WithTimeout(ctx, c.evacuator.MaxAge())
+	defer cancel()
+	evacuations, err := c.parts.Evacuations.Evacuations(ctx)
+	if err != nil {
+		c.parts.OnError("evacuations", err)
+		return
+	}
+	c.parts.OnStoreAnswer()
+	changes := c.evacuator.Set(evacuations, requestedAt)
+	if len(changes) > 0 {
+		c.enqueue(func() { c.logEvacuations(changes) })
+	}
+}
+
+// logEvacuations logs which places are to be emptied and which no longer are.
+func (c *Controller) logEvacuations(changes []evacuator.Change) {
+	for _, change := range changes {
+		kind := "place_restored"
+		if change.Begun {
+			kind = "place_evacuated"
+		}
+		c.parts.OnDecision(scheduler.Event{
+			Kind: kind, Detail: fmt.Sprintf("place %s, version %d", change.Evacuation.Place, change.Evacuation.Version),
+		})
+	}
+}
+
+// instant returns the present moment.
+func (c *Controller) instant() primrosespar.Instant {
+	now := primrosespar.Instant{At: c.parts.Clock.Now()}
+	if c.parts.Stopwatch != nil {
+		now.Elapsed = c.parts.Stopwatch.Elapsed()
+	}
+	return now
+}
+
+// checkStart returns why no start order may leave now, or nil.
+func (c *Controller) checkStart() error { return c.evacuator.CheckStart(c.instant()) }
+
+// withhold reports whether the start may not leave now. It is tried again soon.
+func (c *Controller) withhold(start scheduler.Order, now time.Time) bool {
+	err := c.checkStart()
+	if err != nil {
+		c.scheduler.HandleStartResult(start, primrosespar.CodeOf(err), now)
+	}
+	return err != nil
+}
--- a/internal/fleet/controller/polling.go
+++ b/internal/fleet/controller/polling.go
@@ -54,7 +54,8 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	p := &workerPoller{
 		Poller: poller.New(c.parts.Fleet, c.parts.Clock, info, c.fencer, pollSink{c}, poller.WithLease(c.opts.Lease),
-			poller.WithConfirmedAt(c.parts.Committer.ConfirmedAt), poller.WithStopwatch(c.parts.Stopwatch)),
+			poller.WithConfirmedAt(c.parts.Committer.ConfirmedAt), poller.WithStopwatch(c.parts.Stopwatch),
+			poller.WithCheckStart(c.checkStart)),
 		cancel: cancel,
 	}
 	c.pollers[info.Worker] = p
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -80,6 +80,10 @@
 	// CatalogApplyTimeout is the time within which a change of the catalog has
 	// to take effect; 0 is the default.
 	CatalogApplyTimeout time.Duration
+	// EvacuationBound is how long after an operator's request that a place is
+	// emptied a start may still reach its workers; 0 means that there are no such
+	// requests.
+	EvacuationBound time.Duration
 	// MaxCatalogAge is the maximum age of the catalog for serving callers; 0 is
 	// no limit.
 	MaxCatalogAge time.Duration
@@ -92,6 +96,8 @@
 	Fleet  primrosespar.Fleet
 	// Maintenance is nil if the platform has no machine maintenance.
 	Maintenance primrosespar.MaintenanceService
+	// Evacuations is read where the settings have an EvacuationBound.
+	Evacuations primrosespar.EvacuationSource
 }
 
 // Options configure a Daemon.
@@ -285,11 +291,12 @@
 func (d *Daemon) runTerm(ctx context.Context, earlierCommitAt time.Time) error {
 	term, err := controller.New(controller.Parts{
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock, Stopwatch: d.opts.Stopwatch,
-		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
+		Maintenance: d.backend.Maintenance, Evacuations: d.backend.Evacuations, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
 	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
-		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval))
+		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval),
+		controller.WithEvacuationBound(d.settings.EvacuationBound))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fleet/evacuator/evacuator_test.go
@@ -0,0 +1,64 @@
+package evacuator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/evacuator"
+)
+
+const bound = 5 * time.Second
+
+// at returns the moment d after a fixed one.
+func at(d time.Duration) primrosespar.Instant {
+	return primrosespar.Instant{At: time.Unix(1000, 0).Add(d), Elapsed: d}
+}
+
+// request returns the requests of one place.
+func request(place primrosespar.Place, version primrosespar.Version) []primrosespar.Evacuation {
+	return []primrosespar.Evacuation{{Place: place, Version: version}}
+}
+
+// TestStartsNeedARecentRead guards against starts on outdated knowledge: of a new
+// holder, in an outage of the store, and after a suspension, in which the clock
+// may stand still.
+func TestStartsNeedARecentRead(t *testing.T) {
+	e := evacuator.New(bound)
+	require.Error(t, e.CheckStart(at(0)), "nothing was read yet")
+	e.Set(nil, at(0))
+	require.NoError(t, e.CheckStart(at(e.MaxAge())))
+	require.Equal(t, primrosespar.CodeWorkerLate, primrosespar.CodeOf(e.CheckStart(at(e.MaxAge()+1))))
+	suspended := at(time.Second)
+	suspended.Elapsed = time.Minute
+	require.Error(t, e.CheckStart(suspended))
+	require.Less(t, 2*e.ReadInterval(), e.MaxAge(), "one lost answer holds up no start")
+	require.Less(t, e.MaxAge()+time.Second, bound, "there is time for the order itself")
+}
+
+// TestPlacesFollowTheLastRead guards against an answer that arrives late and
+// reopens a place, and against changes that are not logged.
+func TestPlacesFollowTheLastRead(t *testing.T) {
+	e := evacuator.New(bound)
+	begun := e.Set(request("a", 1), at(2*time.Second))
+	require.Equal(t, []evacuator.Change{{Evacuation: primrosespar.Evacuation{Place: "a", Version: 1}, Begun: true}}, begun)
+	require.False(t, e.Accepts("a"))
+	require.True(t, e.Accepts("b"))
+	require.Empty(t, e.Set(nil, at(time.Second)), "an earlier read")
+	require.False(t, e.Accepts("a"))
+	require.Empty(t, e.Set(request("a", 1), at(3*time.Second)))
+	require.Len(t, e.Set(request("a", 2), at(4*time.Second)), 1, "taken back and asked for again")
+	require.Len(t, e.Set(request("b", 3), at(5*time.Second)), 2)
+	require.True(t, e.Accepts("a"))
+	require.False(t, e.Accepts("b"))
+}
+
+// TestWithoutEvacuationsAllIsAccepted guards against installations without such
+// requests on which nothing would start.
+func TestWithoutEvacuationsAllIsAccepted(t *testing.T) {
+	var none *evacuator.Evacuator
+	require.True(t, none.Accepts("a"))
+	require.NoError(t, none.CheckStart(at(0)))
+}
--- a/internal/fleet/poller/orders.go
+++ b/internal/fleet/poller/orders.go
@@ -25,10 +25,14 @@
 	p.queued[start.Run] = false
 	p.mu.Unlock()
 	p.sendOrder(ctx, func(ctx context.Context, info primrosespar.WorkerInfo) (time.Time, error) {
+		if err := p.refreshClock(ctx, info); err != nil {
+			p.takeWithdrawn(start.Run)
+			return time.Time{}, err
+		}
 		if p.takeWithdrawn(start.Run) {
 			return time.Time{}, primrosespar.Fail(primrosespar.CodePeerUnavailable, "the start was withdrawn before it was sent")
 		}
-		if err := p.refreshClock(ctx, info); err != nil {
+		if err := p.opts.CheckStart(); err != nil {
 			return time.Time{}, err
 		}
 		p.mu.Lock()
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -84,6 +84,8 @@
 	// Stopwatch measures the age of reports. Without one, the time for which the
 	// machine was suspended does not count.
 	Stopwatch primrosespar.Stopwatch
+	// CheckStart returns why no start order may leave now, or nil.
+	CheckStart func() error
 }
 
 // Option sets one option.
@@ -102,6 +104,10 @@
 // effect.
 func WithStopwatch(s primrosespar.Stopwatch) Option { return func(o *Options) { o.Stopwatch = s } }
 
+// WithCheckStart sets the function that is asked right before a start order
+// leaves, and returns why it may not. By default all may.
+func WithCheckStart(check func() error) Option { return func(o *Options) { o.CheckStart = check } }
+
 // Poller polls one worker and sends it orders. It is safe for concurrent use.
 type Poller struct {
 	fleet      primrosespar.Fleet
@@ -155,6 +161,7 @@
 		opts: Options{
 			Lease:       lessor.DefaultLease,
 			ConfirmedAt: func() primrosespar.Instant { return primrosespar.Instant{At: clock.Now()} },
+			CheckStart:  func() error { return nil },
 		},
 	}
 	for _, opt := range opts {
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -384,6 +384,9 @@
 	if m == nil {
 		return false
 	}
+	if !m.stopping && !s.mayStart(m.unit) {
+		s.stopUnit(m.unit, closedReason)
+	}
 	if !m.stopping {
 		m.everSent = true
 		if m.unit.firstSentAt.IsZero() {
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -109,6 +109,8 @@
 	// JobMemory limits the memory of all live jobs, as Submission.Memory
 	// estimates it.
 	JobMemory int64
+	// Accepts reports whether work may be started at the workers of a place now.
+	Accepts func(primrosespar.Place) bool
 }
 
 // Option sets one option.
@@ -163,6 +165,7 @@
 		InlineTasks: encoder.PieceTasks,
 		JobMemory:   DefaultJobMemory,
 		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
+		Accepts:     func(primrosespar.Place) bool { return true },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -26,7 +26,7 @@
 // advice service.
 func (w *worker) eligibleWithoutAdvice(u *unit, service primrosespar.Service, now time.Time) bool {
 	spec := u.step.spec
-	if !w.announced || !w.polled || w.unresponsive || !w.acceptsWork(spec.LongRunning) || w.info.Service != service {
+	if !w.announced || !w.polled || w.unresponsive || w.closed || !w.acceptsWork(spec.LongRunning) || w.info.Service != service {
 		return false
 	}
 	if now.Before(w.quarantinedUntil) || now.Before(w.probationUntil) || u.avoid[w.info.Worker] {
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -39,6 +39,7 @@
 // Plan decides on everything that changed since the last call and returns what
 // the caller has to carry out.
 func (s *Scheduler) Plan(now time.Time) Changes {
+	s.updateClosedPlaces()
 	if now.Sub(s.checkedAt) >= checkInterval {
 		s.checkedAt = now
 		s.expireLeases(now)
@@ -280,7 +281,7 @@
 		// It is preempted if a guarantee is claimed.
 		return 2*need <= free
 	default:
-		return 2*need <= free && float64(total-free) < idleShare*float64(total)
+		return 2*need <= free && float64(total-free) < idleShare*float64(total+p.closed)
 	}
 }
 
--- a/internal/fleet/scheduler/pools.go
+++ b/internal/fleet/scheduler/pools.go
@@ -14,8 +14,10 @@
 	// racks are ordered by name.
 	racks []*rack
 	index indexer.Indexer
-	// total is the number of accelerators.
-	total int
+	// total is the number of accelerators, closed that of the workers at places
+	// that accept no work, which are in no rack.
+	total  int
+	closed int
 }
 
 // rackKey identifies a rack of one service and place.
@@ -56,6 +58,10 @@
 	s.pools = map[primrosespar.Service]*pool{}
 	byKey := map[rackKey]*rack{}
 	for _, w := range s.announced {
+		if w.closed {
+			s.addPool(w.info.Service).closed += w.info.Capacity.Accelerators
+			continue
+		}
 		key := rackKey{w.info.Service, w.info.Place, w.info.Rack}
 		if byKey[key] == nil {
 			byKey[key] = s.addRack(key)
@@ -69,13 +75,19 @@
 	}
 }
 
-// addRack adds an empty rack to the pool of its service.
-func (s *Scheduler) addRack(key rackKey) *rack {
-	p := s.pools[key.service]
+// addPool returns the pool of a service, which is added if there is none.
+func (s *Scheduler) addPool(service primrosespar.Service) *pool {
+	p := s.pools[service]
 	if p == nil {
 		p = &pool{}
-		s.pools[key.service] = p
+		s.pools[service] = p
 	}
+	return p
+}
+
+// addRack adds an empty rack to the pool of its service.
+func (s *Scheduler) addRack(key rackKey) *rack {
+	p := s.addPool(key.service)
 	k := &rack{key: key, pool: p}
 	p.racks = append(p.racks, k)
 	return k
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -18,6 +18,8 @@
 	// nowhere else; evacuating ones get none.
 	cordoned   bool
 	evacuating bool
+	// closed workers are at a place that accepts no work.
+	closed bool
 	// polled is set once the worker has answered a poll under the token of this
 	// holder, so that it rejects the orders of earlier holders.
 	polled bool
