--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -70,6 +70,7 @@
 func newControllerWith(t *testing.T, table primrosespar.Table, workers primrosespar.Source, onError func(part string, err error), opts ...controller.Option) *controller.Controller {
 	maintenance, _ := workers.(primrosespar.MaintenanceService)
 	fleet, _ := workers.(primrosespar.Fleet)
+	evacuations, _ := workers.(primrosespar.EvacuationSource)
 	clock := clockwork.NewRealClock()
 	self := &host{}
 	lease := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1", Address: netip.MustParseAddrPort("10.0.0.1:1")},
@@ -78,7 +79,7 @@
 	c, err := controller.New(controller.Parts{
 		Table: table, Source: workers, Fleet: fleet, Clock: clock, Stopwatch: self, Committer: lease, Catalog: catalog,
 		WallClock:  func(now time.Time) time.Time { return now },
-		OnDecision: func(scheduler.Event) {}, OnStoreAnswer: func() {}, OnError: onError, Maintenance: maintenance,
+		OnDecision: func(scheduler.Event) {}, OnStoreAnswer: func() {}, OnError: onError, Maintenance: maintenance, Evacuations: evacuations,
 	}, opts...)
 	require.NoError(t, err)
 	return c
