Call it clearing when maintenance stops the runs on a worker

Evacuation now is the operators' word for a place; the maintainer and the scheduler used it for a machine whose runs are stopped before its maintenance. No change of behaviour; the tests are renamed with it.

--- a/internal/fleet/controller/maintenance.go
+++ b/internal/fleet/controller/maintenance.go
@@ -80,7 +80,7 @@
 		return
 	}
 	changes := c.maintainer.Plan(c.scheduler, now)
-	c.scheduler.SetCordoned(changes.Cordoned, changes.Evacuate)
+	c.scheduler.SetCordoned(changes.Cordoned, changes.Cleared)
 	for _, e := range changes.Events {
 		c.parts.OnDecision(scheduler.Event{
 			Kind: e.Kind, Worker: e.Worker, Detail: fmt.Sprintf("wave %d, machine %s %s", e.Wave, e.Machine, e.Detail),
--- a/internal/fleet/maintainer/maintainer.go
+++ b/internal/fleet/maintainer/maintainer.go
@@ -50,9 +50,9 @@
 	phase   phase
 	// since is when the phase began.
 	since time.Time
-	// evacuatingSince is when the scheduler was told to stop the remaining runs
+	// clearingSince is when the scheduler was told to stop the remaining runs
 	// of the machine's worker.
-	evacuatingSince time.Time
+	clearingSince time.Time
 	// inFlight is set while an order has not been answered.
 	inFlight bool
 	// mayHaveStarted is set once an order got no answer, since the machine may
@@ -147,10 +147,10 @@
 // Changes are the results of Plan for the caller to carry out.
 type Changes struct {
 	// Cordoned are the workers that get no new work except long-running tasks
-	// that fit nowhere else; Evacuate are those of them whose runs have to stop
+	// that fit nowhere else; Cleared are those of them whose runs have to stop
 	// now.
 	Cordoned map[primrosespar.Worker]bool
-	Evacuate map[primrosespar.Worker]bool
+	Cleared  map[primrosespar.Worker]bool
 	// Records have to be stored before Orders and completed Reports are sent.
 	Records []Record
 	Orders  []Order
@@ -254,7 +254,7 @@
 
 // Plan advances all open waves and returns the changes to carry out.
 func (m *Maintainer) Plan(fleet Fleet, now time.Time) Changes {
-	changes := Changes{Cordoned: map[primrosespar.Worker]bool{}, Evacuate: map[primrosespar.Worker]bool{}}
+	changes := Changes{Cordoned: map[primrosespar.Worker]bool{}, Cleared: map[primrosespar.Worker]bool{}}
 	for _, number := range slices.Sorted(maps.Keys(m.waves)) {
 		w := m.waves[number]
 		if w.completionReported {
@@ -294,9 +294,9 @@
 	return changed
 }
 
-// startMachines cordons the next machines, evacuates those that have waited
+// startMachines cordons the next machines, clears those that have waited
 // long enough and orders the maintenance of those that are idle or were
-// evacuated. It reports whether the record of the wave has changed.
+// cleared. It reports whether the record of the wave has changed.
 func (m *Maintainer) startMachines(w *wave, fleet Fleet, changes *Changes, now time.Time) bool {
 	var candidates []*waveMachine
 	unavailable := 0
@@ -315,29 +315,29 @@
 		return cmp.Or(cmp.Compare(b.phase, a.phase), cmp.Compare(m.loss(a, fleet, now), m.loss(b, fleet, now)))
 	})
 	candidates = candidates[:min(len(candidates), w.maxUnavailable)]
-	maxWait := w.maxEvacuationWait(now, m.opts.Downtime)
+	maxWait := w.maxClearWait(now, m.opts.Downtime)
 	changed := false
 	for _, wm := range candidates {
 		worker := m.machines[wm.machine].Worker
 		if wm.phase == pending {
-			wm.phase, wm.since, wm.evacuatingSince = cordoned, now, time.Time{}
+			wm.phase, wm.since, wm.clearingSince = cordoned, now, time.Time{}
 		}
 		changes.Cordoned[worker] = true
-		evacuationTimedOut := !wm.evacuatingSince.IsZero() && now.Sub(wm.evacuatingSince) > evacuationTimeout
+		clearTimedOut := !wm.clearingSince.IsZero() && now.Sub(wm.clearingSince) > clearTimeout
 		switch {
 		case unavailable >= w.maxUnavailable:
-		case evacuationTimedOut && fleet.HasDisruptionLimit(worker):
+		case clearTimedOut && fleet.HasDisruptionLimit(worker):
 			// Its capacity must not stay idle until the tasks can be stopped.
 			wm.phase, wm.since, wm.retryAt = pending, now, now.Add(deferralTime)
 			changes.log("upkeep_deferred", w, wm, worker, "it has long-running tasks that must not stop now")
-		case evacuationTimedOut, fleet.Idle(worker):
+		case clearTimedOut, fleet.Idle(worker):
 			wm.phase, wm.since, changed = ordered, now, true
 			unavailable++
-		case !wm.evacuatingSince.IsZero(), now.Sub(wm.since) >= maxWait:
-			if wm.evacuatingSince.IsZero() {
-				wm.evacuatingSince = now
+		case !wm.clearingSince.IsZero(), now.Sub(wm.since) >= maxWait:
+			if wm.clearingSince.IsZero() {
+				wm.clearingSince = now
 			}
-			changes.Evacuate[worker] = true
+			changes.Cleared[worker] = true
 		}
 	}
 	return changed
@@ -348,10 +348,10 @@
 	return fleet.Loss(m.machines[wm.machine].Worker, now)
 }
 
-// maxEvacuationWait returns how long a machine may wait for its work to end:
+// maxClearWait returns how long a machine may wait for its work to end:
 // the rest of the window, divided by the number of rounds that are left, minus
 // the downtime of one round.
-func (w *wave) maxEvacuationWait(now time.Time, downtime time.Duration) time.Duration {
+func (w *wave) maxClearWait(now time.Time, downtime time.Duration) time.Duration {
 	remaining := 0
 	for _, wm := range w.machines {
 		if wm.phase == pending || wm.phase == cordoned {
@@ -366,14 +366,14 @@
 }
 
 // sendOrders adds the orders that are due. The workers of ordered machines stay
-// cordoned and are evacuated, since the order may not have taken effect yet.
+// cordoned and are cleared, since the order may not have taken effect yet.
 func (m *Maintainer) sendOrders(w *wave, changes *Changes, now time.Time) {
 	for _, wm := range w.machines {
 		if wm.phase != ordered {
 			continue
 		}
 		worker := m.machines[wm.machine].Worker
-		changes.Cordoned[worker], changes.Evacuate[worker] = true, true
+		changes.Cordoned[worker], changes.Cleared[worker] = true, true
 		if wm.inFlight || now.Before(wm.retryAt) {
 			continue
 		}
--- a/internal/fleet/maintainer/maintainer_test.go
+++ b/internal/fleet/maintainer/maintainer_test.go
@@ -94,10 +94,10 @@
 	require.NotEqual(t, first.Orders[0].Machine, next.Orders[0].Machine)
 }
 
-// TestBusyMachinesAreEvacuatedAfterMaxWait guards against work that is lost
+// TestBusyMachinesAreClearedAfterMaxWait guards against work that is lost
 // although the wave has time left, and against a wave that is late because it
 // waits for work.
-func TestBusyMachinesAreEvacuatedAfterMaxWait(t *testing.T) {
+func TestBusyMachinesAreClearedAfterMaxWait(t *testing.T) {
 	f := newFixture(1, 40*time.Second)
 	for _, s := range f.machines {
 		f.fleet.busy[s.Worker] = 5
@@ -106,11 +106,11 @@
 	changes := f.step(0)
 	require.Empty(t, changes.Orders)
 	require.Equal(t, map[primrosespar.Worker]bool{"w-c": true}, changes.Cordoned)
-	require.Empty(t, changes.Evacuate)
+	require.Empty(t, changes.Cleared)
 	// The maximum wait is the window divided by four rounds, minus the downtime:
 	// 40 s / 4 - 3 s = 7 s.
 	changes = f.step(8 * time.Second)
-	require.Equal(t, map[primrosespar.Worker]bool{"w-c": true}, changes.Evacuate)
+	require.Equal(t, map[primrosespar.Worker]bool{"w-c": true}, changes.Cleared)
 	delete(f.fleet.busy, "w-c")
 	changes = f.step(500 * time.Millisecond)
 	require.Equal(t, []maintainer.Order{{Wave: 7, Machine: "c"}}, changes.Orders)
@@ -125,14 +125,14 @@
 	for _, s := range f.machines {
 		f.fleet.busy[s.Worker], f.fleet.limited[s.Worker] = 5, true
 	}
-	require.Len(t, f.step(0).Evacuate, 1)
+	require.Len(t, f.step(0).Cleared, 1)
 	changes := f.step(time.Second)
-	require.Len(t, changes.Evacuate, 1)
+	require.Len(t, changes.Cleared, 1)
 	require.Empty(t, changes.Orders)
 	changes = f.step(time.Second)
 	require.Empty(t, changes.Orders)
-	require.Empty(t, changes.Evacuate)
-	require.Len(t, f.step(100*time.Millisecond).Evacuate, 1, "another machine is tried")
+	require.Empty(t, changes.Cleared)
+	require.Len(t, f.step(100*time.Millisecond).Cleared, 1, "another machine is tried")
 }
 
 // TestWaveIsCompletedOnce guards against a wave that is reported as completed
--- a/internal/fleet/maintainer/options.go
+++ b/internal/fleet/maintainer/options.go
@@ -8,9 +8,9 @@
 	// has a worker again; the platform's maintenance takes 2 s, and the list of
 	// machines is read about three times a second.
 	DefaultDowntime = 3 * time.Second
-	// evacuationTimeout is how long stopping the runs on a machine may take; a
+	// clearTimeout is how long stopping the runs on a machine may take; a
 	// task takes at most 0.9 s to stop.
-	evacuationTimeout = 1500 * time.Millisecond
+	clearTimeout = 1500 * time.Millisecond
 	// retryDelay is the wait before a failed order or report is repeated.
 	retryDelay = 500 * time.Millisecond
 	// deferralTime is how long a machine is deferred whose long-running tasks
--- a/internal/fleet/scheduler/crashes.go
+++ b/internal/fleet/scheduler/crashes.go
@@ -82,7 +82,7 @@
 
 // plannedToEnd reports whether the worker is about to leave or to be restarted,
 // so that its end is no crash.
-func (w *worker) plannedToEnd() bool { return w.info.Draining || w.evacuating }
+func (w *worker) plannedToEnd() bool { return w.info.Draining || w.cleared }
 
 // recordCrash records that the worker's lifetime has ended with its runs, which
 // are still attached to it.
--- a/internal/fleet/scheduler/draining.go
+++ b/internal/fleet/scheduler/draining.go
@@ -13,17 +13,17 @@
 
 // SetCordoned sets the workers that are cordoned for maintenance, and those of
 // them whose runs have to be stopped now. Cordoned workers get no new work
-// except long-running tasks that fit nowhere else; evacuated ones get none.
+// except long-running tasks that fit nowhere else; cleared ones get none.
 // Checkpointing tasks are moved off all cordoned workers, because they lose
 // little.
-func (s *Scheduler) SetCordoned(cordoned, evacuate map[primrosespar.Worker]bool) {
+func (s *Scheduler) SetCordoned(cordoned, cleared map[primrosespar.Worker]bool) {
 	for name, w := range s.workers {
-		if w.cordoned != cordoned[name] || w.evacuating != evacuate[name] {
-			w.cordoned, w.evacuating = cordoned[name], evacuate[name]
+		if w.cordoned != cordoned[name] || w.cleared != cleared[name] {
+			w.cordoned, w.cleared = cordoned[name], cleared[name]
 			s.capacityVersion++
 		}
-		if w.evacuating {
-			s.evacuate(w)
+		if w.cleared {
+			s.clearWorker(w)
 		}
 	}
 }
@@ -65,9 +65,9 @@
 	return total
 }
 
-// evacuate stops the runs on the worker, except those that must not be
+// clearWorker stops the runs on the worker, except those that must not be
 // disrupted now.
-func (s *Scheduler) evacuate(w *worker) {
+func (s *Scheduler) clearWorker(w *worker) {
 	for _, m := range w.snapshot() {
 		if !m.unit.stopping && m.unit.phase == encoder.Placed && s.mayDisrupt(m.unit) {
 			s.stopUnit(m.unit, "worker is cordoned for maintenance")
@@ -81,7 +81,7 @@
 // acceptsWork reports whether the worker's draining and cordon state allows new
 // work.
 func (w *worker) acceptsWork(longRunning bool) bool {
-	return !w.leaving() || longRunning && !w.info.Draining && !w.evacuating
+	return !w.leaving() || longRunning && !w.info.Draining && !w.cleared
 }
 
 // leaving reports whether any worker of the unit is draining or cordoned.
--- a/internal/fleet/scheduler/draining_test.go
+++ b/internal/fleet/scheduler/draining_test.go
@@ -64,7 +64,7 @@
 	cordoned := workerSet(starts[0].Worker, starts[1].Worker)
 	h.scheduler.SetCordoned(cordoned, nil)
 	h.now = h.now.Add(time.Second)
-	require.Empty(t, h.plan().Stops, "tasks on cordoned workers run until they are evacuated")
+	require.Empty(t, h.plan().Stops, "tasks on cordoned workers run until they are cleared")
 	h.scheduler.SetCordoned(cordoned, cordoned)
 	stops := h.plan().Stops
 	require.Len(t, stops, 1)
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -266,7 +266,7 @@
 
 // atDisruptionLimit reports whether the worker already has as many tasks of a
 // long-running step as may be unavailable at once. With more of them it could
-// not be evacuated in one go.
+// not be cleared in one go.
 func (w *worker) atDisruptionLimit(st *step) bool {
 	return st.spec.LongRunning && st.spec.MaxUnavailable > 0 && w.tasksOf(st) >= st.spec.MaxUnavailable
 }
--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -544,12 +544,12 @@
 		},
 		"forget": func(*rapid.T) { m.replaced = nil },
 		"cordon": func(t *rapid.T) {
-			cordoned, evacuate := map[primrosespar.Worker]bool{}, map[primrosespar.Worker]bool{}
+			cordoned, cleared := map[primrosespar.Worker]bool{}, map[primrosespar.Worker]bool{}
 			if rapid.Bool().Draw(t, "cordoned") {
 				name := m.pickWorker(t).info.Worker
-				cordoned[name], evacuate[name] = true, rapid.Bool().Draw(t, "evacuate")
+				cordoned[name], cleared[name] = true, rapid.Bool().Draw(t, "cleared")
 			}
-			m.scheduler.SetCordoned(cordoned, evacuate)
+			m.scheduler.SetCordoned(cordoned, cleared)
 		},
 		"announce": func(*rapid.T) { m.announceWorkers() },
 	}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -15,9 +15,9 @@
 	rack      *rack
 	announced bool
 	// cordoned workers get no new work except long-running tasks that fit
-	// nowhere else; evacuating ones get none.
-	cordoned   bool
-	evacuating bool
+	// nowhere else; cleared ones get none.
+	cordoned bool
+	cleared  bool
 	// closed workers are at a place that accepts no work.
 	closed bool
 	// polled is set once the worker has answered a poll under the token of this
