--- a/internal/fleet/scheduler/statemachine_test.go
+++ b/internal/fleet/scheduler/statemachine_test.go
@@ -89,6 +89,8 @@
 	// listedEnds is how many ends a worker lists at most per report.
 	listedEnds int
 	pieces     map[primrosespar.JobID]map[encoder.PieceKey][]byte
+	// closed are the places that accept no work.
+	closed places
 	// events are the decisions of all holders.
 	events []scheduler.Event
 }
@@ -109,10 +111,13 @@
 		failures:      map[primrosespar.TaskName]map[uint64]bool{},
 		leaseExpiries: map[primrosespar.Worker]time.Time{},
 		listedEnds:    rapid.SampledFrom([]int{1, 2, math.MaxInt}).Draw(t, "listedEnds"),
-		inlineTasks:   inlineTasks, pieces: map[primrosespar.JobID]map[encoder.PieceKey][]byte{},
+		inlineTasks:   inlineTasks, pieces: map[primrosespar.JobID]map[encoder.PieceKey][]byte{}, closed: places{},
 	}
 	workers := newHarness(&testing.T{}, 1).workers
-	for _, info := range workers[:modelWorkers] {
+	for i, info := range workers[:modelWorkers] {
+		if i%2 == 1 {
+			info.Place = "west"
+		}
 		m.workers = append(m.workers, &modelWorker{
 			info: info, runs: map[primrosespar.Run]*modelRun{}, highestEnded: map[primrosespar.TaskName]uint64{},
 		})
@@ -127,7 +132,8 @@
 	m.token++
 	m.unsent = scheduler.Changes{}
 	m.scheduler = scheduler.New(scheduler.WithInlineTasks(m.inlineTasks),
-		scheduler.WithLeaseExpiry(func(w primrosespar.Worker) time.Time { return m.leaseExpiries[w] }))
+		scheduler.WithLeaseExpiry(func(w primrosespar.Worker) time.Time { return m.leaseExpiries[w] }),
+		scheduler.WithAccepts(func(place primrosespar.Place) bool { return !m.closed[place] }))
 	m.scheduler.SetCatalog(testCatalog())
 	enc, err := encoder.New()
 	require.NoError(m.t, err)
@@ -222,6 +228,7 @@
 func (m *stateMachine) sendUnsent() {
 	for _, o := range m.unsent.Starts {
 		if m.scheduler.ShouldSend(o, m.now) {
+			m.checkPlaces(o)
 			if expiry := m.now.Add(modelLease + 100*time.Millisecond); expiry.After(m.leaseExpiries[o.Worker]) {
 				m.leaseExpiries[o.Worker] = expiry
 			}
@@ -360,6 +367,21 @@
 	require.Less(m.t, m.acknowledgedFailures[task], 2, "%v was started after its attempts were used up", task)
 }
 
+// checkPlaces fails the test if the start is for a worker in a closed place, or
+// for a gang of which a member waits in one.
+func (m *stateMachine) checkPlaces(o scheduler.Order) {
+	for _, w := range m.workers {
+		if !m.closed[w.info.Place] {
+			continue
+		}
+		require.NotEqual(m.t, w.info.Worker, o.Worker, "a start leaves for a closed place")
+		for run := range w.runs {
+			require.False(m.t, o.Gang && run.Task.Job == o.Run.Task.Job && run.Task.Step == o.Run.Task.Step && run.Number == o.Run.Number,
+				"a member of %v waits in a closed place", o.Run)
+		}
+	}
+}
+
 // checkRoom fails the test on a start that exceeds the worker's capacity.
 func (m *stateMachine) checkRoom(w *modelWorker, need int) {
 	used := need
@@ -424,6 +446,9 @@
 // carried out with a lost answer, or carried out late.
 func (m *stateMachine) mixOutcomes(t *rapid.T) {
 	m.plan()
+	if rarely(t) {
+		m.togglePlace(t)
+	}
 	m.sendUnsent()
 	for len(m.pending) > 0 {
 		o, _ := takeOrder(t, &m.pending)
@@ -460,6 +485,12 @@
 	}), m.now)
 }
 
+// togglePlace closes a place or reopens it.
+func (m *stateMachine) togglePlace(t *rapid.T) {
+	place := m.pickWorker(t).info.Place
+	m.closed[place] = !m.closed[place]
+}
+
 // singleActions returns the actions that are listed once.
 func (m *stateMachine) singleActions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
@@ -551,6 +582,7 @@
 			}
 			m.scheduler.SetCordoned(cordoned, cleared)
 		},
+		"evacuate": m.togglePlace,
 		"announce": func(*rapid.T) { m.announceWorkers() },
 	}
 }
@@ -724,7 +756,8 @@
 // TestAtMostOneRunPerTask guards against concurrent runs of a task, a run after
 // an acknowledged end, more failed runs than attempts, and workers over their
 // capacity. Orders and answers are lost, late or repeated, workers become
-// unresponsive, restart, are replaced or cordoned, and the holder changes.
+// unresponsive, restart, are replaced or cordoned, places close, and the holder
+// changes.
 func TestAtMostOneRunPerTask(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newStateMachine(t, encoder.PieceTasks)
