--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,9 +22,11 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
 	"primrosespar.example/primrosespar/internal/entry/meter"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
+	"primrosespar.example/primrosespar/internal/fleet/emptier"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/stopwatch"
@@ -73,7 +78,10 @@
 	// MetricsPort is set in the deployment file, because the platform assigns
 	// the ports in the settings anew.
 	MetricsPort uint16 `help:"Port of the metrics; a free one of the settings by default."`
-	Check       bool   `help:"Check the settings and stop."`
+	// OperatorToken is set in the deployment file, because the settings of the
+	// platform name no operators.
+	OperatorToken string `help:"File that holds the token of operators, who may then evacuate places with the commands of the product." type:"path" placeholder:"FILE"`
+	Check         bool   `help:"Check the settings and stop."`
 }
 
 // Run serves until SIGTERM or SIGINT and then stops gracefully.
@@ -97,6 +105,9 @@
 	spool := spooler.New(os.Stdout)
 	defer func() { _ = spool.Close() }()
 	host := &fleetHost{settings: settings, meter: meter.New(), clock: clockwork.NewRealClock()}
+	if host.operators, err = readOperatorToken(c.OperatorToken); err != nil {
+		return err
+	}
 	host.log = newFleetLog(spool, c.LogLevel, settings)
 	host.meter.Gauge("primrosespar_log_lines_dropped", func() float64 { return float64(spool.Dropped()) })
 	signals := make(chan os.Signal, 1)
@@ -125,6 +136,8 @@
 	meter    *meter.Meter
 	clock    primrosespar.Clock
 	daemon   *daemon.Daemon
+	// operators is nil without a token of operators.
+	operators *authorizer.Authorizer
 }
 
 // serve runs the daemon and its servers until a signal stops them.
@@ -147,7 +160,7 @@
 		Lease:     min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
 		TurnInterval: h.settings.TurnInterval, LongestLease: h.settings.LongestLease,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
-		EvacuationBound: h.settings.EvacuationBound,
+		EvacuationBound: h.settings.EvacuationBound, Places: slices.Sorted(maps.Keys(h.settings.Places)),
 	}, backend,
 		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
 	if err != nil {
@@ -165,6 +178,7 @@
 	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
 		return fleetDaemon.UnconfirmedTime().Seconds()
 	})
+	h.addEvacuationMetrics()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -247,6 +261,7 @@
 		h.meter.Write(w)
 	})
 	viewer.New(h.daemon).Register(router)
+	emptier.New(h.daemon, h.operators).Register(router)
 	return router
 }
 
@@ -264,7 +279,7 @@
 			h.logError("reload", err)
 			continue
 		}
-		h.log.WithField("changed", settings != h.settings).Info("settings were read again")
+		h.log.WithField("changed", !reflect.DeepEqual(settings, h.settings)).Info("settings were read again")
 	}
 }
 
--- a/fleetview.go
+++ b/fleetview.go
@@ -35,6 +35,8 @@
 	Tasks        int              `json:"tasks"`
 	Waiting      map[Queue]int    `json:"waiting,omitempty"`
 	Guarantees   []FleetGuarantee `json:"guarantees,omitempty"`
+	// Evacuations are the places that are emptied.
+	Evacuations []EvacuationView `json:"evacuations,omitempty"`
 }
 
 // FleetGuarantee says how much of an account's guarantee its urgent work uses.
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -246,6 +246,8 @@
 	// cannot be applied.
 	oddMessages map[string]bool
 	waiting     atomic.Pointer[map[primrosespar.Queue]int]
+	// evacuations are the requests at the last tick.
+	evacuations atomic.Pointer[[]primrosespar.EvacuationView]
 }
 
 // New returns a Controller for the term of the committer's lease.
@@ -438,6 +440,8 @@
 		c.waiting.Store(&waiting)
 	}
 	c.updatePollers()
+	evacuations := c.viewEvacuations()
+	c.evacuations.Store(&evacuations)
 }
 
 // runPeriodically calls f at once and then again, an interval after each call
--- a/internal/fleet/controller/evacuation.go
+++ b/internal/fleet/controller/evacuation.go
@@ -57,7 +57,7 @@
 			kind = "place_evacuated"
 		}
 		c.parts.OnDecision(scheduler.Event{
-			Kind: kind, Detail: fmt.Sprintf("place %s, version %d", change.Evacuation.Place, change.Evacuation.Version),
+			Kind: kind, Detail: fmt.Sprintf("place %s, own request %t, version %d", change.Evacuation.Place, change.Evacuation.Own, change.Evacuation.Version),
 		})
 	}
 }
@@ -82,3 +82,21 @@
 	}
 	return err != nil
 }
+
+// viewEvacuations returns the requests with the runs that are left.
+func (c *Controller) viewEvacuations() []primrosespar.EvacuationView {
+	var views []primrosespar.EvacuationView
+	for _, evacuation := range c.evacuator.Evacuations() {
+		views = append(views, primrosespar.EvacuationView{Evacuation: evacuation, Runs: c.scheduler.RunsAt(evacuation.Place)})
+	}
+	return views
+}
+
+// Evacuations returns the requests with the runs that were left at the last
+// tick.
+func (c *Controller) Evacuations() []primrosespar.EvacuationView {
+	if views := c.evacuations.Load(); views != nil {
+		return *views
+	}
+	return nil
+}
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -98,6 +98,7 @@
 	var view primrosespar.FleetState
 	err := c.runInLoop(ctx, func(reply func(error)) {
 		view = c.scheduler.View(c.parts.Clock.Now())
+		view.Evacuations = c.viewEvacuations()
 		reply(nil)
 	})
 	return view, err
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"primrosespar.example/primrosespar/internal/fleet/elector"
 	"primrosespar.example/primrosespar/internal/fleet/follower"
 	"primrosespar.example/primrosespar/internal/fleet/messenger"
+	"primrosespar.example/primrosespar/internal/fleet/registrar"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/submitter"
 	"primrosespar.example/primrosespar/internal/fleet/supervisor"
@@ -84,6 +85,9 @@
 	// emptied a start may still reach its workers; 0 means that there are no such
 	// requests.
 	EvacuationBound time.Duration
+	// Places are the places of the installation, for the operators' requests that
+	// one is emptied. If there are none, all names are accepted.
+	Places []primrosespar.Place
 	// MaxCatalogAge is the maximum age of the catalog for serving callers; 0 is
 	// no limit.
 	MaxCatalogAge time.Duration
@@ -146,6 +150,7 @@
 	elector    *elector.Elector
 	follower   *follower.Follower
 	submitter  *submitter.Submitter
+	registrar  *registrar.Registrar
 	term       atomic.Pointer[controller.Controller]
 	draining   atomic.Bool
 
@@ -172,6 +177,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if backend.Evacuations != nil {
+		d.registrar, err = registrar.New(backend.Table, backend.Evacuations, func() time.Time { return d.wallClock(d.opts.Clock.Now()) },
+			registrar.WithPlaces(settings.Places))
+		if err != nil {
+			return nil, err
+		}
+	}
 	d.committer = committer.New(backend.Table, d.opts.Clock, committer.Identity{
 		Host: settings.Host, Incarnation: incarnation, Address: settings.PeerAddress,
 	}, committer.WithStopwatch(d.opts.Stopwatch))
@@ -291,7 +303,7 @@
 func (d *Daemon) runTerm(ctx context.Context, earlierCommitAt time.Time) error {
 	term, err := controller.New(controller.Parts{
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock, Stopwatch: d.opts.Stopwatch,
-		Maintenance: d.backend.Maintenance, Evacuations: d.backend.Evacuations, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
+		Maintenance: d.backend.Maintenance, Evacuations: d.evacuationSource(), Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
 	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
--- a/internal/fleet/encoder/encoder.go
+++ b/internal/fleet/encoder/encoder.go
@@ -108,6 +108,13 @@
 	Completed bool
 }
 
+// Evacuation is an operator's request that a place is emptied.
+type Evacuation struct {
+	_ struct{} `cbor:",toarray"`
+	// RequestedAt is in Unix milliseconds.
+	RequestedAt int64
+}
+
 // Encoder encodes and decodes rows. It is safe for concurrent use.
 type Encoder struct {
 	encoder cbor.EncMode
@@ -174,3 +181,16 @@
 	err := e.decoder.Unmarshal(data, &wave)
 	return wave, eris.Wrap(err, "decode wave")
 }
+
+// Evacuation encodes a request that a place is emptied.
+func (e *Encoder) Evacuation(evacuation Evacuation) ([]byte, error) {
+	data, err := e.encoder.Marshal(evacuation)
+	return data, eris.Wrap(err, "encode evacuation")
+}
+
+// ParseEvacuation decodes a request that a place is emptied.
+func (e *Encoder) ParseEvacuation(data []byte) (Evacuation, error) {
+	var evacuation Evacuation
+	err := e.decoder.Unmarshal(data, &evacuation)
+	return evacuation, eris.Wrap(err, "decode evacuation")
+}
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,11 +33,10 @@
 	permissionShare = 0.6
 )
 
-// Change is a place that begins or ceases to be emptied.
+// Change is a request that was made or taken back.
 type Change struct {
 	Evacuation primrosespar.Evacuation
-	// Begun is set if the place is to be emptied, and not if that was taken
-	// back.
+	// Begun is set if the place is to be emptied, and not if that was taken back.
 	Begun bool
 }
 
@@ -50,13 +50,22 @@
 	// these was sent.
 	known       bool
 	requestedAt primrosespar.Instant
-	places      map[primrosespar.Place]primrosespar.Version
+	requests    map[request]primrosespar.Evacuation
+	// places counts the requests by place.
+	places map[primrosespar.Place]int
+}
+
+// request identifies a request: a place may be emptied through the platform and
+// with the product's own command at the same time.
+type request struct {
+	place primrosespar.Place
+	own   bool
 }
 
 // New returns an Evacuator that knows of no read yet, so that no start may
 // leave.
 func New(bound time.Duration) *Evacuator {
-	return &Evacuator{bound: bound, places: map[primrosespar.Place]primrosespar.Version{}}
+	return &Evacuator{bound: bound}
 }
 
 // ReadInterval returns the time between two reads of the requests.
@@ -79,24 +88,56 @@
 		return nil
 	}
 	e.known, e.requestedAt = true, requestedAt
-	places := map[primrosespar.Place]primrosespar.Version{}
+	requests, places := map[request]primrosespar.Evacuation{}, map[primrosespar.Place]int{}
 	var changes []Change
 	for _, evacuation := range evacuations {
-		if version, known := e.places[evacuation.Place]; !known || version != evacuation.Version {
+		key := request{evacuation.Place, evacuation.Own}
+		earlier, known := e.requests[key]
+		known = known && earlier.Version == evacuation.Version
+		switch {
+		case !evacuation.RequestedAt.IsZero():
+		case known:
+			evacuation.RequestedAt = earlier.RequestedAt
+		default:
+			evacuation.RequestedAt = requestedAt.At.Round(0)
+		}
+		if !known {
 			changes = append(changes, Change{Evacuation: evacuation, Begun: true})
 		}
-		places[evacuation.Place] = evacuation.Version
+		requests[key] = evacuation
+		places[evacuation.Place]++
 	}
-	for place, version := range e.places {
-		if _, stays := places[place]; !stays {
-			changes = append(changes, Change{Evacuation: primrosespar.Evacuation{Place: place, Version: version}})
+	for key, evacuation := range e.requests {
+		if _, stays := requests[key]; !stays {
+			changes = append(changes, Change{Evacuation: evacuation})
 		}
 	}
-	e.places = places
-	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Evacuation.Place, b.Evacuation.Place) })
+	e.requests, e.places = requests, places
+	slices.SortFunc(changes, func(a, b Change) int { return compare(a.Evacuation, b.Evacuation) })
 	return changes
 }
 
+// compare orders evacuations by place, and those through the platform first.
+func compare(a, b primrosespar.Evacuation) int {
+	if order := cmp.Compare(a.Place, b.Place); order != 0 || a.Own == b.Own {
+		return order
+	}
+	if b.Own {
+		return -1
+	}
+	return 1
+}
+
+// Evacuations returns the requests, ordered by place.
+func (e *Evacuator) Evacuations() []primrosespar.Evacuation {
+	if e == nil {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.SortedFunc(maps.Values(e.requests), compare)
+}
+
 // Accepts reports whether work may be placed at the workers of the place.
 func (e *Evacuator) Accepts(place primrosespar.Place) bool {
 	if e == nil {
@@ -104,8 +145,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, emptied := e.places[place]
-	return !emptied
+	return e.places[place] == 0
 }
 
 // CheckStart returns why no start order may leave at the time now, or nil. It
--- a/internal/fleet/evacuator/evacuator_test.go
+++ b/internal/fleet/evacuator/evacuator_test.go
@@ -43,12 +43,15 @@
 func TestPlacesFollowTheLastRead(t *testing.T) {
 	e := evacuator.New(bound)
 	begun := e.Set(request("a", 1), at(2*time.Second))
-	require.Equal(t, []evacuator.Change{{Evacuation: primrosespar.Evacuation{Place: "a", Version: 1}, Begun: true}}, begun)
+	require.Equal(t, []evacuator.Change{{Evacuation: primrosespar.Evacuation{
+		Place: "a", Version: 1, RequestedAt: at(2 * time.Second).At,
+	}, Begun: true}}, begun)
 	require.False(t, e.Accepts("a"))
 	require.True(t, e.Accepts("b"))
 	require.Empty(t, e.Set(nil, at(time.Second)), "an earlier read")
 	require.False(t, e.Accepts("a"))
 	require.Empty(t, e.Set(request("a", 1), at(3*time.Second)))
+	require.Equal(t, at(2*time.Second).At, e.Evacuations()[0].RequestedAt, "when it was first read")
 	require.Len(t, e.Set(request("a", 2), at(4*time.Second)), 1, "taken back and asked for again")
 	require.Len(t, e.Set(request("b", 3), at(5*time.Second)), 2)
 	require.True(t, e.Accepts("a"))
@@ -62,3 +65,19 @@
 	require.True(t, none.Accepts("a"))
 	require.NoError(t, none.CheckStart(at(0)))
 }
+
+// TestPlaceWithTwoRequestsStaysClosed guards against a place that gets work after
+// one of two operators has taken back his request.
+func TestPlaceWithTwoRequestsStaysClosed(t *testing.T) {
+	e := evacuator.New(bound)
+	own := primrosespar.Evacuation{Place: "a", Own: true, Version: 2, RequestedAt: time.Unix(9, 0)}
+	require.Len(t, e.Set(append(request("a", 1), own), at(0)), 2)
+	require.Len(t, e.Evacuations(), 2)
+	changes := e.Set([]primrosespar.Evacuation{own}, at(1))
+	require.Len(t, changes, 1)
+	require.False(t, changes[0].Begun)
+	require.False(t, e.Accepts("a"))
+	require.Equal(t, []primrosespar.Evacuation{own}, e.Evacuations())
+	e.Set(nil, at(2))
+	require.True(t, e.Accepts("a"))
+}
--- a/internal/fleet/scheduler/evacuating.go
+++ b/internal/fleet/scheduler/evacuating.go
@@ -98,3 +98,14 @@
 	}
 	return true
 }
+
+// RunsAt returns the number of runs at the workers of the place.
+func (s *Scheduler) RunsAt(place primrosespar.Place) int {
+	n := 0
+	for _, w := range s.workers {
+		if w.info.Place == place {
+			n += len(w.memberList)
+		}
+	}
+	return n
+}
--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -119,13 +119,15 @@
 
 // noRoomReason describes why no workers can be assigned to the unit now.
 func (s *Scheduler) noRoomReason(u *unit, r *rankedStep, now time.Time) string {
-	var capable, ineligible, unresponsive, room, withTicket int
+	var capable, closed, ineligible, unresponsive, room, withTicket int
 	for _, w := range s.announced {
 		if w.info.Service != r.terms.Service || w.room(u, w.info.Capacity) == 0 || !u.step.hasRequiredLabel(w) {
 			continue
 		}
 		capable++
 		switch {
+		case w.closed:
+			closed++
 		case !w.polled || w.unresponsive:
 			unresponsive++
 		case !w.eligibleWithoutAdvice(u, r.terms.Service, now):
@@ -140,6 +142,9 @@
 	switch {
 	case capable == 0:
 		return "no worker of its service could run one of its tasks, even when empty"
+	case room < u.size && closed > 0:
+		return fmt.Sprintf("not enough room: %d workers could run a task, of which %d are at places that are emptied, %d are not responding and %d are ineligible; %d of its %d tasks fit now",
+			capable, closed, unresponsive, ineligible, room, u.size)
 	case room < u.size:
 		return fmt.Sprintf("not enough room: %d workers could run a task, of which %d are not responding and %d are ineligible; %d of its %d tasks fit now",
 			capable, unresponsive, ineligible, room, u.size)
--- a/internal/operator/caller/caller.go
+++ b/internal/operator/caller/caller.go
@@ -278,6 +278,23 @@
 	return answer, err
 }
 
+// evacuationPath returns the URL path of the evacuation of a place.
+func evacuationPath(place primrosespar.Place) string {
+	return "/v1/fleet/evacuations/" + url.PathEscape(string(place))
+}
+
+// Evacuate requests that a place of the fleet is emptied. It is idempotent.
+func (c *Caller) Evacuate(ctx context.Context, place primrosespar.Place) (answer primrosespar.Evacuation, err error) {
+	err = c.do(ctx, call{method: http.MethodPut, path: evacuationPath(place), mutates: true}, &answer)
+	return answer, err
+}
+
+// Restore takes back the request that a place of the fleet is emptied.
+func (c *Caller) Restore(ctx context.Context, place primrosespar.Place) (answer primrosespar.Evacuation, err error) {
+	err = c.do(ctx, call{method: http.MethodDelete, path: evacuationPath(place), mutates: true}, &answer)
+	return answer, err
+}
+
 // Incidents returns the incident report of a period.
 func (c *Caller) Incidents(ctx context.Context, from, to time.Time) (answer IncidentAnswer, err error) {
 	query := url.Values{}
--- a/internal/operator/printer/fleet.go
+++ b/internal/operator/printer/fleet.go
@@ -31,6 +31,13 @@
 		for _, g := range s.Guarantees {
 			writeRow(w, g.Account, g.Reserved, g.InUse)
 		}
+		if len(s.Evacuations) > 0 {
+			writeRow(w)
+			writeRow(w, "PLACE EMPTIED", "OWN REQUEST", "SINCE", "RUNS LEFT")
+		}
+		for _, e := range s.Evacuations {
+			writeRow(w, e.Place, e.Own, e.RequestedAt.UTC().Format(time.RFC3339), e.Runs)
+		}
 	})
 }
 
@@ -51,3 +58,15 @@
 		}
 	})
 }
+
+// Evacuation writes an evacuation that was requested or taken back.
+func (p *Printer) Evacuation(a primrosespar.Evacuation) error {
+	return p.print(a, func(w io.Writer) {
+		writeRow(w, "PLACE", "SINCE")
+		since := "taken back"
+		if !a.RequestedAt.IsZero() {
+			since = a.RequestedAt.UTC().Format(time.RFC3339)
+		}
+		writeRow(w, a.Place, since)
+	})
+}
--- a/key.go
+++ b/key.go
@@ -93,6 +93,13 @@
 // cancelled.
 func FleetInboxCancelKey(id JobID) string { return FleetInboxPrefix() + "cancel-" + string(id) }
 
+// EvacuationPrefix returns the prefix of the keys of the evacuations that were
+// requested with the product's own command.
+func EvacuationPrefix() string { return "fleet_evacuation/" }
+
+// EvacuationKey returns the key of the row of the evacuation of a place.
+func EvacuationKey(place Place) string { return EvacuationPrefix() + string(place) }
+
 // WavePrefix returns the prefix of the keys of the maintenance waves.
 func WavePrefix() string { return "fleet_upkeep/" }
 
--- a/names_test.go
+++ b/names_test.go
@@ -160,6 +160,11 @@
 		"0", "1", "2", "3", "4.0.0", "4.0.1.0.0.0", "4.0.1.0.0.1", "4.0.1.0.0.2.0", "4.0.1.0.0.3", "4.0.1.0.0.4.0",
 	}, decodedPaths(t, data))
 
+	data, err = e.Evacuation(filled[encoder.Evacuation]())
+	require.NoError(t, err)
+	require.Equal(t, []string{"0"}, decodedPaths(t, data))
+	require.Equal(t, "fleet_evacuation/x", primrosespar.EvacuationKey("x"))
+
 	data, err = e.Wave(filled[encoder.Wave]())
 	require.NoError(t, err)
 	require.Equal(t, []string{
