Account for the work that the fleet throws away, by cause

The scheduler had no record of lost work: only the ends of runs were logged. Each end without a saved checkpoint is now counted by its cause in an Accountant that lives as long as the process, logged as work_lost, and shown in the fleet status and as primrosespar_fleet_lost_core_seconds.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -164,6 +165,11 @@
 	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
 		return fleetDaemon.UnconfirmedTime().Seconds()
 	})
+	for _, cause := range primrosespar.LossCauses() {
+		h.meter.Gauge(fmt.Sprintf(`primrosespar_fleet_lost_core_seconds{cause=%q}`, cause), func() float64 {
+			return fleetDaemon.LostWork(cause)
+		})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/fleetview.go
+++ b/fleetview.go
@@ -35,6 +35,9 @@
 	Tasks        int              `json:"tasks"`
 	Waiting      map[Queue]int    `json:"waiting,omitempty"`
 	Guarantees   []FleetGuarantee `json:"guarantees,omitempty"`
+	// Losses is the work that this host has seen lost as holder since it
+	// started, by cause.
+	Losses []FleetLoss `json:"losses,omitempty"`
 }
 
 // FleetGuarantee says how much of an account's guarantee its urgent work uses.
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -25,6 +25,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/accountant"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/fencer"
@@ -131,6 +132,8 @@
 	MaxFirstPolls int
 	// JobMemory limits the memory of all live jobs.
 	JobMemory int64
+	// Accountant adds up the work that is lost.
+	Accountant *accountant.Accountant
 }
 
 // Option sets one option.
@@ -171,6 +174,12 @@
 // while it gets to know a large fleet.
 func WithMaxFirstPolls(n int) Option { return func(o *Options) { o.MaxFirstPolls = n } }
 
+// WithAccountant sets what adds up the work that is lost. The default counts for
+// this term only.
+func WithAccountant(a *accountant.Accountant) Option {
+	return func(o *Options) { o.Accountant = a }
+}
+
 // WithJobMemory limits the memory of all live jobs; 0 keeps the default.
 func WithJobMemory(limit int64) Option {
 	return func(o *Options) {
@@ -243,7 +252,7 @@
 func New(parts Parts, opts ...Option) (*Controller, error) {
 	o := Options{
 		Lease: lessor.DefaultLease, EarlierCommitAt: parts.Clock.Now(), GangTimeout: scheduler.DefaultGangTimeout,
-		MaxFirstPolls: DefaultMaxFirstPolls, JobMemory: scheduler.DefaultJobMemory,
+		MaxFirstPolls: DefaultMaxFirstPolls, JobMemory: scheduler.DefaultJobMemory, Accountant: accountant.New(),
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -271,7 +280,8 @@
 	c.scheduler = scheduler.New(scheduler.WithWallClock(parts.WallClock),
 		scheduler.WithTakeover(takeover), scheduler.WithTakeoverEnd(o.EarlierCommitAt.Add(takeover)),
 		scheduler.WithRestartWait(max(takeover, lessor.ExpiryWait(o.LongestLease))),
-		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry), scheduler.WithJobMemory(o.JobMemory))
+		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry), scheduler.WithJobMemory(o.JobMemory),
+		scheduler.WithAccountant(o.Accountant))
 	return c, nil
 }
 
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/accountant"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/elector"
@@ -137,6 +138,8 @@
 	// supervisor keeps a panic in one part from ending the process.
 	supervisor *supervisor.Supervisor
 	committer  *committer.Committer
+	// accountant adds up the lost work of all terms of this host.
+	accountant *accountant.Accountant
 	elector    *elector.Elector
 	follower   *follower.Follower
 	submitter  *submitter.Submitter
@@ -152,7 +155,7 @@
 
 // New returns a Daemon that has not started.
 func New(settings Settings, backend Backend, opts ...Option) (*Daemon, error) {
-	d := &Daemon{settings: settings, backend: backend, messenger: messenger.New(), opts: Options{
+	d := &Daemon{settings: settings, backend: backend, messenger: messenger.New(), accountant: accountant.New(), opts: Options{
 		OnDecision: func(scheduler.Event) {},
 		OnChange:   func(string, string) {},
 		OnError:    func(string, error) {},
@@ -287,7 +290,7 @@
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock, Stopwatch: d.opts.Stopwatch,
 		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
-	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
+	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithAccountant(d.accountant), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
 		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval))
 	if err != nil {
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -104,6 +104,10 @@
 	return d.committer.Unconfirmed()
 }
 
+// LostWork returns the core-seconds that this host has seen lost as holder for
+// the cause.
+func (d *Daemon) LostWork(cause primrosespar.LossCause) float64 { return d.accountant.Lost(cause) }
+
 var _ primrosespar.FleetViewer = (*Daemon)(nil)
 
 // Status implements primrosespar.FleetViewer.
--- a/internal/fleet/scheduler/draining.go
+++ b/internal/fleet/scheduler/draining.go
@@ -70,7 +70,7 @@
 func (s *Scheduler) evacuate(w *worker) {
 	for _, m := range w.snapshot() {
 		if !m.unit.stopping && m.unit.phase == encoder.Placed && s.mayDisrupt(m.unit) {
-			s.stopUnit(m.unit, "worker is cordoned for maintenance")
+			s.stopUnit(m.unit, primrosespar.LossMoved, "worker is cordoned for maintenance")
 		}
 	}
 }
--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -30,6 +30,7 @@
 			v.Leaving++
 		}
 	}
+	v.Losses = s.opts.Accountant.Losses()
 	if s.catalog == nil {
 		return v
 	}
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -114,6 +114,10 @@
 	checkpoint string
 	members    []*member
 	stopping   bool
+	// stopCause is the cause of the work that is lost by the current stop.
+	stopCause primrosespar.LossCause
+	// savedAt is when the checkpoint last changed.
+	savedAt time.Time
 	// firstEndAt is when the first member of the current run ended.
 	firstEndAt time.Time
 	notBefore  time.Time
@@ -124,6 +128,9 @@
 	// gatheredAt is when the last member of a run was first known to be on its
 	// worker. A gang makes no progress before that.
 	gatheredAt time.Time
+	// gatheredRun is the number of the last run of which all members were on
+	// their workers.
+	gatheredRun uint64
 	// stalls counts the runs that were stopped without progress, other than on
 	// workers that are likely to be at fault. Each after the first doubles the
 	// time that the next run may take, since the estimate may be wrong.
@@ -253,7 +260,7 @@
 // restoreUnit restores a unit from its stored progress.
 func (s *Scheduler) restoreUnit(u *unit, stored encoder.Unit, now time.Time) {
 	u.run = stored.Run
-	u.setCheckpoint(stored.Checkpoint)
+	u.setCheckpoint(stored.Checkpoint, now)
 	u.restoreFailures(stored.Failed)
 	u.trimFailures()
 	u.setPhase(stored.Phase)
--- /dev/null
+++ b/internal/fleet/scheduler/losses.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// minLoggedLoss is the loss in core-seconds below which none is logged.
+const minLoggedLoss = 1
+
+// recordLoss accounts for the work that is lost by the end of a member's run.
+// It is called before the end is applied to the unit.
+func (s *Scheduler) recordLoss(m *member, end primrosespar.RunEnd, now time.Time) {
+	u := m.unit
+	if m.runningAt.IsZero() || u.step.spec.LongRunning {
+		return
+	}
+	from, until := m.runningAt, now
+	if end == "" || end == primrosespar.EndLeaseExpired {
+		until = m.seenAt
+	}
+	if gathered := u.size > 1 && m.run == u.run && u.gatheredRun == m.run; gathered {
+		s.addLoss(m, primrosespar.LossGangWaiting, u.gatheredAt.Sub(from))
+		from = u.gatheredAt
+	}
+	if end == primrosespar.EndDone {
+		return
+	}
+	if u.savedAt.After(from) {
+		from = u.savedAt
+	}
+	s.addLoss(m, m.lossCause(end), until.Sub(from))
+}
+
+// addLoss counts the lost work of a member's run.
+func (s *Scheduler) addLoss(m *member, cause primrosespar.LossCause, worked time.Duration) {
+	lost := s.opts.Accountant.Add(cause, m.unit.step.spec.Need, worked)
+	if lost >= minLoggedLoss {
+		s.logEvent("work_lost", m.unit.step.occurrence.job, m.worker, m.run, fmt.Sprintf("%s: %.1f core-seconds", cause, lost))
+	}
+}
+
+// lossCause returns why the work of the member's run is lost.
+func (m *member) lossCause(end primrosespar.RunEnd) primrosespar.LossCause {
+	switch end {
+	case primrosespar.EndFailed:
+		return primrosespar.LossFailed
+	case primrosespar.EndGangTimeout:
+		return primrosespar.LossGangGather
+	case primrosespar.EndMemberFailed, primrosespar.EndStopped:
+		if m.unit.stopping {
+			return m.unit.stopCause
+		}
+		if end == primrosespar.EndMemberFailed {
+			return primrosespar.LossGangPartner
+		}
+		return primrosespar.LossOther
+	default:
+		return m.worker.lossCause()
+	}
+}
+
+// lossCause returns why the work on the worker is lost that went with it.
+func (w *worker) lossCause() primrosespar.LossCause {
+	switch {
+	case w.plannedToEnd():
+		return primrosespar.LossWorkerLeft
+	case w.announced && !w.polled && !w.restarted:
+		return primrosespar.LossLeaseExpired
+	default:
+		return primrosespar.LossWorkerCrashed
+	}
+}
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -48,7 +48,9 @@
 	answeredAt time.Time
 	percent    float64
 	percentAt  time.Time
-	pace       pacer.Pacer
+	// runningAt is when the run was first known to be on the worker.
+	runningAt time.Time
+	pace      pacer.Pacer
 	// seenAt is when the worker last listed the run.
 	seenAt time.Time
 	// tailLatency is the tail latency that the run last reported.
@@ -142,11 +144,15 @@
 	}
 }
 
-// stopUnit stops all members of the current run.
-func (s *Scheduler) stopUnit(u *unit, reason string) {
+// stopUnit stops all members of the current run. The cause is that of the work
+// which is lost with it; the first one counts.
+func (s *Scheduler) stopUnit(u *unit, cause primrosespar.LossCause, reason string) {
 	if len(u.members) == 0 {
 		return
 	}
+	if !u.stopping {
+		u.stopCause = cause
+	}
 	u.stopping = true
 	for _, m := range append([]*member(nil), u.members...) {
 		s.stopMember(m)
@@ -154,6 +160,17 @@
 	s.logEvent("run_stopped", u.step.occurrence.job, u.firstWorker(), u.run, reason)
 }
 
+// runningMembers returns the number of members that are on their workers.
+func (u *unit) runningMembers() int {
+	n := 0
+	for _, m := range u.members {
+		if m.phase == running {
+			n++
+		}
+	}
+	return n
+}
+
 // firstWorker returns the worker of the first member, for the log.
 func (u *unit) firstWorker() *worker {
 	if len(u.members) == 0 {
@@ -213,9 +230,12 @@
 		m.throttlePercent = unknownThrottle
 	}
 	m.phase, m.unanswered = running, false
-	m.percentAt = now
+	m.percentAt, m.runningAt = now, now
 	m.pace = pacer.New(m.unit.step.spec.Estimate, now)
 	m.unit.gatheredAt = now
+	if m.unit.runningMembers() == m.unit.size {
+		m.unit.gatheredRun = m.run
+	}
 }
 
 // stalled reports whether the member was observed for a while without progress.
@@ -245,7 +265,7 @@
 		s.endMember(m, "", "", now)
 	}
 	if len(m.unit.members) > 0 {
-		s.stopUnit(m.unit, "start of a gang member was refused")
+		s.stopUnit(m.unit, primrosespar.LossGangGather, "start of a gang member was refused")
 	}
 }
 
@@ -278,7 +298,8 @@
 	u := m.unit
 	s.detach(m)
 	s.markDirty(u.step.occurrence.job)
-	u.setCheckpoint(checkpoint)
+	u.setCheckpoint(checkpoint, now)
+	s.recordLoss(m, end, now)
 	if u.phase == encoder.Placed && m.run == u.run {
 		s.recordEnd(u, m, end, now)
 	}
@@ -312,9 +333,9 @@
 
 // setCheckpoint keeps the checkpoint, unless there is none or it is too long to
 // be stored. The unit then resumes from an earlier one.
-func (u *unit) setCheckpoint(checkpoint string) {
-	if checkpoint != "" && len(checkpoint) <= encoder.MaxCheckpoint {
-		u.checkpoint = checkpoint
+func (u *unit) setCheckpoint(checkpoint string, now time.Time) {
+	if checkpoint != "" && checkpoint != u.checkpoint && len(checkpoint) <= encoder.MaxCheckpoint {
+		u.checkpoint, u.savedAt = checkpoint, now
 	}
 }
 
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/accountant"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 )
@@ -109,6 +110,8 @@
 	// JobMemory limits the memory of all live jobs, as Submission.Memory
 	// estimates it.
 	JobMemory int64
+	// Accountant adds up the work that is lost.
+	Accountant *accountant.Accountant
 }
 
 // Option sets one option.
@@ -152,6 +155,11 @@
 // WithJobMemory limits the memory of all live jobs.
 func WithJobMemory(limit int64) Option { return func(o *Options) { o.JobMemory = limit } }
 
+// WithAccountant sets what adds up the work that is lost.
+func WithAccountant(a *accountant.Accountant) Option {
+	return func(o *Options) { o.Accountant = a }
+}
+
 // applyOptions returns the defaults with the options applied.
 func applyOptions(opts []Option) Options {
 	o := Options{
@@ -162,6 +170,7 @@
 		Reserve:     DefaultReserve,
 		InlineTasks: encoder.PieceTasks,
 		JobMemory:   DefaultJobMemory,
+		Accountant:  accountant.New(),
 		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
 	}
 	for _, opt := range opts {
--- a/internal/fleet/scheduler/pieces.go
+++ b/internal/fleet/scheduler/pieces.go
@@ -348,7 +348,7 @@
 				if st.units == nil || st.units[i] == nil || st.units[i].phase != encoder.Done {
 					u := st.at(i)
 					u.setPhase(encoder.Done)
-					s.stopUnit(u, "occurrence ended")
+					s.stopUnit(u, primrosespar.LossOther, "occurrence ended")
 					st.release(u)
 				}
 			}
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -365,11 +365,11 @@
 		return
 	}
 	if !u.firstEndAt.IsZero() && now.Sub(u.firstEndAt) > stragglerDelay {
-		s.stopUnit(u, "another member of the gang ended")
+		s.stopUnit(u, primrosespar.LossGangPartner, "another member of the gang ended")
 		return
 	}
 	if u.leaving() && s.shouldMove(u) {
-		s.stopUnit(u, "worker is draining or cordoned")
+		s.stopUnit(u, primrosespar.LossMoved, "worker is draining or cordoned")
 		return
 	}
 	if s.gatherTimedOut(u, now) {
@@ -378,12 +378,12 @@
 				u.avoidWorker(m.worker)
 			}
 		}
-		s.stopUnit(u, "members of the gang did not start in time")
+		s.stopUnit(u, primrosespar.LossGangGather, "members of the gang did not start in time")
 		return
 	}
 	if u.stalled(now) {
 		s.recordStall(u, now)
-		s.stopUnit(u, "run made no progress")
+		s.stopUnit(u, primrosespar.LossStalled, "run made no progress")
 	}
 }
 
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -345,7 +345,7 @@
 		w.claimed = w.claimed.Add(need)
 	}
 	for _, v := range p.victims {
-		s.stopUnit(v, "preempted by job "+string(u.step.occurrence.job.submission.ID))
+		s.stopUnit(v, primrosespar.LossPreempted, "preempted by job "+string(u.step.occurrence.job.submission.ID))
 	}
 }
 
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -253,7 +253,7 @@
 	if j.state.Ended() {
 		// Its runs may still be active.
 		for _, u := range j.units() {
-			s.stopUnit(u, "job ended")
+			s.stopUnit(u, primrosespar.LossOther, "job ended")
 		}
 	}
 	if j.split = progress.Split; j.split {
@@ -340,9 +340,13 @@
 func (s *Scheduler) endJob(j *job, state primrosespar.JobState, now time.Time) {
 	j.state = state
 	j.endedAt = now
+	cause := primrosespar.LossGivenUp
+	if state == primrosespar.JobCancelled {
+		cause = primrosespar.LossCancelled
+	}
 	for _, u := range j.units() {
 		s.dropClaim(u)
-		s.stopUnit(u, "job "+string(state))
+		s.stopUnit(u, cause, "job "+string(state))
 	}
 	for i, other := range s.liveJobs {
 		if other == j {
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -141,7 +141,7 @@
 				continue
 			}
 			used = used.Sub(m.unit.step.spec.Occupies())
-			s.stopUnit(m.unit, "capacity of the worker has shrunk")
+			s.stopUnit(m.unit, primrosespar.LossOther, "capacity of the worker has shrunk")
 		}
 	}
 }
@@ -347,7 +347,7 @@
 	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
 	if m.run == m.unit.run {
-		m.unit.setCheckpoint(active.Checkpoint)
+		m.unit.setCheckpoint(active.Checkpoint, now)
 	}
 	if active.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = active.Percent, now
--- a/internal/operator/printer/fleet.go
+++ b/internal/operator/printer/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -31,6 +32,11 @@
 		for _, g := range s.Guarantees {
 			writeRow(w, g.Account, g.Reserved, g.InUse)
 		}
+		writeRow(w)
+		writeRow(w, "WORK LOST", "RUNS", "CORE-SECONDS")
+		for _, loss := range s.Losses {
+			writeRow(w, loss.Cause, loss.Runs, math.Round(loss.CoreSeconds))
+		}
 	})
 }
 
