Stop runs that cannot end before their worker leaves

The announced time, which nothing read, is now known to the scheduler; a run is stopped if at its fastest pace consistent with its reports it ends later than that and a second more.

--- a/fleet.go
+++ b/fleet.go
@@ -221,6 +221,9 @@
 	Capacity  Resources
 	// Draining workers accept no new work and leave the fleet soon.
 	Draining bool
+	// DrainRemaining is the least time for which a draining worker still ran when
+	// it announced this; 0 if it did not say.
+	DrainRemaining time.Duration
 }
 
 // RunEnd says how a run ended.
--- a/internal/fleet/pacer/pacer.go
+++ b/internal/fleet/pacer/pacer.go
@@ -1,4 +1,5 @@
-// Package pacer judges from the reports on a run whether it stands still.
+// Package pacer judges from the reports on a run whether it stands still, and how
+// long it still takes.
 //
 // Workers report progress in whole percents, and a percent of a long task takes
 // minutes. A run stands still when its percent has not changed for a multiple of
@@ -11,6 +12,7 @@
 //
 //	p := pacer.New(estimate, startedAt)
 //	p.Observe(active, now) // for each report
+//	left, known := p.LeastRemaining(startedAt, now)
 //	if p.Stalled(gatheredAt, now, patience) {
 //		// stop the run
 //	}
@@ -40,6 +42,9 @@
 	paceFactor = 10
 	// idleFactor applies to a run that uses no processor any more.
 	idleFactor = 3
+	// minObserved is how long a run has to be observed before its end can be
+	// estimated.
+	minObserved = 500 * time.Millisecond
 	// unknownEstimate is assumed of tasks without an estimate.
 	unknownEstimate = 10 * time.Minute
 	// maxPatience bounds the doublings of the limit.
@@ -55,6 +60,9 @@
 	// last reported.
 	progressAt time.Time
 	observedAt time.Time
+	// firstAt and firstPercent are those of the first report.
+	firstAt      time.Time
+	firstPercent float64
 	// The pace is measured between changes of the percent, since the first
 	// percent that is observed may be almost over. measuredAt and
 	// measuredPercent are those of the first change, changedAt that of the last.
@@ -86,6 +94,9 @@
 func (p *Pacer) Observe(active primrosespar.ActiveRun, at time.Time) {
 	first := p.observedAt.IsZero()
 	p.observedAt = at
+	if first {
+		p.firstAt, p.firstPercent = at, active.Percent
+	}
 	if active.Checkpoint != p.checkpoint {
 		p.checkpoint, p.progressAt = active.Checkpoint, at
 	}
@@ -138,6 +149,25 @@
 	return now.Sub(since) > limit && p.observedAt.Sub(since) > limit-unobserved
 }
 
+// LeastRemaining returns the least time that the run still takes if it goes on at
+// its pace so far. If it began to work from nothing at startedAt, that time counts
+// from there, else from the first report; startedAt is then zero. It returns
+// false while too little was observed.
+func (p *Pacer) LeastRemaining(startedAt, now time.Time) (time.Duration, bool) {
+	from, percent := startedAt, 0.0
+	if from.IsZero() {
+		from, percent = p.firstAt, p.firstPercent
+	}
+	worked := p.observedAt.Sub(from)
+	if p.observedAt.IsZero() || worked < minObserved {
+		return 0, false
+	}
+	// The next percent may be almost reached.
+	fastest := float64(worked) / (p.percent + 1 - percent)
+	left := time.Duration(fastest * max(0, percents-1-p.percent))
+	return left - now.Sub(p.observedAt), true
+}
+
 // Proven reports whether the run has worked where it is, so that the worker is
 // likely to be at fault if it stands still. Otherwise its estimate may be wrong.
 func (p *Pacer) Proven() bool { return p.pace > 0 || !p.idleSince.IsZero() }
--- a/internal/fleet/pacer/pacer_test.go
+++ b/internal/fleet/pacer/pacer_test.go
@@ -147,3 +147,22 @@
 		require.False(t, p.Stalled(time.Time{}, now, 0))
 	}
 }
+
+// TestLeastRemaining guards against an end that is expected too late: the next
+// percent may be almost reached, and a resumed run did not begin from nothing.
+func TestLeastRemaining(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := pacer.New(time.Second, start)
+	_, known := p.LeastRemaining(start, start)
+	require.False(t, known)
+	p.Observe(primrosespar.ActiveRun{Percent: 40}, start.Add(100*time.Millisecond))
+	_, known = p.LeastRemaining(start, start)
+	require.False(t, known)
+	p.Observe(primrosespar.ActiveRun{Percent: 49}, start.Add(5*time.Second))
+	left, known := p.LeastRemaining(start, start.Add(6*time.Second))
+	require.True(t, known)
+	require.Equal(t, 4*time.Second, left)
+	left, known = p.LeastRemaining(time.Time{}, start.Add(5*time.Second))
+	require.True(t, known)
+	require.Equal(t, 24500*time.Millisecond, left)
+}
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -50,7 +50,9 @@
 	percentAt  time.Time
 	// runningAt is when the run was first known to be on the worker.
 	runningAt time.Time
-	pace      pacer.Pacer
+	// resumed is set if the run did not begin from nothing under this holder.
+	resumed bool
+	pace    pacer.Pacer
 	// seenAt is when the worker last listed the run.
 	seenAt time.Time
 	// tailLatency is the tail latency that the run last reported.
@@ -225,6 +227,7 @@
 // markRunning records that the run is on its worker.
 func (m *member) markRunning(now time.Time) {
 	m.throttlePercent = fullPercent
+	m.resumed = m.phase == restored || m.unit.checkpoint != ""
 	if m.phase == restored {
 		// An earlier holder may have throttled it.
 		m.throttlePercent = unknownThrottle
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -372,6 +372,10 @@
 		s.stopUnit(u, primrosespar.LossMoved, "worker is draining or cordoned")
 		return
 	}
+	if s.endsTooLate(u, now) {
+		s.stopUnit(u, primrosespar.LossMoved, "worker leaves before the run can end")
+		return
+	}
 	if s.gatherTimedOut(u, now) {
 		for _, m := range u.members {
 			if m.phase != running {
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -54,6 +54,9 @@
 	// within crashMemory.
 	crashedLately bool
 	throttling    throttling
+	// leavesAt is the earliest time at which a draining worker leaves, zero if it
+	// is not known.
+	leavesAt time.Time
 }
 
 // ensureWorker returns the worker and adds it if it is not known. Until it
@@ -110,6 +113,7 @@
 			changed = true
 		}
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
+		s.observeNotice(w, info, now)
 		w.info, w.announced = info, true
 		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
@@ -297,6 +301,9 @@
 	switch {
 	case ended.End == primrosespar.EndDone && u.run == ended.Run.Number && u.phase == encoder.Waiting:
 		s.completeUnit(u, now)
+	case ended.End == primrosespar.EndDone:
+		// How long the run took is not known.
+		s.opts.Accountant.Add(primrosespar.LossAnswerLost, u.step.spec.Need, u.step.spec.Estimate)
 	case ended.End == primrosespar.EndFailed && u.phase != encoder.Done:
 		u.countFailure(ended.Run.Number)
 		s.markUnitDirty(u)
--- a/names_test.go
+++ b/names_test.go
@@ -1,6 +1,7 @@
 package primrosespar_test
 
 import (
+	"encoding/json"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -118,6 +119,18 @@
 	}, messagePaths(t, filled[primrosespar.Advice]()))
 }
 
+// TestLossesKeepTheirNames guards against a renamed cause of lost work, which is
+// a label of a metric, or field of the fleet status.
+func TestLossesKeepTheirNames(t *testing.T) {
+	require.Equal(t, []primrosespar.LossCause{
+		"preempted", "cancelled", "given_up", "failed", "worker_left", "worker_crashed", "lease_expired",
+		"gang_partner_ended", "gang_did_not_gather", "gang_waiting", "stalled", "answer_lost", "moved", "other",
+	}, primrosespar.LossCauses())
+	data, err := json.Marshal(primrosespar.FleetState{Losses: []primrosespar.FleetLoss{{Cause: "moved", Runs: 1, CoreSeconds: 2}}})
+	require.NoError(t, err)
+	require.Contains(t, string(data), `"losses":[{"cause":"moved","runs":1,"core_seconds":2}]`)
+}
+
 // TestRowsKeepTheirNames guards against a renamed Go field that changes the
 // encoding of a stored row, so that a new version cannot read what an earlier
 // one wrote.
