--- a/internal/fleet/scheduler/evacuating.go
+++ b/internal/fleet/scheduler/evacuating.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		if !u.allSent() {
-			s.stopUnit(u, closedReason)
+			s.stopUnit(u, primrosespar.LossMoved, closedReason)
 			continue
 		}
 		for _, other := range u.members {
