Move the order of waiting steps into package ranker

The order of waiting steps was part of the scheduler's planning. It depends on few values and is now a package without I/O that the scheduler composes. The order is unchanged; TestOrder pins it.

go test ./internal/fleet/ranker ./internal/fleet/scheduler passes; no test of the scheduler was changed.

--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -1,36 +1,19 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
-)
-
-// Ranks order the waiting steps; the priority of the queue is added to them.
-// Urgent jobs that can no longer meet their objective still come before work
-// that is not urgent, because they are small for their value. Jobs that would
-// end after the last time at which they have any value come last.
-const (
-	rankLateUrgent = 1
-	rankNormal     = 2
-	rankLate       = 100
-	rankWorthless  = 200
-	// worthlessFactor times the objective is the last time at which a job has
-	// any value.
-	worthlessFactor = 3
+	"primrosespar.example/primrosespar/internal/fleet/ranker"
 )
 
 // rankedStep is a step with waiting units and its position in the order.
 type rankedStep struct {
 	step     *step
 	terms    *primrosespar.QueueTerms
-	rank     int
-	deadline time.Time
-	// onTime is set while the job can still meet its objective.
-	onTime bool
+	position ranker.Position
 	// singleTaskWorkers caches the workers with room for single tasks of the
 	// step.
 	singleTaskWorkers []candidate
@@ -55,7 +38,7 @@
 	return s.collectChanges()
 }
 
-// placeWaiting starts the waiting units that fit, in order of rank.
+// placeWaiting starts the waiting units that fit, in order of their position.
 func (s *Scheduler) placeWaiting(now time.Time) {
 	s.clearReservations()
 	s.failedReclaims = map[reclaimSearch]bool{}
@@ -86,7 +69,7 @@
 // is late has less value than the work that it would stop, but the guarantee of
 // its account still has to be provided for a few seconds.
 func (r *rankedStep) mayReclaim(now time.Time) bool {
-	return r.terms.Priority == 0 && (r.onTime || now.Sub(r.step.readySince) < reclaimTime)
+	return r.terms.Priority == 0 && (r.position.OnTime || now.Sub(r.step.readySince) < reclaimTime)
 }
 
 // clearReservations clears the rack reservations of the last plan.
@@ -155,7 +138,7 @@
 	}
 }
 
-// rankSteps returns the steps with waiting units in order of rank and deadline.
+// rankSteps returns the steps with waiting units in order.
 func (s *Scheduler) rankSteps(now time.Time) []rankedStep {
 	ranked := s.ranked[:0]
 	for _, j := range s.liveJobs {
@@ -168,7 +151,7 @@
 		}
 	}
 	slices.SortStableFunc(ranked, func(a, b rankedStep) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.deadline.Compare(b.deadline))
+		return a.position.Compare(b.position)
 	})
 	s.ranked = ranked
 	return ranked
@@ -181,35 +164,25 @@
 		if st.readySince.IsZero() || st.waitingUnits == 0 || !st.hasWaiting(now) {
 			continue
 		}
-		r := rankedStep{step: st, terms: terms, rank: terms.Priority}
-		if terms.Priority > 0 {
-			r.rank += rankNormal
-		}
-		startedAt := o.job.arrivedMonotonic
-		if o.job.submission.Repeat.Count > 0 {
-			startedAt = o.due
-		}
-		objective := time.Duration(terms.Slack*float64(o.criticalPaths[0])) + terms.Target
-		r.deadline = startedAt.Add(objective)
-		finish := now.Add(o.criticalPaths[st.index])
-		r.onTime = !finish.After(r.deadline)
-		switch {
-		case st.spec.LongRunning:
-			// A long-running job has value whenever it runs, however late it
-			// started.
-			r.onTime = true
-		case finish.After(startedAt.Add(worthlessFactor * objective)):
-			r.rank += rankWorthless
-		case !r.onTime && terms.Priority == 0:
-			r.rank = rankLateUrgent
-		case !r.onTime:
-			r.rank += rankLate
-		}
-		ranked = append(ranked, r)
+		ranked = append(ranked, rankedStep{step: st, terms: terms, position: ranker.Rank(st.work(terms), now)})
 	}
 	return ranked
 }
 
+// work returns what the position of the step depends on.
+func (st *step) work(terms *primrosespar.QueueTerms) ranker.Work {
+	o := st.occurrence
+	since := o.job.arrivedMonotonic
+	if o.job.submission.Repeat.Count > 0 {
+		since = o.due
+	}
+	return ranker.Work{
+		Priority: terms.Priority, Since: since, LongRunning: st.spec.LongRunning,
+		Objective: time.Duration(terms.Slack*float64(o.criticalPaths[0])) + terms.Target,
+		Remaining: o.criticalPaths[st.index],
+	}
+}
+
 // hasWaiting reports whether a unit of the step may start now.
 func (st *step) hasWaiting(now time.Time) bool {
 	for i, u := st.nextWaiting(0); i < st.unitCount(); i, u = st.nextWaiting(i + 1) {
