Hand the fleet lease over to the host that is asked, at once

Change: a host that is asked takes a free lease without the delays of rank and weight. Safe as before: the acquisition has the row's version as its condition. A stopping successor declines, and the next one is asked.

--- a/fleetpeer.go
+++ b/fleetpeer.go
@@ -65,8 +65,10 @@
 	// Advise makes another host call the advice service, which serves only one
 	// call per host at a time.
 	Advise(ctx context.Context, to netip.AddrPort, request AdviceRequest) (Advice, error)
-	// TakeOver asks a host to take over the lease that the sender has released.
-	TakeOver(ctx context.Context, to netip.AddrPort) error
+	// TakeOver asks a host to take over the lease that the sender has released,
+	// or that it cannot keep because the store refuses its commits. The token is
+	// that of the sender's term. CodeDraining means that the host is stopping.
+	TakeOver(ctx context.Context, to netip.AddrPort, token Token) error
 }
 
 // FleetHandler answers the messages that other hosts send with FleetPeers.
@@ -76,5 +78,5 @@
 	HandleSubmit(ctx context.Context, job Submission) error
 	HandleState(ctx context.Context, request JobRequest) (JobState, error)
 	HandleCancel(ctx context.Context, request JobRequest) error
-	HandleTakeOver(ctx context.Context) error
+	HandleTakeOver(ctx context.Context, token Token) error
 }
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -94,6 +94,9 @@
 	// confirmed is when the last confirmed commit was sent, for ConfirmedAt and
 	// Unconfirmed.
 	confirmed atomic.Pointer[primrosespar.Instant]
+	// refusedSince is when the store refused the first attempt of the commit in
+	// flight; nil if an attempt was not answered or none is in flight.
+	refusedSince atomic.Pointer[time.Time]
 	// lastCommitTime is how long the last commit took.
 	lastCommitTime time.Duration
 	// lastReadTime is how long the last read of the lease row took.
@@ -197,6 +200,16 @@
 	return max(now.At.Sub(confirmed.At), now.Elapsed-confirmed.Elapsed)
 }
 
+// RefusedTime returns for how long the store has refused every attempt of the
+// commit in flight, 0 if it has not. Nothing of such a commit is stored. It may
+// be called at any time.
+func (c *Committer) RefusedTime() time.Duration {
+	if since := c.refusedSince.Load(); since != nil {
+		return c.clock.Since(*since)
+	}
+	return 0
+}
+
 // setLease records the lease row as written by a commit that was sent at sentAt
 // or later.
 func (c *Committer) setLease(lease Holder, sentAt primrosespar.Instant) {
@@ -327,6 +340,7 @@
 	backoff := minBackoff
 	outcomeUnknown := false
 	firstAttemptAt := c.now()
+	defer c.refusedSince.Store(nil)
 	for n := 0; ; n++ {
 		startedAt := c.now()
 		versions, err := c.attempt(ctx, n, txn)
@@ -347,12 +361,15 @@
 			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
+			c.refusedSince.Store(nil)
 			if c.tookEffect(ctx, next, firstAttemptAt) {
 				c.lastCommitTime = c.clock.Since(firstAttemptAt.At)
 				return nil
 			}
 		case code != primrosespar.CodeStoreUnavailable:
 			return err
+		case !outcomeUnknown && c.refusedSince.Load() == nil:
+			c.refusedSince.Store(&startedAt.At)
 		}
 		if err := c.wait(ctx, backoff); err != nil {
 			return err
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -304,3 +304,30 @@
 		require.Positive(t, c.Token())
 	})
 }
+
+// TestRefusedTimeCountsRefusalsOnly guards against a holder that gives up its
+// lease for a store that is silent, and may have stored the commit, instead of
+// one that refuses it.
+func TestRefusedTimeCountsRefusalsOnly(t *testing.T) {
+	for _, unanswered := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			clock := clockwork.NewRealClock()
+			table := &unresponsiveTable{Keeper: keeper.New(keeper.WithClock(clock))}
+			c := committer.New(table, clock, committer.Identity{Host: "a", Incarnation: "1"})
+			seen, err := c.Read(t.Context())
+			require.NoError(t, err)
+			require.NoError(t, c.Acquire(t.Context(), seen))
+			require.Zero(t, c.RefusedTime())
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			table.unanswered = unanswered
+			table.SetFaults(keeper.Faults{Outage: true})
+			go func() { _ = c.Commit(ctx, nil) }()
+			time.Sleep(3 * time.Second)
+			require.Equal(t, unanswered == 0, c.RefusedTime() >= 2*time.Second)
+			table.SetFaults(keeper.Faults{})
+			time.Sleep(time.Second)
+			require.Zero(t, c.RefusedTime())
+		})
+	}
+}
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -53,6 +54,16 @@
 	// takeOverTimeout bounds the request to a successor to take over, which it
 	// answers at once.
 	takeOverTimeout = 500 * time.Millisecond
+	// maxHandoverAttempts bounds the successors that are asked to take over.
+	maxHandoverAttempts = 3
+	// offerThreshold is for how long the store may refuse the commits of the
+	// holder before it asks a successor to take over. Callers wait meanwhile;
+	// the committer has made three attempts by then.
+	offerThreshold = 250 * time.Millisecond
+	// offerCheckInterval is the time between two checks for that, and
+	// offerInterval the time between two requests.
+	offerCheckInterval = 100 * time.Millisecond
+	offerInterval      = 500 * time.Millisecond
 )
 
 // Settings configure the daemon of one host.
@@ -242,8 +253,9 @@
 // over.
 func (d *Daemon) Drain(ctx context.Context) {
 	d.draining.Store(true)
-	successor, ok := d.elector.Resign()
-	if !ok {
+	token := d.committer.Token()
+	successors := d.elector.Resign()
+	if len(successors) == 0 {
 		return
 	}
 	deadline := d.opts.Clock.After(endTermTimeout + releaseTimeout)
@@ -256,11 +268,47 @@
 		case <-d.opts.Clock.After(10 * time.Millisecond):
 		}
 	}
+	for _, successor := range successors[:min(len(successors), maxHandoverAttempts)] {
+		if d.askToTakeOver(ctx, successor, token) {
+			return
+		}
+	}
+}
+
+// askToTakeOver asks a host to replace this one as holder and reports whether it
+// has agreed.
+func (d *Daemon) askToTakeOver(ctx context.Context, successor netip.AddrPort, token primrosespar.Token) bool {
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
-	if err := d.messenger.TakeOver(ctx, successor); err != nil {
+	err := d.messenger.TakeOver(ctx, successor, token)
+	if err != nil {
 		d.opts.OnError("handover", err)
 	}
+	return err == nil
+}
+
+// offerLease asks the successors in turn to take over while the store refuses
+// the commits of this host, until the term ends. A successor that the store
+// refuses as well does not.
+func (d *Daemon) offerLease(ctx context.Context, ended <-chan struct{}) {
+	for next := 0; ; {
+		wait := offerCheckInterval
+		successors := d.elector.Hosts()
+		if d.committer.RefusedTime() >= offerThreshold && len(successors) > 0 {
+			successor := successors[next%min(len(successors), maxHandoverAttempts)]
+			d.opts.OnChange("holder", fmt.Sprintf("the store refuses the commits of this host; asking %s to take over", successor))
+			d.askToTakeOver(ctx, successor, d.committer.Token())
+			next++
+			wait = offerInterval
+		}
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-d.opts.Clock.After(wait):
+		}
+	}
 }
 
 // ownHeartbeat returns the heartbeat of this host.
@@ -304,6 +352,7 @@
 	var watchers conc.WaitGroup
 	defer watchers.Wait()
 	defer close(ended)
+	watchers.Go(func() { d.offerLease(ctx, ended) })
 	watchers.Go(func() {
 		select {
 		case <-ended:
--- a/internal/fleet/daemon/daemon_test.go
+++ b/internal/fleet/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
+	"primrosespar.example/primrosespar/internal/fleet/messenger"
 	"primrosespar.example/primrosespar/internal/standin/keeper"
 )
 
@@ -34,6 +35,55 @@
 	return listener, netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// successor is a host that records the requests to take over.
+type successor struct {
+	primrosespar.FleetHandler
+	asked chan primrosespar.Token
+}
+
+// HandleTakeOver implements primrosespar.FleetHandler.
+func (s successor) HandleTakeOver(_ context.Context, token primrosespar.Token) error {
+	select {
+	case s.asked <- token:
+	default:
+	}
+	return nil
+}
+
+// TestRefusedHolderOffersItsLease guards against a holder that is refused by the
+// store and leaves the other hosts to find it out, which took them 1.5 s.
+func TestRefusedHolderOffersItsLease(t *testing.T) {
+	listener, address := listen(t)
+	own, ownAddress := listen(t)
+	require.NoError(t, own.Close())
+	clock := clockwork.NewRealClock()
+	table := keeper.New(keeper.WithClock(clock))
+	d, err := daemon.New(daemon.Settings{Host: "a", PeerAddress: ownAddress, Weight: 1, Lease: time.Second},
+		daemon.Backend{Table: table, Source: source{}}, daemon.WithClock(clock))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	next := successor{asked: make(chan primrosespar.Token, 1)}
+	tasks.Go(func() { _ = messenger.Serve(ctx, listener, next, func(string, error) {}) })
+	tasks.Go(func() { _ = d.Run(ctx) })
+	var token primrosespar.Token
+	require.Eventually(t, func() bool {
+		reply, err := d.HandleHeartbeat(ctx, primrosespar.FleetHeartbeat{Host: "b", Address: address, Weight: 1})
+		token = reply.Token
+		return err == nil && reply.Leading
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Empty(t, next.asked)
+	table.SetFaults(keeper.Faults{Outage: true})
+	select {
+	case asked := <-next.asked:
+		require.Equal(t, token, asked)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the successor was not asked")
+	}
+}
+
 // TestDrainDoesNotWaitForASilentSuccessor guards against a host that does not
 // stop in time, because the successor that it asks to take over accepts the
 // connection and never answers.
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -60,8 +60,11 @@
 }
 
 // HandleTakeOver implements primrosespar.FleetHandler.
-func (d *Daemon) HandleTakeOver(context.Context) error {
-	d.elector.TakeOver()
+func (d *Daemon) HandleTakeOver(_ context.Context, token primrosespar.Token) error {
+	if d.draining.Load() {
+		return primrosespar.Fail(primrosespar.CodeDraining, "this host is stopping")
+	}
+	d.elector.TakeOver(token)
 	return nil
 }
 
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -127,6 +127,10 @@
 	// resignedToken is the token of the last holder that has resigned. A lease
 	// row with this token may be replaced at once.
 	resignedToken primrosespar.Token
+	// asked is set while the holder with askedToken wants this host to replace
+	// it.
+	asked      bool
+	askedToken primrosespar.Token
 	// holderSilent is set while heartbeats to the holder fail.
 	holderSilent bool
 	// seenVersion is the version of the lease row while it is watched, and
@@ -198,21 +202,17 @@
 }
 
 // Resign ends the term of this host, if it leads, and keeps it from acquiring
-// the lease again. If it led and there is a successor, it returns the
-// successor's address and true.
-func (e *Elector) Resign() (netip.AddrPort, bool) {
+// the lease again. If it led, it returns the hosts that may replace it, in order
+// of succession.
+func (e *Elector) Resign() []netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.resigned = true
 	if !e.leading {
-		return netip.AddrPort{}, false
+		return nil
 	}
 	e.stopTerm()
-	hosts := e.successors()
-	if len(hosts) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return hosts[0], true
+	return e.successors()
 }
 
 // Resigned reports whether Resign was called and the term of this host, if there
@@ -230,9 +230,18 @@
 	e.resignedToken = token
 }
 
-// TakeOver makes the host read the lease row at once, because the holder has
-// released it.
-func (e *Elector) TakeOver() {
+// TakeOver makes the host read the lease row at once and acquire the lease if it
+// is free or still that of the holder with the token, who has asked for it.
+func (e *Elector) TakeOver(token primrosespar.Token) {
+	e.mu.Lock()
+	e.asked, e.askedToken, e.holderKnown = true, token, false
+	e.mu.Unlock()
+	e.Wake()
+}
+
+// Search makes the host read the lease row at once, because the holder that it
+// knows does not lead any more.
+func (e *Elector) Search() {
 	e.mu.Lock()
 	e.holderKnown = false
 	e.mu.Unlock()
--- a/internal/fleet/elector/watching.go
+++ b/internal/fleet/elector/watching.go
@@ -71,6 +71,7 @@
 	e.recordReadTime(e.parts.Clock.Since(startedAt))
 	if err != nil {
 		e.parts.OnError("election", err)
+		e.dropRequest()
 		// The row may have changed while it could not be read.
 		e.stopWatching()
 		e.forgetReply()
@@ -111,7 +112,7 @@
 	if e.resigned {
 		return false
 	}
-	if e.parts.Committer.IsOwn(row) {
+	if e.parts.Committer.IsOwn(row) || e.mayTakeOver(row) {
 		return true
 	}
 	if row.Host == "" {
@@ -123,6 +124,25 @@
 	return now.Sub(e.versionSeenAt) >= minUnchanged+e.rankDelay()
 }
 
+// mayTakeOver reports whether the holder in the row has asked this host to
+// replace it, and drops the request. A slow store delays the commits of every
+// host, so that it is no reason to replace a holder. The caller holds the lock.
+func (e *Elector) mayTakeOver(row committer.Holder) bool {
+	asked := e.asked
+	e.asked = false
+	if row.Host == "" {
+		return asked
+	}
+	return asked && row.Token == e.askedToken && e.storeReadTime <= slowReadTime
+}
+
+// dropRequest drops the request of a holder to replace it.
+func (e *Elector) dropRequest() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked = false
+}
+
 // forgetReply drops the version of the lease row in the last reply. After an
 // outage of the store the holder gets time to write the row again.
 func (e *Elector) forgetReply() {
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -72,8 +72,8 @@
 }
 
 // TakeOver implements primrosespar.FleetPeers.
-func (m *Messenger) TakeOver(ctx context.Context, to netip.AddrPort) error {
-	return m.callWrite(ctx, to, rpcTakeOver, &takeOverRequest{})
+func (m *Messenger) TakeOver(ctx context.Context, to netip.AddrPort, token primrosespar.Token) error {
+	return m.callWrite(ctx, to, rpcTakeOver, &takeOverRequest{Token: token})
 }
 
 // State implements primrosespar.FleetPeers.
--- a/internal/fleet/messenger/server.go
+++ b/internal/fleet/messenger/server.go
@@ -23,8 +23,11 @@
 	rpcTakeOver  = "/primrosespar.FleetPeers/Succeed"
 )
 
-// takeOverRequest is the request message of TakeOver, which has no content.
-type takeOverRequest struct{}
+// takeOverRequest is the request message of TakeOver. Hosts of earlier releases
+// send no token.
+type takeOverRequest struct {
+	Token primrosespar.Token `json:"token,omitempty"`
+}
 
 // service passes requests to the handler.
 type service struct {
@@ -68,8 +71,8 @@
 }
 
 // takeOver serves a request to take over the lease.
-func (s *service) takeOver(ctx context.Context, _ *takeOverRequest) *replier.Reply[struct{}] {
-	return replier.Of(struct{}{}, s.handler.HandleTakeOver(ctx))
+func (s *service) takeOver(ctx context.Context, in *takeOverRequest) *replier.Reply[struct{}] {
+	return replier.Of(struct{}{}, s.handler.HandleTakeOver(ctx, in.Token))
 }
 
 // methods returns the method table of the service for drpc.
