--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -179,6 +180,11 @@
 		return fleetDaemon.UnconfirmedTime().Seconds()
 	})
 	h.addEvacuationMetrics()
+	for _, cause := range primrosespar.LossCauses() {
+		h.meter.Gauge(fmt.Sprintf(`primrosespar_fleet_lost_core_seconds{cause=%q}`, cause), func() float64 {
+			return fleetDaemon.LostWork(cause)
+		})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -30,6 +31,7 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/accountant"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/elector"
@@ -54,6 +56,16 @@
 	// takeOverTimeout bounds the request to a successor to take over, which it
 	// answers at once.
 	takeOverTimeout = 500 * time.Millisecond
+	// maxHandoverAttempts bounds the successors that are asked to take over.
+	maxHandoverAttempts = 3
+	// offerThreshold is for how long the store may refuse the commits of the
+	// holder before it asks a successor to take over. Callers wait meanwhile;
+	// the committer has made three attempts by then.
+	offerThreshold = 250 * time.Millisecond
+	// offerCheckInterval is the time between two checks for that, and
+	// offerInterval the time between two requests.
+	offerCheckInterval = 100 * time.Millisecond
+	offerInterval      = 500 * time.Millisecond
 )
 
 // Settings configure the daemon of one host.
@@ -147,6 +159,8 @@
 	// supervisor keeps a panic in one part from ending the process.
 	supervisor *supervisor.Supervisor
 	committer  *committer.Committer
+	// accountant adds up the lost work of all terms of this host.
+	accountant *accountant.Accountant
 	elector    *elector.Elector
 	follower   *follower.Follower
 	submitter  *submitter.Submitter
@@ -163,7 +177,7 @@
 
 // New returns a Daemon that has not started.
 func New(settings Settings, backend Backend, opts ...Option) (*Daemon, error) {
-	d := &Daemon{settings: settings, backend: backend, messenger: messenger.New(), opts: Options{
+	d := &Daemon{settings: settings, backend: backend, messenger: messenger.New(), accountant: accountant.New(), opts: Options{
 		OnDecision: func(scheduler.Event) {},
 		OnChange:   func(string, string) {},
 		OnError:    func(string, error) {},
@@ -260,8 +274,9 @@
 // over.
 func (d *Daemon) Drain(ctx context.Context) {
 	d.draining.Store(true)
-	successor, ok := d.elector.Resign()
-	if !ok {
+	token := d.committer.Token()
+	successors := d.elector.Resign()
+	if len(successors) == 0 {
 		return
 	}
 	deadline := d.opts.Clock.After(endTermTimeout + releaseTimeout)
@@ -274,11 +289,47 @@
 		case <-d.opts.Clock.After(10 * time.Millisecond):
 		}
 	}
+	for _, successor := range successors[:min(len(successors), maxHandoverAttempts)] {
+		if d.askToTakeOver(ctx, successor, token) {
+			return
+		}
+	}
+}
+
+// askToTakeOver asks a host to replace this one as holder and reports whether it
+// has agreed.
+func (d *Daemon) askToTakeOver(ctx context.Context, successor netip.AddrPort, token primrosespar.Token) bool {
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
-	if err := d.messenger.TakeOver(ctx, successor); err != nil {
+	err := d.messenger.TakeOver(ctx, successor, token)
+	if err != nil {
 		d.opts.OnError("handover", err)
 	}
+	return err == nil
+}
+
+// offerLease asks the successors in turn to take over while the store refuses
+// the commits of this host, until the term ends. A successor that the store
+// refuses as well does not.
+func (d *Daemon) offerLease(ctx context.Context, ended <-chan struct{}) {
+	for next := 0; ; {
+		wait := offerCheckInterval
+		successors := d.elector.Hosts()
+		if d.committer.RefusedTime() >= offerThreshold && len(successors) > 0 {
+			successor := successors[next%min(len(successors), maxHandoverAttempts)]
+			d.opts.OnChange("holder", fmt.Sprintf("the store refuses the commits of this host; asking %s to take over", successor))
+			d.askToTakeOver(ctx, successor, d.committer.Token())
+			next++
+			wait = offerInterval
+		}
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-d.opts.Clock.After(wait):
+		}
+	}
 }
 
 // ownHeartbeat returns the heartbeat of this host.
@@ -305,7 +356,7 @@
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock, Stopwatch: d.opts.Stopwatch,
 		Maintenance: d.backend.Maintenance, Evacuations: d.evacuationSource(), Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
-	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
+	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithAccountant(d.accountant), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
 		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval),
 		controller.WithEvacuationBound(d.settings.EvacuationBound))
@@ -323,6 +374,7 @@
 	var watchers conc.WaitGroup
 	defer watchers.Wait()
 	defer close(ended)
+	watchers.Go(func() { d.offerLease(ctx, ended) })
 	watchers.Go(func() {
 		select {
 		case <-ended:
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -56,6 +56,9 @@
 	// within crashMemory.
 	crashedLately bool
 	throttling    throttling
+	// leavesAt is the earliest time at which a draining worker leaves, zero if it
+	// is not known.
+	leavesAt time.Time
 }
 
 // ensureWorker returns the worker and adds it if it is not known. Until it
@@ -112,6 +115,7 @@
 			changed = true
 		}
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
+		s.observeNotice(w, info, now)
 		w.info, w.announced = info, true
 		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
@@ -143,7 +147,7 @@
 				continue
 			}
 			used = used.Sub(m.unit.step.spec.Occupies())
-			s.stopUnit(m.unit, "capacity of the worker has shrunk")
+			s.stopUnit(m.unit, primrosespar.LossOther, "capacity of the worker has shrunk")
 		}
 	}
 }
@@ -299,6 +303,9 @@
 	switch {
 	case ended.End == primrosespar.EndDone && u.run == ended.Run.Number && u.phase == encoder.Waiting:
 		s.completeUnit(u, now)
+	case ended.End == primrosespar.EndDone:
+		// How long the run took is not known.
+		s.opts.Accountant.Add(primrosespar.LossAnswerLost, u.step.spec.Need, u.step.spec.Estimate)
 	case ended.End == primrosespar.EndFailed && u.phase != encoder.Done:
 		u.countFailure(ended.Run.Number)
 		s.markUnitDirty(u)
@@ -349,7 +356,7 @@
 	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
 	if m.run == m.unit.run {
-		m.unit.setCheckpoint(active.Checkpoint)
+		m.unit.setCheckpoint(active.Checkpoint, now)
 	}
 	if active.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = active.Percent, now
