Obey the regions that a route and a tenant allow (ready to merge)

allowedRegions was not read. All lists are empty in the deployments of today, and nothing changes for them.

--- a/catalog.go
+++ b/catalog.go
@@ -24,6 +24,8 @@
 	// Advised queues need a ticket of the advice service for each worker that
 	// runs their tasks.
 	Advised bool
+	// Regions are the regions in whose places the tasks may run; none means all.
+	Regions []Region `cbor:",omitempty"`
 }
 
 // Catalog is one version of the configuration that operators publish: the
@@ -34,6 +36,9 @@
 	Contracts []Contract
 	// Keys maps API keys to accounts.
 	Keys map[string]Account
+	// Regions are the regions in whose places the work of an account may run. An
+	// account that has none may use all.
+	Regions map[Account][]Region
 }
 
 // CatalogConfirmation is what a holder says about its reads of the catalog.
--- a/fleet.go
+++ b/fleet.go
@@ -216,9 +216,11 @@
 	Service   Service
 	Address   netip.AddrPort
 	Place     Place
-	Rack      Rack
-	Labels    []string
-	Capacity  Resources
+	// Region is that of the place, empty if it is not known.
+	Region   Region
+	Rack     Rack
+	Labels   []string
+	Capacity Resources
 	// Draining workers accept no new work and leave the fleet soon.
 	Draining bool
 	// DrainRemaining is the least time for which a draining worker still ran when
--- a/identity.go
+++ b/identity.go
@@ -6,6 +6,9 @@
 // Place is the name of a data centre with its own hosts, upstreams and workers.
 type Place string
 
+// Region is the name of a region, to which several places may belong.
+type Region string
+
 // Host is the name of a machine that runs an entry process.
 type Host string
 
--- a/internal/fleet/scheduler/evacuating.go
+++ b/internal/fleet/scheduler/evacuating.go
@@ -88,11 +88,12 @@
 	})
 }
 
-// mayStart reports whether all places of the unit accept work now. A gang starts
-// everywhere when its last member arrives.
+// mayStart reports whether all places of the unit accept work now, and its work.
+// A gang starts everywhere when its last member arrives.
 func (s *Scheduler) mayStart(u *unit) bool {
+	u.step.regions = s.allowedRegions(u.step.occurrence.job)
 	for _, m := range u.members {
-		if !s.opts.Accepts(m.worker.info.Place) {
+		if !s.opts.Accepts(m.worker.info.Place) || !u.step.allowedAt(m.worker) {
 			return false
 		}
 	}
--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -122,7 +122,7 @@
 func (s *Scheduler) noRoomReason(u *unit, r *rankedStep, now time.Time) string {
 	var capable, closed, ineligible, unresponsive, room, withTicket int
 	for _, w := range s.announced {
-		if w.info.Service != r.terms.Service || w.room(u, w.info.Capacity) == 0 || !u.step.hasRequiredLabel(w) {
+		if w.info.Service != r.terms.Service || w.room(u, w.info.Capacity) == 0 || !u.step.hasRequiredLabel(w) || !u.step.allowedAt(w) {
 			continue
 		}
 		capable++
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -89,7 +89,10 @@
 	readySince time.Time
 	// Tasks of advised steps start only on workers with a ticket; denied
 	// workers never get one.
-	advised        bool
+	advised bool
+	// regions are lists of regions, in each of which the workers of the tasks
+	// have to be.
+	regions        [][]primrosespar.Region
 	adviceInFlight bool
 	nextAdviceAt   time.Time
 	tickets        map[primrosespar.Worker]ticket
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -32,7 +32,7 @@
 	if now.Before(w.quarantinedUntil) || now.Before(w.probationUntil) || u.avoid[w.info.Worker] {
 		return false
 	}
-	return u.step.hasRequiredLabel(w)
+	return u.step.hasRequiredLabel(w) && u.step.allowedAt(w)
 }
 
 // room returns how many members of the unit fit into the free capacity.
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -46,7 +46,7 @@
 	reservations, reclaims := 0, 0
 	blockedSizes := map[blockedShape]int{}
 	for _, r := range s.rankSteps(now) {
-		r.step.advised = r.terms.Advised
+		r.step.advised, r.step.regions = r.terms.Advised, s.allowedRegions(r.step.occurrence.job)
 		blocked, index := s.placeStep(&r, 0, blockedSizes, now)
 		// Room for all units of an urgent step is made in one plan. Making it
 		// for one unit after the other would take the time of a stop for each.
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -86,7 +86,7 @@
 // unrestricted reports whether the unit may use any worker that others of its
 // shape may use.
 func (u *unit) unrestricted() bool {
-	return len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && !u.step.advised
+	return len(u.avoid) == 0 && u.step.spec.PerWorker == 0 && !u.step.advised && len(u.step.regions) == 0
 }
 
 // preemption is a set of units to stop, the workers that the unit then runs on,
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -154,7 +154,7 @@
 
 // sameInfo reports whether two announcements of a worker are equal.
 func sameInfo(a, b primrosespar.WorkerInfo) bool {
-	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place &&
+	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place && a.Region == b.Region &&
 		a.Rack == b.Rack && a.Capacity == b.Capacity && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
 }
 
