Prefer warm workers, and fill cold ones step by step (ready to merge)

coldRemainingMs and coldPerS were not read. Single tasks and gangs take warm workers first; where a service gives a rate, a cold worker gets no more starts a second. Without cold workers the plan returns at once.

Seen to fail: TestWarmWorkersComeFirst without the score of single tasks and without that of gangs, TestColdWorkersAreFilledInSteps without the limit, the tests of closed places without the update after a change of workers.

--- a/catalog.go
+++ b/catalog.go
@@ -36,6 +36,9 @@
 	Contracts []Contract
 	// Keys maps API keys to accounts.
 	Keys map[string]Account
+	// ColdStarts is how many starts a second a worker of a service takes while it
+	// is cold. A service that has none sets no limit.
+	ColdStarts map[Service]float64
 	// Regions are the regions in whose places the work of an account may run. An
 	// account that has none may use all.
 	Regions map[Account][]Region
--- a/fleet.go
+++ b/fleet.go
@@ -223,6 +223,9 @@
 	Capacity Resources
 	// Draining workers accept no new work and leave the fleet soon.
 	Draining bool
+	// ColdRemaining is how much longer the worker was slow after its start when it
+	// announced this; 0 if it was warm.
+	ColdRemaining time.Duration
 	// DrainRemaining is the least time for which a draining worker still ran when
 	// it announced this; 0 if it did not say.
 	DrainRemaining time.Duration
--- a/internal/fleet/scheduler/evacuating.go
+++ b/internal/fleet/scheduler/evacuating.go
@@ -20,19 +20,14 @@
 // starts that may not have reached their worker are stopped; what runs there
 // goes on.
 func (s *Scheduler) updateClosedPlaces() {
-	accepts := map[primrosespar.Place]bool{}
+	if !s.askPlaces() {
+		return
+	}
 	changed := false
 	for _, w := range s.workers {
-		accepted, known := accepts[w.info.Place]
-		if !known {
-			accepted = s.opts.Accepts(w.info.Place)
-			accepts[w.info.Place] = accepted
-		}
-		if w.closed != accepted {
-			continue
-		}
-		w.closed = !accepted
-		changed = true
+		closed := s.closedPlaces[w.info.Place]
+		changed = changed || w.closed != closed
+		w.closed = closed
 	}
 	if !changed {
 		return
@@ -54,6 +49,26 @@
 	}
 }
 
+// askPlaces asks of each place whether it accepts work, and reports whether the
+// workers have to be updated.
+func (s *Scheduler) askPlaces() bool {
+	changed := s.placesChanged
+	if changed {
+		s.placesChanged = false
+		clear(s.closedPlaces)
+		for _, w := range s.workers {
+			s.closedPlaces[w.info.Place] = false
+		}
+	}
+	for place, closed := range s.closedPlaces {
+		if accepts := s.opts.Accepts(place); accepts == closed {
+			s.closedPlaces[place] = !accepts
+			changed = true
+		}
+	}
+	return changed
+}
+
 // withdrawFrom stops the units on the worker of which a start order has not left
 // or would have to be repeated. Orders in flight may arrive in time, and their
 // tasks then run on; those that still wait to be sent are withdrawn.
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -90,7 +91,7 @@
 			continue
 		}
 		free := w.freeFor(u)
-		if n := w.roomUpTo(u, free, limit); n > 0 {
+		if n := w.warming.limit(w.roomUpTo(u, free, limit)); n > 0 {
 			candidates = append(candidates, candidate{w, n, free})
 		}
 	}
@@ -247,7 +248,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return a.acceleratorsLeft(u) - b.acceleratorsLeft(u)
+		return cmp.Or(a.worker.warming.score()-b.worker.warming.score(), a.acceleratorsLeft(u)-b.acceleratorsLeft(u))
 	})
 	workers := make([]*worker, 0, u.size)
 	for _, c := range candidates {
@@ -292,6 +293,7 @@
 		if u.suspected() && (c.worker.crashedLately || len(c.worker.memberList) > 0) {
 			score += math.MaxInt / 32
 		}
+		score += c.worker.warming.score()
 		if c.worker.interferes(u.step) {
 			score += math.MaxInt / 16
 		}
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -23,6 +23,7 @@
 // the caller has to carry out.
 func (s *Scheduler) Plan(now time.Time) Changes {
 	s.updateClosedPlaces()
+	s.updateWarming(now)
 	if now.Sub(s.checkedAt) >= checkInterval {
 		s.checkedAt = now
 		s.expireLeases(now)
@@ -282,6 +283,7 @@
 	u.placedAt, u.progressAt, u.firstEndAt, u.firstSentAt = now, now, time.Time{}, time.Time{}
 	for i, w := range workers {
 		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w, lifetime: markLifetime(w.startedAt)})
+		w.warming.countStart(now)
 		if u.suspected() {
 			w.probationUntil = now.Add(probationTime)
 		}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -61,6 +61,12 @@
 	fillerRuns int
 	// guaranteed is the sum of the accelerators that accounts are guaranteed.
 	guaranteed int
+	// closedPlaces says of the places of all workers whether they accept no work.
+	// placesChanged is set once a worker or its place has changed.
+	closedPlaces  map[primrosespar.Place]bool
+	placesChanged bool
+	// coldUntil is when the last worker is warm, zero if all are.
+	coldUntil time.Time
 	// reservedWorkers are the workers that racks were reserved with in this
 	// plan.
 	reservedWorkers []*worker
@@ -178,8 +184,9 @@
 		crashedAt:          map[netip.AddrPort]time.Time{},
 		lostContacts:       map[contact]lostContact{},
 
-		claimants: map[*unit]bool{},
-		replaced:  map[primrosespar.Worker]time.Time{},
+		claimants:    map[*unit]bool{},
+		closedPlaces: map[primrosespar.Place]bool{},
+		replaced:     map[primrosespar.Worker]time.Time{},
 	}
 }
 
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -56,6 +56,7 @@
 	// within crashMemory.
 	crashedLately bool
 	throttling    throttling
+	warming       warming
 	// leavesAt is the earliest time at which a draining worker leaves, zero if it
 	// is not known.
 	leavesAt time.Time
@@ -116,6 +117,7 @@
 		}
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
 		s.observeNotice(w, info, now)
+		s.observeCold(w, info, now)
 		w.info, w.announced = info, true
 		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
@@ -123,6 +125,7 @@
 	s.replaced = replaced
 	s.expireCrashes(now)
 	if changed || len(s.announced) != len(wasAnnounced) {
+		s.placesChanged = true
 		s.capacityVersion++
 		s.groupRacks()
 	}
