--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -23,6 +23,7 @@
 // the caller has to carry out.
 func (s *Scheduler) Plan(now time.Time) Changes {
 	s.updateClosedPlaces()
+	s.updateWarming(now)
 	if now.Sub(s.checkedAt) >= checkInterval {
 		s.checkedAt = now
 		s.expireLeases(now)
@@ -46,7 +47,7 @@
 	reservations, reclaims := 0, 0
 	blockedSizes := map[blockedShape]int{}
 	for _, r := range s.rankSteps(now) {
-		r.step.advised = r.terms.Advised
+		r.step.advised, r.step.regions = r.terms.Advised, s.allowedRegions(r.step.occurrence.job)
 		blocked, index := s.placeStep(&r, 0, blockedSizes, now)
 		// Room for all units of an urgent step is made in one plan. Making it
 		// for one unit after the other would take the time of a stop for each.
@@ -282,6 +283,7 @@
 	u.placedAt, u.progressAt, u.firstEndAt, u.firstSentAt = now, now, time.Time{}, time.Time{}
 	for i, w := range workers {
 		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w, lifetime: markLifetime(w.startedAt)})
+		w.warming.countStart(now)
 		if u.suspected() {
 			w.probationUntil = now.Add(probationTime)
 		}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -56,6 +56,7 @@
 	// within crashMemory.
 	crashedLately bool
 	throttling    throttling
+	warming       warming
 	// leavesAt is the earliest time at which a draining worker leaves, zero if it
 	// is not known.
 	leavesAt time.Time
@@ -116,6 +117,7 @@
 		}
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
 		s.observeNotice(w, info, now)
+		s.observeCold(w, info, now)
 		w.info, w.announced = info, true
 		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
@@ -123,6 +125,7 @@
 	s.replaced = replaced
 	s.expireCrashes(now)
 	if changed || len(s.announced) != len(wasAnnounced) {
+		s.placesChanged = true
 		s.capacityVersion++
 		s.groupRacks()
 	}
@@ -154,7 +157,7 @@
 
 // sameInfo reports whether two announcements of a worker are equal.
 func sameInfo(a, b primrosespar.WorkerInfo) bool {
-	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place &&
+	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place && a.Region == b.Region &&
 		a.Rack == b.Rack && a.Capacity == b.Capacity && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
 }
 
