Let the soak evacuate regions beside its other troubles

The trouble evacuate empties one region or two, up to three times in a row, through the platform's rows or with the product's command, and takes that back; the stand-in reports a start later than 5 s after the acknowledgement, unless the worker carried the order out late or a cut that has just healed held it up.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -58,6 +59,11 @@
 	links     *partitioner.Partitioner
 	hosts     []*soakHost
 	client    *http.Client
+	// tokenPath names the file with the token of operators.
+	tokenPath string
+	// healedAt is when the last cut of each region was healed.
+	healedMu sync.Mutex
+	healedAt map[string]time.Time
 }
 
 // Run starts the hosts, runs the soak and fails if it found a violation.
--- a/cmd/standin/soakfaults.go
+++ b/cmd/standin/soakfaults.go
@@ -40,6 +40,8 @@
 	cutCount int
 	// waveCount is the number of maintenance waves so far.
 	waveCount int
+	// evacuating is held while a region is evacuated.
+	evacuating sync.Mutex
 }
 
 // newSoakFaults returns the faults of a soak without starting any.
@@ -63,6 +65,7 @@
 	for _, w := range f.soak.fleet.Workers() {
 		w.SetFaults(standin.WorkerFaults{})
 	}
+	f.restoreAll(ctx)
 }
 
 // checkWaves checks that the operator is told within the timeout that each
@@ -132,6 +135,8 @@
 		w.Replace()
 	case troubleRegion, troubleOneWay, troubleSeries:
 		f.cutRegion(f.drawCut(random, kind))
+	case troubleEvacuate:
+		f.evacuate(ctx, f.drawEvacuation(random))
 	default:
 	}
 }
--- a/cmd/standin/soakhosts.go
+++ b/cmd/standin/soakhosts.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -56,9 +57,16 @@
 	}
 	s := &soak{
 		soakCommand: c, fleet: fleet, troubles: troubles, processes: &processGroup{dir: dir}, links: partitioner.New(),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+		healedAt: map[string]time.Time{},
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 	}
 	s.kills = newCommitKiller(s)
+	s.tokenPath = filepath.Join(dir, "operator.token")
+	if err := os.WriteFile(s.tokenPath, []byte(operatorToken), 0o600); err != nil {
+		s.close()
+		return nil, eris.Wrap(err, "write token")
+	}
+	fleet.SetHeldUp(s.heldUp)
 	for i := range c.Hosts {
 		h := &soakHost{
 			name: fmt.Sprintf("host-%d", i), region: fleet.Regions()[i%c.Regions],
@@ -178,7 +186,7 @@
 // startHost starts the process of a host and waits until it logs that it has
 // started.
 func (s *soak) startHost(ctx context.Context, h *soakHost) error {
-	child, err := s.processes.start(ctx, h.name, s.Product, []string{"fleet", "--settings", h.settingsPath}, func(line []byte) bool {
+	child, err := s.processes.start(ctx, h.name, s.Product, []string{"fleet", "--settings", h.settingsPath, "--operator-token", s.tokenPath}, func(line []byte) bool {
 		return strings.Contains(string(line), "host has started")
 	})
 	h.mu.Lock()
@@ -209,6 +217,9 @@
 
 // heal ends the cut of a region.
 func (s *soak) heal(region string) {
+	s.healedMu.Lock()
+	s.healedAt[region] = time.Now()
+	s.healedMu.Unlock()
 	s.links.Heal(region)
 	s.setWorkersCutOff(region, false)
 }
--- a/cmd/standin/soaktroubles.go
+++ b/cmd/standin/soaktroubles.go
@@ -31,6 +31,9 @@
 	troubleRegion trouble = "region"
 	troubleOneWay trouble = "oneway"
 	troubleSeries trouble = "series"
+	// troubleEvacuate has an operator empty a region and take that back, some
+	// times in a row, through the platform or with a command of the product.
+	troubleEvacuate trouble = "evacuate"
 )
 
 // Demanding jobs and callers.
@@ -60,7 +63,7 @@
 
 // faultTroubles returns all faults in the order in which they are drawn.
 func faultTroubles() []trouble {
-	return append(basicTroubles(), troubleRegion, troubleOneWay, troubleSeries)
+	return append(basicTroubles(), troubleRegion, troubleOneWay, troubleSeries, troubleEvacuate)
 }
 
 // loadTroubles returns the kinds of demanding jobs and callers.
