--- a/names_test.go
+++ b/names_test.go
@@ -221,3 +221,18 @@
 		"config print", "config print <file>", "codes", "codes --markdown", "version",
 	}, commandLine("", parser.Model.Node))
 }
+
+// TestEvacuationsKeepTheirNames guards against a renamed Go field that renames a
+// command for evacuations or a field of its answer.
+func TestEvacuationsKeepTheirNames(t *testing.T) {
+	parser, err := kong.New(&handler.FleetCommands{}, handler.KongOptions()...)
+	require.NoError(t, err)
+	require.Equal(t, []string{
+		"", " --help", "status", "explain", "explain <job>", "evacuate", "evacuate <place>", "restore", "restore <place>",
+	}, commandLine("", parser.Model.Node))
+	data, err := json.Marshal(primrosespar.EvacuationView{
+		Evacuation: primrosespar.Evacuation{Place: "a", Own: true, Version: 3, RequestedAt: time.UnixMilli(1).UTC()}, Runs: 2,
+	})
+	require.NoError(t, err)
+	require.JSONEq(t, `{"place":"a","own":true,"version":3,"requested_at":"1970-01-01T00:00:00.001Z","runs":2}`, string(data))
+}
