Show what a crowd of hostile clients does to a host

Clients that the operators do not control ended a process in a trial. The new command 'standin crowd' starts one host against the stand-in, whose configuration now carries limits as the platform's does, lets clients of one kind or of all kinds connect to one of its ports, and judges that the process lives, its resident memory and its sockets stay within the machine and one ordinary job is accepted while their connections are open. TestCrowd plays 400 clients against 64 MB and 400 descriptors (200 of them for files), one kind at a time.

Empty lines without end cost net/http no memory; there only the sockets show.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,6 +10,7 @@
 //	standin trial --seed 1 --faults store --load 30s
 //	standin soak --seed 1 --load 30s
 //	standin cut --cut 14s
+//	standin crowd --kind stalled_bodies --clients 2000
 //	standin compare --workers 350 --seeds 5 --plot waits.svg
 //
 // The first two print one JSON line with their addresses and run until SIGTERM.
@@ -43,6 +44,7 @@
 	Platform platformCommand `cmd:"" help:"Play the table, the object store, the host list and the workers."`
 	Upstream upstreamCommand `cmd:"" help:"Play service runners, one listener each."`
 	Compare  compareCommand  `cmd:"" help:"Compare policies of the fleet scheduler over seeds in virtual time."`
+	Crowd    crowdCommand    `cmd:"" help:"Let a crowd of hostile clients connect to one host and judge its memory, sockets and answers."`
 	Cut      cutCommand      `cmd:"" help:"Cut the region of the lease holder off while its tasks run and judge the runs."`
 	Demo     demoCommand     `cmd:"" help:"Run both example deployments with faults and count what happened."`
 	Soak     soakCommand     `cmd:"" help:"Run hosts of the fleet scheduler under seeded faults and judge what callers and workers see."`
--- a/cmd/standin/process.go
+++ b/cmd/standin/process.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -98,6 +100,44 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// sockets returns the number of open sockets and pipes of the process.
+func (p *process) sockets() int {
+	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, entry := range entries {
+		target, err := os.Readlink(filepath.Join(dir, entry.Name()))
+		if err == nil && (strings.HasPrefix(target, "socket:") || strings.HasPrefix(target, "pipe:")) {
+			n++
+		}
+	}
+	return n
+}
+
+// peakMemory returns the largest resident memory of the process so far, in
+// bytes, and whether it is still running.
+func (p *process) peakMemory() (int64, bool) {
+	select {
+	case <-p.done:
+		return 0, false
+	default:
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, false
+	}
+	for line := range bytes.Lines(status) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(string(line), "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10, true
+		}
+	}
+	return 0, false
+}
+
 // stop sends SIGTERM to all processes, also to suspended ones, and kills all of
 // them if any is still running after the timeout.
 func (p *processGroup) stop(timeout time.Duration) {
