--- a/code.go
+++ b/code.go
@@ -42,6 +42,7 @@
 	CodeImpossibleShape Code = 112
 	CodeBadSyntax       Code = 113
 	CodeJobTooLarge     Code = 114
+	CodeTooSlow         Code = 115
 
 	CodeRateLimited      Code = 200
 	CodeQueueFull        Code = 201
@@ -49,6 +50,7 @@
 	CodeConcurrencyLimit Code = 203
 	CodeQuotaExceeded    Code = 204
 	CodeRetryBudget      Code = 205
+	CodeHostBusy         Code = 206
 
 	CodeOutcomeUnknown  Code = 300
 	CodeInProgress      Code = 301
@@ -149,6 +151,7 @@
 		{CodeImpossibleShape, "impossible_shape", 422, exitUsage, "The workers of the place could not hold the shape even if all were free. Not run."},
 		{CodeBadSyntax, "bad_syntax", 400, exitUsage, "The document is not valid TOML or JSON. Nothing was applied."},
 		{CodeJobTooLarge, "job_too_large", 413, exitUsage, "The job needs more memory than a host may use for jobs. Not run."},
+		{CodeTooSlow, "too_slow", 408, exitUsage, "The request did not arrive in time. Not run."},
 
 		{CodeRateLimited, "rate_limited", 429, exitRefused, "The rate of the account's class is used up. Not run."},
 		{CodeQueueFull, "queue_full", 429, exitRefused, "The queue of the account's class is full. Not run."},
@@ -156,6 +159,7 @@
 		{CodeConcurrencyLimit, "concurrency_limit", 429, exitRefused, "The concurrency of the account's class is used up. Not run."},
 		{CodeQuotaExceeded, "quota_exceeded", 429, exitRefused, "The job would exceed the account's limit on accelerators. Not run."},
 		{CodeRetryBudget, "retry_budget", 503, exitRefused, "The attempt failed and the retry budget is used up."},
+		{CodeHostBusy, "host_busy", 503, exitRefused, "The host is short of memory or has too many requests at work. Not run."},
 
 		{CodeOutcomeUnknown, "outcome_unknown", 504, exitUnknown, "The request may have run; no record shows whether it did. It is not run again."},
 		{CodeInProgress, "in_progress", 409, exitUnknown, "The first attempt under this key has not finished yet. It is not run again."},
