--- a/catalog.go
+++ b/catalog.go
@@ -26,12 +26,24 @@
 	Advised bool
 }
 
+// CallLimits are the operator's limits of a call. A field of 0 sets no limit.
+type CallLimits struct {
+	// HeadBytes and BodyBytes bound the head and the body of a request.
+	HeadBytes int64
+	BodyBytes int64
+	// HeadTimeout bounds the time in which a head arrives, IdleTimeout that
+	// between two requests on one connection.
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
 // Catalog is one version of the configuration that operators publish: the
 // contracts of the accounts, their keys and the queues.
 type Catalog struct {
 	Version   Version
 	Queues    []QueueTerms
 	Contracts []Contract
+	Limits    CallLimits
 	// Keys maps API keys to accounts.
 	Keys map[string]Account
 }
