Give each port of a fleet host a budget of connections

The servers of callers, readiness, metrics and peers listen through an Acceptor with shares of the host's memory and sockets; the operator's limits of heads and idle connections are read again twice a second. Cuts are logged once a reason and second and counted.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -9,12 +9,12 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/julienschmidt/httprouter"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -55,9 +55,6 @@
 	// minFirstPolls is the minimum of the idle workers that a new holder polls
 	// at once.
 	minFirstPolls = 16
-	// headerTimeout and idleTimeout limit HTTP connections.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 )
 
 // fleetCommands are the commands for a fleet. The default is to run the daemon.
@@ -125,6 +122,8 @@
 	meter    *meter.Meter
 	clock    primrosespar.Clock
 	daemon   *daemon.Daemon
+	// leading is set during a term of this host.
+	leading atomic.Bool
 }
 
 // serve runs the daemon and its servers until a signal stops them.
@@ -140,6 +139,10 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
 	fleetDaemon, err := daemon.New(daemon.Settings{
 		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
 		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
@@ -148,7 +151,7 @@
 		TurnInterval: h.settings.TurnInterval, LongestLease: h.settings.LongestLease,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 	}, backend,
-		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
+		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(h.changeTerm), daemon.WithPeerListener(func(listener net.Listener) net.Listener { return h.guardPeers(ctx, &wg, listener) }))
 	if err != nil {
 		return err
 	}
@@ -164,10 +167,6 @@
 	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
 		return fleetDaemon.UnconfirmedTime().Seconds()
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	defer cancel()
 	wg.Go(func() {
 		if err := fleetDaemon.Run(ctx); err != nil {
 			h.logError("daemon", err)
@@ -189,9 +188,10 @@
 	return nil
 }
 
-// tuneCollector sets the target of the garbage collector for a host that leads
-// or one that does not.
-func tuneCollector(leading bool) {
+// changeTerm adapts the host to the begin or the end of a term: the target of
+// the garbage collector and the connections of clients.
+func (h *fleetHost) changeTerm(leading bool) {
+	h.leading.Store(leading)
 	if leading {
 		debug.SetGCPercent(leadingGCPercent)
 		return
@@ -199,34 +199,6 @@
 	debug.SetGCPercent(defaultGCPercent)
 }
 
-// startServers starts the HTTP servers for callers, readiness checks and
-// metrics.
-func (h *fleetHost) startServers(ctx context.Context, wg *conc.WaitGroup) ([]*http.Server, error) {
-	callerHandler := platform.NewHandler(h.daemon.JobService(), h.clock, h.logCall, h.daemon.Draining)
-	var servers []*http.Server
-	for _, server := range []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		{h.settings.Callers, callerHandler},
-		{h.settings.Readiness, h.newReadinessHandler()},
-		{h.settings.Metrics, h.newMetricsHandler()},
-	} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", server.address.String())
-		if err != nil {
-			return nil, eris.Wrapf(err, "listen on %s", server.address)
-		}
-		httpServer := &http.Server{Handler: server.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		servers = append(servers, httpServer)
-		wg.Go(func() {
-			if err := httpServer.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
-				h.logError("server", err)
-			}
-		})
-	}
-	return servers, nil
-}
-
 // newReadinessHandler returns the handler of the platform's readiness probes.
 func (h *fleetHost) newReadinessHandler() http.Handler {
 	router := httprouter.New()
--- a/internal/entry/configurer/configurer.go
+++ b/internal/entry/configurer/configurer.go
@@ -248,5 +248,25 @@
 		"- `place` is among `places` and `region` is its region; places and tokens are unique.\n" +
 		"- TLS names all three files or none.\n" +
 		"- `work_bytes` is at most half of `body_bytes`.\n" +
-		"- `lease_renew`, `view_poll` and `worker_renew` are at most half of `lease`, `view_validity` and `worker_lease`.\n"
+		"- `lease_renew`, `view_poll` and `worker_renew` are at most half of `lease`, `view_validity` and `worker_lease`.\n" +
+		fleetManual()
+}
+
+// fleetManual returns the part of the manual about hosts of a fleet, whose
+// settings the platform writes.
+func fleetManual() string {
+	return "\n## Connections of a fleet host\n\n" +
+		"A host of a fleet derives its limits from the platform's `limits.memoryMb` and `limits.maxFds`, of which 200 are kept for files; the rest are its sockets. " +
+		"The operator's limits are those of the configuration in force. No client that keeps to the platform's pages meets the defaults.\n\n" +
+		"| limit | callers | peers | readiness, metrics |\n|---|---|---|---|\n" +
+		"| connections | 0.375 of the sockets, 0.25 while the host leads | 0.375 of the sockets | 16 each |\n" +
+		"| memory of connections, heads and bodies | 0.15 of the memory | 0.1 of the memory | 1 MiB each |\n" +
+		"| requests at work | 0.08 of the sockets; others wait for 2 s | | |\n" +
+		"| bytes of a head | operator's `maxHeaderBytes`, else 64 KiB; at most 1 MiB | a message: `maxBodyBytes` and 256 KiB | 64 KiB |\n" +
+		"| bytes of a body | operator's `maxBodyBytes`, else 1 MiB; at most 1 MiB | | |\n" +
+		"| time for a head | operator's `headerTimeoutMs`, else 5 s; at most 1 min | a message and its answer: 1 min | 5 s |\n" +
+		"| time for a body | 10 s and the time that its bytes take at 16 KiB/s | | as callers |\n" +
+		"| time between requests | operator's `idleTimeoutMs` and 1 s, else 60 s and 1 s | none | 60 s |\n" +
+		"| time to read an answer | 10 s | 10 s | 10 s |\n" +
+		"| time of a call, `Deadline-Ms` | at most 1 min | | |\n"
 }
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -68,6 +68,12 @@
 		`primrosespar_decisions_total{kind=%q,code=%q}`, string(kind), code.String())).Inc()
 }
 
+// Cut counts connections that were cut at a port, by reason.
+func (m *Meter) Cut(port, reason string, n int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(
+		`primrosespar_connections_cut_total{port=%q,reason=%q}`, port, reason)).Add(n)
+}
+
 // Write writes all metrics, those of the process included, in the Prometheus
 // text format.
 func (m *Meter) Write(w io.Writer) {
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -107,6 +107,8 @@
 	OnError    func(part string, err error)
 	// OnTerm is called when a term of this host begins and ends.
 	OnTerm func(leading bool)
+	// PeerListener wraps the listener for other hosts.
+	PeerListener func(net.Listener) net.Listener
 }
 
 // Option sets one option.
@@ -128,6 +130,11 @@
 // and ends.
 func WithOnTerm(onTerm func(leading bool)) Option { return func(o *Options) { o.OnTerm = onTerm } }
 
+// WithPeerListener sets the function that wraps the listener for other hosts.
+func WithPeerListener(wrap func(net.Listener) net.Listener) Option {
+	return func(o *Options) { o.PeerListener = wrap }
+}
+
 // Daemon is the fleet scheduler of one host. It is safe for concurrent use.
 type Daemon struct {
 	settings  Settings
@@ -206,6 +213,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
+	if d.opts.PeerListener != nil {
+		listener = d.opts.PeerListener(listener)
+	}
 	var tasks conc.WaitGroup
 	defer func() { _ = d.messenger.Close() }()
 	defer tasks.Wait()
