--- a/catalog.go
+++ b/catalog.go
@@ -24,6 +24,8 @@
 	// Advised queues need a ticket of the advice service for each worker that
 	// runs their tasks.
 	Advised bool
+	// Regions are the regions in whose places the tasks may run; none means all.
+	Regions []Region `cbor:",omitempty"`
 }
 
 // CallLimits are the operator's limits of a call. A field of 0 sets no limit.
@@ -46,6 +48,12 @@
 	Limits    CallLimits
 	// Keys maps API keys to accounts.
 	Keys map[string]Account
+	// ColdStarts is how many starts a second a worker of a service takes while it
+	// is cold. A service that has none sets no limit.
+	ColdStarts map[Service]float64
+	// Regions are the regions in whose places the work of an account may run. An
+	// account that has none may use all.
+	Regions map[Account][]Region
 }
 
 // CatalogConfirmation is what a holder says about its reads of the catalog.
--- a/internal/fleet/daemon/handler.go
+++ b/internal/fleet/daemon/handler.go
@@ -60,8 +60,11 @@
 }
 
 // HandleTakeOver implements primrosespar.FleetHandler.
-func (d *Daemon) HandleTakeOver(context.Context) error {
-	d.elector.TakeOver()
+func (d *Daemon) HandleTakeOver(_ context.Context, token primrosespar.Token) error {
+	if d.draining.Load() {
+		return primrosespar.Fail(primrosespar.CodeDraining, "this host is stopping")
+	}
+	d.elector.TakeOver(token)
 	return nil
 }
 
@@ -104,6 +107,10 @@
 	return d.committer.Unconfirmed()
 }
 
+// LostWork returns the core-seconds that this host has seen lost as holder for
+// the cause.
+func (d *Daemon) LostWork(cause primrosespar.LossCause) float64 { return d.accountant.Lost(cause) }
+
 var _ primrosespar.FleetViewer = (*Daemon)(nil)
 
 // Status implements primrosespar.FleetViewer.
