--- a/code.go
+++ b/code.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 )
 
 // Code is a numeric result code; docs/codes.md lists all of them.
@@ -235,7 +236,9 @@
 	Code    Code
 	Message string
 	Ran     Ran
-	cause   error
+	// RetryAfter is when the caller should come back; 0 is the default.
+	RetryAfter time.Duration
+	cause      error
 }
 
 // Fail returns a Failure for work that did not run.
@@ -254,6 +257,12 @@
 	return f
 }
 
+// WithRetryAfter sets when the caller should come back and returns the failure.
+func (f *Failure) WithRetryAfter(d time.Duration) *Failure {
+	f.RetryAfter = d
+	return f
+}
+
 // Error returns the name of the code, the message and the underlying error.
 func (f *Failure) Error() string {
 	text := f.Code.String()
@@ -283,3 +292,14 @@
 	}
 	return CodeInternal
 }
+
+// RetryAfterOf returns when the caller of the first Failure in the chain of err
+// that says so should come back, else 0.
+func RetryAfterOf(err error) time.Duration {
+	for f := (*Failure)(nil); errors.As(err, &f); err = f.cause {
+		if f.RetryAfter > 0 {
+			return f.RetryAfter
+		}
+	}
+	return 0
+}
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -81,7 +81,7 @@
 }
 
 // Committer acquires the fleet lease for one process and commits under it. It
-// is not safe for concurrent use, except for Version and ConfirmedAt.
+// is not safe for concurrent use, except for the methods that say so.
 type Committer struct {
 	table    primrosespar.Table
 	clock    primrosespar.Clock
@@ -94,11 +94,11 @@
 	// confirmed is when the last confirmed commit was sent, for ConfirmedAt and
 	// Unconfirmed.
 	confirmed atomic.Pointer[primrosespar.Instant]
-	// refusedSince is when the store refused the first attempt of the commit in
-	// flight; nil if an attempt was not answered or none is in flight.
-	refusedSince atomic.Pointer[time.Time]
-	// lastCommitTime is how long the last commit took.
-	lastCommitTime time.Duration
+	// failingSince is when the first failed attempt of the commit in flight had
+	// failed; nil if none has.
+	failingSince atomic.Pointer[time.Time]
+	// lastCommitTime is how long the last commit took, in nanoseconds.
+	lastCommitTime atomic.Int64
 	// lastReadTime is how long the last read of the lease row took.
 	lastReadTime time.Duration
 }
@@ -200,16 +200,21 @@
 	return max(now.At.Sub(confirmed.At), now.Elapsed-confirmed.Elapsed)
 }
 
-// RefusedTime returns for how long the store has refused every attempt of the
-// commit in flight, 0 if it has not. Nothing of such a commit is stored. It may
-// be called at any time.
-func (c *Committer) RefusedTime() time.Duration {
-	if since := c.refusedSince.Load(); since != nil {
+// FailingTime returns for how long the attempts of the commit in flight have
+// failed, 0 if none has. It may be called at any time.
+func (c *Committer) FailingTime() time.Duration {
+	if since := c.failingSince.Load(); since != nil {
 		return c.clock.Since(*since)
 	}
 	return 0
 }
 
+// LastCommitTime returns how long the last commit took. It may be called at any
+// time.
+func (c *Committer) LastCommitTime() time.Duration {
+	return time.Duration(c.lastCommitTime.Load())
+}
+
 // setLease records the lease row as written by a commit that was sent at sentAt
 // or later.
 func (c *Committer) setLease(lease Holder, sentAt primrosespar.Instant) {
@@ -340,7 +345,7 @@
 	backoff := minBackoff
 	outcomeUnknown := false
 	firstAttemptAt := c.now()
-	defer c.refusedSince.Store(nil)
+	defer c.failingSince.Store(nil)
 	for n := 0; ; n++ {
 		startedAt := c.now()
 		versions, err := c.attempt(ctx, n, txn)
@@ -349,7 +354,7 @@
 		case err == nil:
 			next.Version = versions[0]
 			c.setLease(next, startedAt)
-			c.lastCommitTime = c.clock.Since(startedAt.At)
+			c.lastCommitTime.Store(int64(c.clock.Since(startedAt.At)))
 			return nil
 		case code == primrosespar.CodeConflict && !outcomeUnknown:
 			return c.conflictError(next)
@@ -357,19 +362,20 @@
 			err := c.resolveOutcome(ctx, next, firstAttemptAt)
 			// An attempt was given up before its answer came. The next commit
 			// waits longer for it.
-			c.lastCommitTime = c.clock.Since(firstAttemptAt.At)
+			c.lastCommitTime.Store(int64(c.clock.Since(firstAttemptAt.At)))
 			return err
 		case code == primrosespar.CodeStoreUnknown:
 			outcomeUnknown = true
-			c.refusedSince.Store(nil)
 			if c.tookEffect(ctx, next, firstAttemptAt) {
-				c.lastCommitTime = c.clock.Since(firstAttemptAt.At)
+				c.lastCommitTime.Store(int64(c.clock.Since(firstAttemptAt.At)))
 				return nil
 			}
 		case code != primrosespar.CodeStoreUnavailable:
 			return err
-		case !outcomeUnknown && c.refusedSince.Load() == nil:
-			c.refusedSince.Store(&startedAt.At)
+		}
+		if c.failingSince.Load() == nil {
+			failedAt := c.clock.Now()
+			c.failingSince.Store(&failedAt)
 		}
 		if err := c.wait(ctx, backoff); err != nil {
 			return err
@@ -380,7 +386,7 @@
 
 // attemptTimeout returns the timeout of the nth attempt.
 func (c *Committer) attemptTimeout(n int) time.Duration {
-	d := max(minAttemptTimeout, attemptTimeoutFactor*max(c.lastCommitTime, 2*c.lastReadTime))
+	d := max(minAttemptTimeout, attemptTimeoutFactor*max(c.LastCommitTime(), 2*c.lastReadTime))
 	if n%2 == 1 {
 		d *= 2
 	}
--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -214,7 +214,7 @@
 // worker, so they have not run and never will; their callers may try again,
 // which they could not after an unknown outcome.
 func (c *Controller) withdrawSubmissions() {
-	if c.commitAge() < withdrawThreshold {
+	if c.commitAge() < c.patience(withdrawThreshold) && c.parts.Committer.FailingTime() < failureThreshold {
 		return
 	}
 	for id := range c.next.submitted {
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -60,9 +60,16 @@
 	readTimeout = 1500 * time.Millisecond
 	// stallThreshold is how long a commit may take before new work is refused.
 	stallThreshold = 700 * time.Millisecond
+	// failureThreshold is for how long the attempts of a commit may fail before
+	// new work is refused, and the jobs that wait for the next commit.
+	failureThreshold = 250 * time.Millisecond
 	// withdrawThreshold is how long a commit may take before the jobs that wait
 	// for the next one are refused. A store that is only slow answers within it.
 	withdrawThreshold = time.Second
+	// patienceFactor times the duration of the last commit, at most maxPatience,
+	// replaces the two thresholds if it is longer. Callers wait for 3 s.
+	patienceFactor = 2
+	maxPatience    = 2 * time.Second
 	// unconfirmedInterval is the time between two log lines while no commit is
 	// confirmed, and how old the last confirmed one is before the first of them.
 	unconfirmedInterval = time.Second
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -117,9 +117,19 @@
 	return view, err
 }
 
-// Stalled reports whether the commit in flight has lasted longer than
-// stallThreshold. New work is refused then, since it would only wait behind it.
-func (c *Controller) Stalled() bool { return c.commitAge() > stallThreshold }
+// Stalled reports whether the commit in flight takes too long or its attempts
+// have failed for failureThreshold. New work is refused then, since it would
+// only wait behind it.
+func (c *Controller) Stalled() bool {
+	return c.commitAge() > c.patience(stallThreshold) || c.parts.Committer.FailingTime() > failureThreshold
+}
+
+// patience returns how long the commit in flight may take: the threshold, or
+// longer if the last commit took long. A store that is only slow goes on storing
+// what callers wait for.
+func (c *Controller) patience(threshold time.Duration) time.Duration {
+	return max(threshold, min(patienceFactor*c.parts.Committer.LastCommitTime(), maxPatience))
+}
 
 // commitAge returns how long the commit in flight has lasted, 0 if there is
 // none.
--- /dev/null
+++ b/internal/fleet/controller/outage_test.go
@@ -0,0 +1,76 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/standin/keeper"
+)
+
+// submitEach submits a job each interval for a time and returns the results.
+func submitEach(ctx context.Context, submit func(context.Context, primrosespar.Submission) error, interval, during time.Duration) chan error {
+	results := make(chan error, during/interval)
+	for i := range int(during / interval) {
+		go func() {
+			time.Sleep(time.Duration(i) * interval)
+			ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
+			defer cancel()
+			results <- submit(ctx, primrosespar.Submission{
+				ID: primrosespar.JobID(fmt.Sprint(i)), Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}},
+			})
+		}()
+	}
+	return results
+}
+
+// TestSlowStoreAcceptsWork guards against a holder that refuses work because a
+// commit has lasted 0.7 s, although each commit takes that long and stores what
+// has come in since the last one.
+func TestSlowStoreAcceptsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newController(t, &slowTable{Table: keeper.New(keeper.WithClock(clockwork.NewRealClock())), latency: 900 * time.Millisecond})
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		results := submitEach(ctx, c.Submit, 50*time.Millisecond, 3*time.Second)
+		for range cap(results) {
+			require.NoError(t, <-results)
+		}
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
+
+// TestRefusedHolderRefusesAtOnce guards against callers that wait for a holder
+// whose commits the store refuses, until a commit has lasted a second.
+func TestRefusedHolderRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		c := newController(t, table)
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(1100 * time.Millisecond)
+		table.SetFaults(keeper.Faults{Outage: true})
+		results := submitEach(ctx, c.Submit, 50*time.Millisecond, 500*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		// One job is in the commit in flight.
+		require.Len(t, results, cap(results)-1)
+		for range cap(results) - 1 {
+			require.Equal(t, primrosespar.CodeStoreUnavailable, primrosespar.CodeOf(<-results))
+		}
+		table.SetFaults(keeper.Faults{})
+		require.NoError(t, <-results)
+		cancel()
+		require.Error(t, <-ended)
+	})
+}
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -56,9 +56,9 @@
 	takeOverTimeout = 500 * time.Millisecond
 	// maxHandoverAttempts bounds the successors that are asked to take over.
 	maxHandoverAttempts = 3
-	// offerThreshold is for how long the store may refuse the commits of the
-	// holder before it asks a successor to take over. Callers wait meanwhile;
-	// the committer has made three attempts by then.
+	// offerThreshold is for how long the commits of the holder may fail before
+	// it asks a successor to take over. Callers wait meanwhile; with a store
+	// that refuses them the committer has made three attempts by then.
 	offerThreshold = 250 * time.Millisecond
 	// offerCheckInterval is the time between two checks for that, and
 	// offerInterval the time between two requests.
@@ -192,7 +192,7 @@
 		follower.WithOnError(func(err error) { d.opts.OnError("catalog", err) }))
 	d.submitter, err = submitter.New(submitter.Parts{
 		Table: backend.Table, Peers: d.messenger, Clock: d.opts.Clock,
-		Term: d.currentTerm, Holder: d.elector.Holder, StoreSlow: d.elector.StoreSlow, Waiting: d.elector.Waiting, Catalog: d.follower.Usable,
+		Term: d.currentTerm, Holder: d.elector.Holder, Search: d.elector.Search, StoreSlow: d.elector.StoreSlow, Waiting: d.elector.Waiting, Catalog: d.follower.Usable,
 		JobMemory: settings.JobMemory,
 	})
 	return d, err
@@ -287,16 +287,16 @@
 	return err == nil
 }
 
-// offerLease asks the successors in turn to take over while the store refuses
-// the commits of this host, until the term ends. A successor that the store
-// refuses as well does not.
+// offerLease asks the successors in turn to take over while the commits of this
+// host fail, until the term ends. A successor that the store does not answer
+// either does not take over.
 func (d *Daemon) offerLease(ctx context.Context, ended <-chan struct{}) {
 	for next := 0; ; {
 		wait := offerCheckInterval
 		successors := d.elector.Hosts()
-		if d.committer.RefusedTime() >= offerThreshold && len(successors) > 0 {
+		if d.committer.FailingTime() >= offerThreshold && len(successors) > 0 {
 			successor := successors[next%min(len(successors), maxHandoverAttempts)]
-			d.opts.OnChange("holder", fmt.Sprintf("the store refuses the commits of this host; asking %s to take over", successor))
+			d.opts.OnChange("holder", fmt.Sprintf("the commits of this host fail; asking %s to take over", successor))
 			d.askToTakeOver(ctx, successor, d.committer.Token())
 			next++
 			wait = offerInterval
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -38,6 +38,9 @@
 	// watchInterval is the time between two reads of the lease row while it is
 	// watched.
 	watchInterval = 250 * time.Millisecond
+	// freeLeaseInterval is the time between two reads of a lease row that an
+	// earlier holder has released.
+	freeLeaseInterval = 100 * time.Millisecond
 	// minWatchInterval is the minimum time between two such reads.
 	minWatchInterval = 20 * time.Millisecond
 	// maxHolderSilence is how long heartbeats may go unanswered before the
@@ -127,6 +130,8 @@
 	// resignedToken is the token of the last holder that has resigned. A lease
 	// row with this token may be replaced at once.
 	resignedToken primrosespar.Token
+	// searching is set if the lease row is to be read at once.
+	searching bool
 	// asked is set while the holder with askedToken wants this host to replace
 	// it.
 	asked      bool
@@ -156,11 +161,12 @@
 	return &Elector{parts: parts, wake: make(chan struct{}, 1), peers: map[netip.AddrPort]peer{}}
 }
 
-// Holder returns the address of the holder if it is another host.
+// Holder returns the address of the holder if it is another host and answers
+// heartbeats.
 func (e *Elector) Holder() (netip.AddrPort, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.holder.Address, e.holderKnown && !e.leading && e.holder.Host != ""
+	return e.holder.Address, e.holderKnown && !e.leading && !e.holderSilent && e.holder.Host != ""
 }
 
 // LastHolder returns the host and token of the lease row that was read last.
@@ -234,16 +240,16 @@
 // is free or still that of the holder with the token, who has asked for it.
 func (e *Elector) TakeOver(token primrosespar.Token) {
 	e.mu.Lock()
-	e.asked, e.askedToken, e.holderKnown = true, token, false
+	e.asked, e.askedToken, e.searching = true, token, true
 	e.mu.Unlock()
 	e.Wake()
 }
 
 // Search makes the host read the lease row at once, because the holder that it
-// knows does not lead any more.
+// knows does not serve calls. It knows that one until the row names another.
 func (e *Elector) Search() {
 	e.mu.Lock()
-	e.holderKnown = false
+	e.searching = true
 	e.mu.Unlock()
 	e.Wake()
 }
@@ -260,14 +266,15 @@
 // the delay until the next step.
 func (e *Elector) step(ctx context.Context, terms *conc.WaitGroup) time.Duration {
 	e.mu.Lock()
-	leading, known, holder := e.leading, e.holderKnown, e.holder
+	leading, known, holder, searching := e.leading, e.holderKnown, e.holder, e.searching
+	e.searching = false
 	e.mu.Unlock()
 	switch {
 	case leading:
 		return HeartbeatInterval
-	case !known || holder.Host == "":
+	case !known || searching || holder.Host == "":
 		e.watchLease(ctx, terms, takeoverDelay)
-		return watchInterval
+		return e.searchWait()
 	}
 	if e.watchSilentHolder(ctx, terms) {
 		return e.takeoverWait()
@@ -287,7 +294,7 @@
 			e.stopWatching()
 			return HeartbeatInterval
 		}
-		e.watchLease(ctx, terms, stalledTakeoverDelay)
+		e.watchLease(ctx, terms, e.stalledDelay())
 		return watchInterval
 	}
 	switch {
--- a/internal/fleet/elector/handover_test.go
+++ b/internal/fleet/elector/handover_test.go
@@ -89,3 +89,46 @@
 		require.False(t, f.led.Load())
 	})
 }
+
+// TestSlowStoreKeepsAStalledHolder guards against successors whose attempts to
+// take over fill the store's queue, behind which the commit of the holder that
+// lives has to wait.
+func TestSlowStoreKeepsAStalledHolder(t *testing.T) {
+	runWithFixture(t, func(_ context.Context, t *testing.T, f *fixture) {
+		f.table.SetFaults(keeper.Faults{Slow: 300 * time.Millisecond})
+		f.peers.setReply(func() (primrosespar.FleetHeartbeatReply, error) {
+			reply, err := f.leadingReply()
+			reply.CommitStalled = true
+			return reply, err
+		})
+		time.Sleep(2 * time.Second)
+		require.False(t, f.led.Load())
+	})
+}
+
+// TestSearchKeepsTheHolderInAnOutage guards against hosts that know no holder,
+// and cannot ask it for states, since they searched for another one while the
+// store was down.
+func TestSearchKeepsTheHolderInAnOutage(t *testing.T) {
+	runWithFixture(t, func(_ context.Context, t *testing.T, f *fixture) {
+		f.table.SetFaults(keeper.Faults{Outage: true})
+		f.elector.Search()
+		f.elector.TakeOver(fencer.Stride)
+		time.Sleep(time.Second)
+		_, ok := f.elector.Holder()
+		require.True(t, ok)
+	})
+}
+
+// TestSilentHolderIsNotCalled guards against calls that wait for a host without
+// power beside an outage, after which their outcome is unknown.
+func TestSilentHolderIsNotCalled(t *testing.T) {
+	runWithFixture(t, func(_ context.Context, t *testing.T, f *fixture) {
+		f.table.SetFaults(keeper.Faults{Outage: true})
+		f.peers.setReply(silence)
+		time.Sleep(1200 * time.Millisecond)
+		require.False(t, f.led.Load())
+		_, ok := f.elector.Holder()
+		require.False(t, ok)
+	})
+}
--- a/internal/fleet/elector/watching.go
+++ b/internal/fleet/elector/watching.go
@@ -47,6 +47,18 @@
 	return min(max(due, minWatchInterval), watchInterval)
 }
 
+// searchWait returns the time until the next step of a host that has read the
+// lease row because it searched the holder: less while another host acquires the
+// lease.
+func (e *Elector) searchWait() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.watching && e.holder.Host == "" && e.holder.Token > 0 {
+		return freeLeaseInterval
+	}
+	return watchInterval
+}
+
 // holderSilence returns the time since the holder last answered.
 func (e *Elector) holderSilence() time.Duration {
 	e.mu.Lock()
@@ -99,7 +111,7 @@
 	defer e.mu.Unlock()
 	now := e.parts.Clock.Now()
 	if row.Token != e.holder.Token || row.Host != e.holder.Host || !e.holderKnown {
-		e.holder, e.holderKnown = row, true
+		e.holder, e.holderKnown, e.holderSilent = row, true, false
 		e.lastReplyAt = now
 		e.parts.OnChange(row.Host, row.Token, "read from the store")
 	}
@@ -143,6 +155,16 @@
 	e.asked = false
 }
 
+// stalledDelay returns how long the lease row must not have changed before a
+// takeover from a holder that lives and waits for the store. With a slow store
+// the attempts to take over only delay its commit.
+func (e *Elector) stalledDelay() time.Duration {
+	if e.StoreSlow() {
+		return startupTakeoverDelay
+	}
+	return stalledTakeoverDelay
+}
+
 // forgetReply drops the version of the lease row in the last reply. After an
 // outage of the store the holder gets time to write the row again.
 func (e *Elector) forgetReply() {
--- /dev/null
+++ b/internal/fleet/submitter/gate.go
@@ -0,0 +1,118 @@
+package submitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"primrosespar.example/primrosespar"
+)
+
+// Times of the gate.
+const (
+	// probeInterval is the time between two attempts while the gate is closed.
+	probeInterval = 100 * time.Millisecond
+	// acceptTime is after how long a holder that has not refused a change is
+	// taken to store it. The other calls go into the same commit then.
+	acceptTime = 150 * time.Millisecond
+)
+
+// gate keeps calls from a service that does not answer. While it is closed, one
+// call at a time tries, and the others wait until the holder takes it.
+type gate struct {
+	clock primrosespar.Clock
+
+	mu sync.Mutex
+	// opened is closed when the gate opens; nil while it is open.
+	opened   chan struct{}
+	closedAt time.Time
+	probing  bool
+	probedAt time.Time
+	// sentAt is when the call that tries was sent to the holder, zero while it
+	// is not there.
+	sentAt    time.Time
+	held      int
+	heldBytes int64
+}
+
+// enter reports whether a call may try now. After it has tried, leave has to be
+// called with the probe that is returned.
+func (g *gate) enter() (probe, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		return false, true
+	}
+	now := g.clock.Now()
+	if g.probing {
+		return false, !g.sentAt.IsZero() && now.Sub(g.sentAt) >= acceptTime
+	}
+	if now.Sub(g.probedAt) < probeInterval {
+		return false, false
+	}
+	g.probing, g.probedAt = true, now
+	return true, true
+}
+
+// leave records an attempt: that it was served, which opens the gate, or that it
+// was not, which closes it. An attempt that says nothing of the service changes
+// nothing. It reports whether it has closed the gate.
+func (g *gate) leave(probe, served, unserved bool) (closed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if probe {
+		g.probing, g.probedAt, g.sentAt = false, g.clock.Now(), time.Time{}
+	}
+	switch {
+	case served && g.opened != nil:
+		close(g.opened)
+		g.opened = nil
+	case unserved && g.opened == nil:
+		g.opened, g.closedAt, g.probedAt = make(chan struct{}), g.clock.Now(), g.clock.Now()
+		return true
+	}
+	return false
+}
+
+// setSent records whether the call that tries waits for the holder.
+func (g *gate) setSent(sent bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sentAt = time.Time{}
+	if sent {
+		g.sentAt = g.clock.Now()
+	}
+}
+
+// outage returns for how long the gate has been closed and what is held.
+func (g *gate) outage() (age time.Duration, held int, heldBytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		age = g.clock.Since(g.closedAt)
+	}
+	return age, g.held, g.heldBytes
+}
+
+// hold waits until the gate opens or the next attempt is due, at most for d.
+func (g *gate) hold(ctx context.Context, d time.Duration, bytes int64) {
+	g.mu.Lock()
+	opened := g.opened
+	g.held++
+	g.heldBytes += bytes
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.held--
+		g.heldBytes -= bytes
+	}()
+	if opened == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-opened:
+	case <-g.clock.After(min(d, probeInterval)):
+	}
+}
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -14,24 +14,43 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/postponer"
 )
 
 // Timeouts of one call.
 const (
-	// holderTimeout bounds a change at the holder before the inbox is used. The
-	// holder refuses a job within it if the store does not answer.
-	holderTimeout = 1300 * time.Millisecond
+	// holderCheckInterval is the time between two checks whether the holder to
+	// which a call was sent still is the holder.
+	holderCheckInterval = 100 * time.Millisecond
 	// queryTimeout bounds a query to the holder.
 	queryTimeout = 500 * time.Millisecond
 	// searchInterval is the wait before a holder is looked up again.
 	searchInterval = 50 * time.Millisecond
 	// searchTimeout bounds the search for a holder before the inbox is used.
 	searchTimeout = 300 * time.Millisecond
+	// inboxTimeout bounds a submission through the inbox.
+	inboxTimeout = 800 * time.Millisecond
+	// probeTimeout bounds the read that precedes a submission through the inbox.
+	probeTimeout = 400 * time.Millisecond
+	// slowReadTime is how long a read takes if the store is slow.
+	slowReadTime = 150 * time.Millisecond
+	// attemptMargin is the time that a caller must have left for another
+	// attempt. One that is given up before its answer has an unknown outcome.
+	attemptMargin = 150 * time.Millisecond
+	// defaultCallTime bounds a call without a deadline.
+	defaultCallTime = 2 * time.Second
+	// maxLeastCallTime bounds the time that a caller must wait for a change to
+	// be tried.
+	maxLeastCallTime = 200 * time.Millisecond
 	// maxCountAge is the maximum age of a count of waiting jobs. A job has to
 	// be counted within 5 s after it was accepted, and a job that goes through
 	// the inbox is counted up to 2 s late.
@@ -57,6 +76,8 @@
 	Term func() Term
 	// Holder returns the address of the holder if it is another host.
 	Holder func() (netip.AddrPort, bool)
+	// Search makes the election read who the holder is; it may be nil.
+	Search func()
 	// StoreSlow reports whether the store is slow.
 	StoreSlow func() bool
 	// Waiting returns the last count of waiting jobs that a holder has sent,
@@ -72,8 +93,12 @@
 
 // Submitter implements primrosespar.JobService. It is safe for concurrent use.
 type Submitter struct {
-	parts   Parts
-	encoder *encoder.Encoder
+	parts     Parts
+	encoder   *encoder.Encoder
+	postponer *postponer.Postponer
+	gate      gate
+	// servedTime is how long the last change that was made took, in nanoseconds.
+	servedTime atomic.Int64
 }
 
 var _ primrosespar.JobService = (*Submitter)(nil)
@@ -84,7 +109,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Submitter{parts: parts, encoder: enc}, nil
+	if parts.Search == nil {
+		parts.Search = func() {}
+	}
+	return &Submitter{parts: parts, encoder: enc, postponer: postponer.New(), gate: gate{clock: parts.Clock}}, nil
 }
 
 // Catalog implements primrosespar.JobService.
@@ -92,46 +120,150 @@
 
 // Submit implements primrosespar.JobService.
 func (s *Submitter) Submit(ctx context.Context, job primrosespar.Submission) error {
-	return s.submitChange(ctx,
-		func(ctx context.Context, term Term) error { return term.Submit(ctx, job) },
-		func(ctx context.Context, holder netip.AddrPort) error { return s.parts.Peers.Submit(ctx, holder, job) },
-		func(ctx context.Context) error { return s.submitToInbox(ctx, job) })
+	call := postponer.Call{Bytes: job.Memory(), Priority: job.Terms.Priority, Spread: spread(job.ID)}
+	return s.submitChange(ctx, call, change{
+		local:  func(ctx context.Context, term Term) error { return term.Submit(ctx, job) },
+		remote: func(ctx context.Context, holder netip.AddrPort) error { return s.parts.Peers.Submit(ctx, holder, job) },
+		inbox:  func(ctx context.Context) error { return s.submitToInbox(ctx, job) },
+	})
 }
 
 // Cancel implements primrosespar.JobService.
 func (s *Submitter) Cancel(ctx context.Context, request primrosespar.JobRequest) error {
-	return s.submitChange(ctx,
-		func(ctx context.Context, term Term) error { return term.Cancel(ctx, request) },
-		func(ctx context.Context, holder netip.AddrPort) error {
+	return s.submitChange(ctx, postponer.Call{Spread: spread(request.Job)}, change{
+		local: func(ctx context.Context, term Term) error { return term.Cancel(ctx, request) },
+		remote: func(ctx context.Context, holder netip.AddrPort) error {
 			return s.parts.Peers.Cancel(ctx, holder, request)
 		},
-		func(ctx context.Context) error { return s.cancelInInbox(ctx, request) })
+		inbox: func(ctx context.Context) error { return s.cancelInInbox(ctx, request) },
+	})
 }
 
-// submitChange makes a change at the holder, or through the inbox if the holder
-// cannot be reached or does not know the job.
-func (s *Submitter) submitChange(ctx context.Context,
-	local func(context.Context, Term) error,
-	remote func(context.Context, netip.AddrPort) error,
-	viaInbox func(context.Context) error,
-) error {
-	startedAt := s.parts.Clock.Now()
+// spread returns a number from 0 to 1 that depends on the job only.
+func spread(id primrosespar.JobID) float64 {
+	return float64(xxhash.Sum64String(string(id))) / math.MaxUint64
+}
+
+// change is a change of a job at the holder, if that is this host or another
+// one, and through the inbox.
+type change struct {
+	local  func(context.Context, Term) error
+	remote func(context.Context, netip.AddrPort) error
+	inbox  func(context.Context) error
+}
+
+// submitChange makes a change. While it cannot be made, it is held or refused as
+// the postponer decides. Once an attempt may have taken effect, only another
+// attempt can tell, so that the call is held as long as its caller waits.
+func (s *Submitter) submitChange(ctx context.Context, call postponer.Call, c change) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultCallTime)
+		defer cancel()
+	}
+	if remaining := s.remaining(ctx); remaining < s.leastCallTime() {
+		return primrosespar.Fail(primrosespar.CodeWouldBeLate, "the caller waits for %s only", remaining)
+	}
 	outcomeUnknown := false
 	for {
-		err := s.callHolder(ctx, local, remote)
+		err := s.tryChange(ctx, c)
 		code := primrosespar.CodeOf(err)
-		if code == primrosespar.CodeForbidden {
-			return err
+		if code == primrosespar.CodeForbidden || !isInterruption(code) {
+			return withUnknownOutcome(err, outcomeUnknown && code != primrosespar.CodeForbidden)
 		}
+		outcomeUnknown = outcomeUnknown || code == primrosespar.CodeOutcomeUnknown
+		call.Remaining = s.remaining(ctx) - attemptMargin
+		age, held, heldBytes := s.gate.outage()
+		d := s.postponer.Decide(call, postponer.Outage{Age: age, Held: held, HeldBytes: heldBytes})
+		if outcomeUnknown {
+			d.Hold = call.Remaining
+		}
+		if d.Hold <= 0 {
+			refusal := primrosespar.Fail(primrosespar.CodeStoreUnavailable, "no service for %s", age.Round(time.Millisecond))
+			return withUnknownOutcome(refusal.WithRetryAfter(d.RetryAfter).WithCause(err), outcomeUnknown)
+		}
+		s.gate.hold(ctx, d.Hold, call.Bytes)
+	}
+}
+
+// remaining returns how long the caller still waits.
+func (s *Submitter) remaining(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return deadline.Sub(s.parts.Clock.Now())
+}
+
+// leastCallTime returns the time below which a change is not tried, because it
+// would not be answered in time.
+func (s *Submitter) leastCallTime() time.Duration {
+	return min(time.Duration(s.servedTime.Load())/2, maxLeastCallTime)
+}
+
+// isInterruption reports whether a failure says that no change can be made at
+// the moment, and not that this one is refused.
+func isInterruption(code primrosespar.Code) bool {
+	switch code {
+	case primrosespar.CodeStoreUnavailable, primrosespar.CodeStoreUnknown, primrosespar.CodeOutcomeUnknown,
+		primrosespar.CodeNotHolder, primrosespar.CodePeerUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// tryChange makes one attempt, if the gate lets it.
+func (s *Submitter) tryChange(ctx context.Context, c change) (err error) {
+	probe, ok := s.gate.enter()
+	if !ok {
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "another call tries whether there is service")
+	}
+	startedAt := s.parts.Clock.Now()
+	served, interrupted := false, false
+	defer func() {
+		if s.gate.leave(probe, served, interrupted) {
+			s.parts.Search()
+		}
+	}()
+	err = s.attempt(ctx, c, probe)
+	switch served = !isInterruption(primrosespar.CodeOf(err)); {
+	case !served:
+		// A caller that did not wait long enough says nothing of the service.
+		interrupted = ctx.Err() == nil
+	case err == nil:
+		s.servedTime.Store(int64(s.parts.Clock.Since(startedAt)))
+	}
+	return err
+}
+
+// attempt makes a change at the holder, or through the inbox if the holder
+// cannot be reached or does not know the job. A probe follows others that have
+// searched the holder.
+func (s *Submitter) attempt(ctx context.Context, c change, probe bool) error {
+	startedAt := s.parts.Clock.Now()
+	for searched := false; ; searched = true {
+		if probe {
+			s.gate.setSent(true)
+		}
+		err := s.callHolder(ctx, c)
+		if probe {
+			s.gate.setSent(false)
+		}
+		code := primrosespar.CodeOf(err)
 		if err == nil || isFinal(code) {
-			return withUnknownOutcome(err, outcomeUnknown)
+			return err
 		}
-		outcomeUnknown = outcomeUnknown || code == primrosespar.CodeOutcomeUnknown
-		if code == primrosespar.CodeNotHolder && s.parts.Clock.Since(startedAt) < searchTimeout && ctx.Err() == nil {
+		if code == primrosespar.CodeNotHolder && !probe && s.parts.Clock.Since(startedAt) < searchTimeout && ctx.Err() == nil {
+			if !searched {
+				s.parts.Search()
+			}
 			s.waitForHolder(ctx)
 			continue
 		}
-		return withUnknownOutcome(viaInbox(ctx), outcomeUnknown)
+		if _, alive := s.parts.Holder(); alive && code == primrosespar.CodeOutcomeUnknown {
+			// The holder tells when it is asked again. Writes of others to the
+			// inbox would delay its commits.
+			return err
+		}
+		return withUnknownOutcome(c.inbox(ctx), code == primrosespar.CodeOutcomeUnknown)
 	}
 }
 
@@ -139,7 +271,8 @@
 // must not be used.
 func isFinal(code primrosespar.Code) bool {
 	switch code {
-	case primrosespar.CodeStoreUnavailable, primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull:
+	case primrosespar.CodeStoreUnavailable, primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge,
+		primrosespar.CodeQueueFull, primrosespar.CodeForbidden:
 		return true
 	default:
 		return false
@@ -155,22 +288,40 @@
 	return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "an attempt was not answered").WithCause(err)
 }
 
-// callHolder makes the change at the holder: by local if it is this host, by
-// remote if it is another.
-func (s *Submitter) callHolder(ctx context.Context,
-	local func(context.Context, Term) error,
-	remote func(context.Context, netip.AddrPort) error,
-) error {
-	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
-	defer cancel()
+// callHolder makes the change at the holder, this host or another one. It waits
+// for the answer as long as the caller does, unless the holder falls silent or
+// is replaced: with a slow store a commit takes a second or two.
+func (s *Submitter) callHolder(ctx context.Context, c change) error {
 	if term := s.parts.Term(); term != nil {
-		return local(ctx, term)
+		return c.local(ctx, term)
 	}
 	holder, ok := s.parts.Holder()
 	if !ok {
 		return primrosespar.Fail(primrosespar.CodeNotHolder, "no holder is known")
 	}
-	return remote(ctx, holder)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.cancelWithHolder(ctx, cancel, holder)
+	return c.remote(ctx, holder)
+}
+
+// cancelWithHolder cancels the context once the holder is another host or
+// silent.
+func (s *Submitter) cancelWithHolder(ctx context.Context, cancel context.CancelFunc, holder netip.AddrPort) {
+	for s.isHolder(holder) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.parts.Clock.After(holderCheckInterval):
+		}
+	}
+	cancel()
+}
+
+// isHolder reports whether the host is the holder and answers heartbeats.
+func (s *Submitter) isHolder(host netip.AddrPort) bool {
+	holder, ok := s.parts.Holder()
+	return ok && holder == host
 }
 
 // waitForHolder waits before the holder is looked up again.
@@ -195,6 +346,22 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, inboxTimeout)
+	defer cancel()
+	// A store that does not answer a read gets no write, whose outcome would be
+	// unknown.
+	startedAt := s.parts.Clock.Now()
+	readCtx, cancelRead := context.WithTimeout(ctx, probeTimeout)
+	defer cancelRead()
+	row, err := s.parts.Table.Get(readCtx, primrosespar.FleetInboxSubmitKey(job.ID))
+	switch {
+	case err == nil && s.parts.Clock.Since(startedAt) > slowReadTime:
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "there is no holder and the store is slow")
+	case err != nil:
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "there is no holder and the store does not answer").WithCause(err)
+	case row[0].Version > 0:
+		return s.checkStored(ctx, job)
+	}
 	_, err = s.parts.Table.Commit(ctx, primrosespar.Txn{
 		Conditions: []primrosespar.Condition{
 			{Key: primrosespar.FleetInboxSubmitKey(job.ID)}, {Key: primrosespar.ProgressKey(job.ID)},
@@ -255,7 +422,16 @@
 	}
 	// A new holder may not have loaded the job yet, and a replaced holder may
 	// not know it; the store does.
-	return s.readState(ctx, request)
+	probe, ok := s.gate.enter()
+	if !ok {
+		return "", primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store did not answer another call").WithCause(err)
+	}
+	answered, failed := false, false
+	defer func() { s.gate.leave(probe, answered, failed) }()
+	state, err = s.readState(ctx, request)
+	failed = primrosespar.CodeOf(err) == primrosespar.CodeStoreUnavailable && ctx.Err() == nil
+	answered = err == nil || primrosespar.CodeOf(err) == primrosespar.CodeNotFound
+	return state, err
 }
 
 // queryHolder queries the state of a job at the holder.
--- a/internal/fleet/submitter/submitter_test.go
+++ b/internal/fleet/submitter/submitter_test.go
@@ -53,6 +53,7 @@
 		Term:      func() submitter.Term { return nil },
 		Holder:    func() (netip.AddrPort, bool) { return netip.MustParseAddrPort("10.0.0.1:1"), true },
 		Catalog:   func() *primrosespar.Catalog { return &primrosespar.Catalog{} },
+		Search:    func() {},
 		StoreSlow: func() bool { return storeSlow },
 		JobMemory: jobMemory,
 	})
