--- a/fleet.go
+++ b/fleet.go
@@ -216,11 +216,19 @@
 	Service   Service
 	Address   netip.AddrPort
 	Place     Place
-	Rack      Rack
-	Labels    []string
-	Capacity  Resources
+	// Region is that of the place, empty if it is not known.
+	Region   Region
+	Rack     Rack
+	Labels   []string
+	Capacity Resources
 	// Draining workers accept no new work and leave the fleet soon.
 	Draining bool
+	// ColdRemaining is how much longer the worker was slow after its start when it
+	// announced this; 0 if it was warm.
+	ColdRemaining time.Duration
+	// DrainRemaining is the least time for which a draining worker still ran when
+	// it announced this; 0 if it did not say.
+	DrainRemaining time.Duration
 }
 
 // RunEnd says how a run ended.
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -31,11 +31,13 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/accountant"
 	"primrosespar.example/primrosespar/internal/fleet/committer"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/elector"
 	"primrosespar.example/primrosespar/internal/fleet/follower"
 	"primrosespar.example/primrosespar/internal/fleet/messenger"
+	"primrosespar.example/primrosespar/internal/fleet/registrar"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/submitter"
 	"primrosespar.example/primrosespar/internal/fleet/supervisor"
@@ -91,6 +93,13 @@
 	// CatalogApplyTimeout is the time within which a change of the catalog has
 	// to take effect; 0 is the default.
 	CatalogApplyTimeout time.Duration
+	// EvacuationBound is how long after an operator's request that a place is
+	// emptied a start may still reach its workers; 0 means that there are no such
+	// requests.
+	EvacuationBound time.Duration
+	// Places are the places of the installation, for the operators' requests that
+	// one is emptied. If there are none, all names are accepted.
+	Places []primrosespar.Place
 	// MaxCatalogAge is the maximum age of the catalog for serving callers; 0 is
 	// no limit.
 	MaxCatalogAge time.Duration
@@ -103,6 +112,8 @@
 	Fleet  primrosespar.Fleet
 	// Maintenance is nil if the platform has no machine maintenance.
 	Maintenance primrosespar.MaintenanceService
+	// Evacuations is read where the settings have an EvacuationBound.
+	Evacuations primrosespar.EvacuationSource
 }
 
 // Options configure a Daemon.
@@ -148,9 +159,12 @@
 	// supervisor keeps a panic in one part from ending the process.
 	supervisor *supervisor.Supervisor
 	committer  *committer.Committer
+	// accountant adds up the lost work of all terms of this host.
+	accountant *accountant.Accountant
 	elector    *elector.Elector
 	follower   *follower.Follower
 	submitter  *submitter.Submitter
+	registrar  *registrar.Registrar
 	term       atomic.Pointer[controller.Controller]
 	draining   atomic.Bool
 
@@ -163,7 +177,7 @@
 
 // New returns a Daemon that has not started.
 func New(settings Settings, backend Backend, opts ...Option) (*Daemon, error) {
-	d := &Daemon{settings: settings, backend: backend, messenger: messenger.New(), opts: Options{
+	d := &Daemon{settings: settings, backend: backend, messenger: messenger.New(), accountant: accountant.New(), opts: Options{
 		OnDecision: func(scheduler.Event) {},
 		OnChange:   func(string, string) {},
 		OnError:    func(string, error) {},
@@ -177,6 +191,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if backend.Evacuations != nil {
+		d.registrar, err = registrar.New(backend.Table, backend.Evacuations, func() time.Time { return d.wallClock(d.opts.Clock.Now()) },
+			registrar.WithPlaces(settings.Places))
+		if err != nil {
+			return nil, err
+		}
+	}
 	d.committer = committer.New(backend.Table, d.opts.Clock, committer.Identity{
 		Host: settings.Host, Incarnation: incarnation, Address: settings.PeerAddress,
 	}, committer.WithStopwatch(d.opts.Stopwatch))
@@ -333,11 +354,12 @@
 func (d *Daemon) runTerm(ctx context.Context, earlierCommitAt time.Time) error {
 	term, err := controller.New(controller.Parts{
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock, Stopwatch: d.opts.Stopwatch,
-		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
+		Maintenance: d.backend.Maintenance, Evacuations: d.evacuationSource(), Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
-	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
+	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithAccountant(d.accountant), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
-		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval))
+		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval),
+		controller.WithEvacuationBound(d.settings.EvacuationBound))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -15,9 +15,11 @@
 	rack      *rack
 	announced bool
 	// cordoned workers get no new work except long-running tasks that fit
-	// nowhere else; evacuating ones get none.
-	cordoned   bool
-	evacuating bool
+	// nowhere else; cleared ones get none.
+	cordoned bool
+	cleared  bool
+	// closed workers are at a place that accepts no work.
+	closed bool
 	// polled is set once the worker has answered a poll under the token of this
 	// holder, so that it rejects the orders of earlier holders.
 	polled bool
@@ -54,6 +56,10 @@
 	// within crashMemory.
 	crashedLately bool
 	throttling    throttling
+	warming       warming
+	// leavesAt is the earliest time at which a draining worker leaves, zero if it
+	// is not known.
+	leavesAt time.Time
 }
 
 // ensureWorker returns the worker and adds it if it is not known. Until it
@@ -110,6 +116,8 @@
 			changed = true
 		}
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
+		s.observeNotice(w, info, now)
+		s.observeCold(w, info, now)
 		w.info, w.announced = info, true
 		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
@@ -117,6 +125,7 @@
 	s.replaced = replaced
 	s.expireCrashes(now)
 	if changed || len(s.announced) != len(wasAnnounced) {
+		s.placesChanged = true
 		s.capacityVersion++
 		s.groupRacks()
 	}
@@ -141,14 +150,14 @@
 				continue
 			}
 			used = used.Sub(m.unit.step.spec.Occupies())
-			s.stopUnit(m.unit, "capacity of the worker has shrunk")
+			s.stopUnit(m.unit, primrosespar.LossOther, "capacity of the worker has shrunk")
 		}
 	}
 }
 
 // sameInfo reports whether two announcements of a worker are equal.
 func sameInfo(a, b primrosespar.WorkerInfo) bool {
-	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place &&
+	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place && a.Region == b.Region &&
 		a.Rack == b.Rack && a.Capacity == b.Capacity && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
 }
 
@@ -297,6 +306,9 @@
 	switch {
 	case ended.End == primrosespar.EndDone && u.run == ended.Run.Number && u.phase == encoder.Waiting:
 		s.completeUnit(u, now)
+	case ended.End == primrosespar.EndDone:
+		// How long the run took is not known.
+		s.opts.Accountant.Add(primrosespar.LossAnswerLost, u.step.spec.Need, u.step.spec.Estimate)
 	case ended.End == primrosespar.EndFailed && u.phase != encoder.Done:
 		u.countFailure(ended.Run.Number)
 		s.markUnitDirty(u)
@@ -347,7 +359,7 @@
 	s.clearCrashes(m.unit, now)
 	m.tailLatency = active.Tail
 	if m.run == m.unit.run {
-		m.unit.setCheckpoint(active.Checkpoint)
+		m.unit.setCheckpoint(active.Checkpoint, now)
 	}
 	if active.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = active.Percent, now
--- a/names_test.go
+++ b/names_test.go
@@ -1,6 +1,7 @@
 package primrosespar_test
 
 import (
+	"encoding/json"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -118,6 +119,18 @@
 	}, messagePaths(t, filled[primrosespar.Advice]()))
 }
 
+// TestLossesKeepTheirNames guards against a renamed cause of lost work, which is
+// a label of a metric, or field of the fleet status.
+func TestLossesKeepTheirNames(t *testing.T) {
+	require.Equal(t, []primrosespar.LossCause{
+		"preempted", "cancelled", "given_up", "failed", "worker_left", "worker_crashed", "lease_expired",
+		"gang_partner_ended", "gang_did_not_gather", "gang_waiting", "stalled", "answer_lost", "moved", "other",
+	}, primrosespar.LossCauses())
+	data, err := json.Marshal(primrosespar.FleetState{Losses: []primrosespar.FleetLoss{{Cause: "moved", Runs: 1, CoreSeconds: 2}}})
+	require.NoError(t, err)
+	require.Contains(t, string(data), `"losses":[{"cause":"moved","runs":1,"core_seconds":2}]`)
+}
+
 // TestRowsKeepTheirNames guards against a renamed Go field that changes the
 // encoding of a stored row, so that a new version cannot read what an earlier
 // one wrote.
@@ -132,8 +145,8 @@
 		"Steps.0.Gang", "Steps.0.Image", "Steps.0.Label", "Steps.0.Lasting", "Steps.0.MostAway",
 		"Steps.0.Need.Accelerators", "Steps.0.Need.MemoryMiB", "Steps.0.Need.Millicores", "Steps.0.OneRack",
 		"Steps.0.PerWorker", "Steps.0.Target", "Terms.Advised", "Terms.Attempts", "Terms.Host", "Terms.PathPrefix",
-		"Terms.Priority", "Terms.Public", "Terms.Queue", "Terms.Service", "Terms.Slack", "Terms.Target",
-		"Terms.Timeout",
+		"Terms.Priority", "Terms.Public", "Terms.Queue", "Terms.Regions.0", "Terms.Service", "Terms.Slack",
+		"Terms.Target", "Terms.Timeout",
 	}, decodedPaths(t, data))
 
 	holder, err := cbor.Marshal(filled[committer.Holder]())
@@ -160,6 +173,11 @@
 		"0", "1", "2", "3", "4.0.0", "4.0.1.0.0.0", "4.0.1.0.0.1", "4.0.1.0.0.2.0", "4.0.1.0.0.3", "4.0.1.0.0.4.0",
 	}, decodedPaths(t, data))
 
+	data, err = e.Evacuation(filled[encoder.Evacuation]())
+	require.NoError(t, err)
+	require.Equal(t, []string{"0"}, decodedPaths(t, data))
+	require.Equal(t, "fleet_evacuation/x", primrosespar.EvacuationKey("x"))
+
 	data, err = e.Wave(filled[encoder.Wave]())
 	require.NoError(t, err)
 	require.Equal(t, []string{
