Prefer workers that lately finished what they got

A worker that fails or crashes is idle again at once, and the next gang got it: the work of all members is lost with it. An assessor keeps for each address how surely and how fast it finishes what it gets, fading within seconds; workers that fall below come last among those that fit, and are tried again after a while. It takes ends, refused and unanswered starts, stalls, lapses, crashes and the time of single tasks against their step.

--- a/imports_test.go
+++ b/imports_test.go
@@ -28,7 +28,7 @@
 		"internal/place/assembler", "internal/place/cleaner", "internal/place/quarantiner",
 		"internal/member/leaser", "internal/member/watcher", "internal/member/divider",
 		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
-		"internal/fleet/scheduler", "internal/fleet/encoder", "internal/fleet/accountant", "internal/fleet/indexer",
+		"internal/fleet/scheduler", "internal/fleet/encoder", "internal/fleet/accountant", "internal/fleet/assessor", "internal/fleet/indexer",
 		"internal/fleet/lessor", "internal/fleet/maintainer", "internal/fleet/pacer",
 	}
 }
--- a/internal/fleet/scheduler/crashes.go
+++ b/internal/fleet/scheduler/crashes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
@@ -89,6 +90,7 @@
 func (s *Scheduler) recordCrash(w *worker, now time.Time) {
 	s.resolveLostContact(w.info.Address, now)
 	if !w.plannedToEnd() {
+		s.observeOutcome(w, assessor.Crashed, 1, now)
 		s.countCrash(w.info.Worker, w.info.Address, lostRuns(w.memberList), now)
 	}
 }
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -93,7 +93,9 @@
 	adviceInFlight bool
 	nextAdviceAt   time.Time
 	tickets        map[primrosespar.Worker]ticket
-	denied         map[primrosespar.Worker]bool
+	// meanTime is the mean time that the last runs of single tasks took.
+	meanTime time.Duration
+	denied   map[primrosespar.Worker]bool
 }
 
 // unit is the group of tasks that starts and ends together: a gang or a single
--- a/internal/fleet/scheduler/losses_test.go
+++ b/internal/fleet/scheduler/losses_test.go
@@ -13,7 +13,7 @@
 // end lets the workers of the started runs report that these have ended.
 func (h *harness) end(end primrosespar.RunEnd, checkpoint string, starts ...scheduler.Order) {
 	for _, o := range starts {
-		h.report(h.workerIndex(o.Worker), nil, primrosespar.EndedRun{Sequence: 1, Run: o.Run, End: end, Checkpoint: checkpoint})
+		h.report(h.workerIndex(o.Worker), nil, primrosespar.EndedRun{Sequence: uint64(h.now.UnixNano()), Run: o.Run, End: end, Checkpoint: checkpoint})
 	}
 }
 
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/pacer"
 )
@@ -218,6 +219,7 @@
 		}
 	case primrosespar.CodeWorkerLost, primrosespar.CodeWorkerLate:
 		m.unanswered = m.unanswered || code == primrosespar.CodeWorkerLost
+		s.observeOutcome(m.worker, assessor.Unanswered, 1, now)
 		m.retryAt = now.Add(orderRetryDelay)
 	default:
 		s.handleRefusal(m, code, now)
@@ -255,6 +257,7 @@
 	s.logEvent("start_refused", m.unit.step.occurrence.job, m.worker, m.run, code.String())
 	w := m.worker
 	if code == primrosespar.CodeWorkerUnhealthy {
+		s.observeOutcome(w, assessor.Refused, 1, now)
 		s.quarantine(w, now, "worker refused a start as unhealthy")
 	}
 	if code == primrosespar.CodeForbidden {
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -197,7 +198,14 @@
 		if score >= bestScore {
 			continue
 		}
-		if found := s.candidates(u, k.workers, r.terms.Service, now); totalRoom(found) >= u.size {
+		found := s.candidates(u, k.workers, r.terms.Service, now)
+		if totalRoom(found) < u.size {
+			continue
+		}
+		if sureRoom(found) < u.size {
+			score += math.MaxInt / 8
+		}
+		if score < bestScore {
 			best, bestScore = found, score
 		}
 	}
@@ -241,13 +249,14 @@
 }
 
 // pack assigns the unit to the candidates that will have the fewest free
-// accelerators left, so that whole workers stay free for large tasks.
+// accelerators left, so that whole workers stay free for large tasks. Workers
+// that are unsure to finish their tasks come last.
 func pack(candidates []candidate, u *unit) []*worker {
 	if totalRoom(candidates) < u.size || u.size == 0 {
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return a.acceleratorsLeft(u) - b.acceleratorsLeft(u)
+		return cmp.Or(a.unsureRank()-b.unsureRank(), a.acceleratorsLeft(u)-b.acceleratorsLeft(u))
 	})
 	workers := make([]*worker, 0, u.size)
 	for _, c := range candidates {
@@ -276,9 +285,9 @@
 // fewest free accelerators, with the rack's free accelerators as tie-breaker.
 // A task under which workers have crashed goes to an idle worker that has not
 // crashed, if there is one, so that its next crash harms no other task and has
-// no other explanation. Workers where the task would interfere with others come
-// after the rest, and cordoned workers and those at the disruption limit come
-// last.
+// no other explanation. Workers that are unsure to finish their tasks and those
+// where the task would interfere with others come after the rest, and cordoned
+// workers and those at the disruption limit come last.
 func takeBest(candidates []candidate, u *unit) []*worker {
 	var best *candidate
 	bestScore := math.MaxInt
@@ -292,6 +301,9 @@
 		if u.suspected() && (c.worker.crashedLately || len(c.worker.memberList) > 0) {
 			score += math.MaxInt / 32
 		}
+		if c.worker.unsure {
+			score += math.MaxInt / 64
+		}
 		if c.worker.interferes(u.step) {
 			score += math.MaxInt / 16
 		}
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -44,6 +44,7 @@
 		s.expireLeases(now)
 		s.checkRuns(now)
 		s.adjustThrottles(now)
+		s.reassess(now)
 		for _, j := range slices.Clone(s.liveJobs) {
 			s.createDueOccurrences(j, now)
 		}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
@@ -50,6 +51,8 @@
 	// the runs that may have ended with a worker.
 	crashedAt    map[netip.AddrPort]time.Time
 	lostContacts map[contact]lostContact
+	// assessor estimates how surely the workers finish what they get.
+	assessor *assessor.Assessor
 	// claimants are the units that hold claims on freed capacity.
 	claimants map[*unit]bool
 	// capacityVersion counts the events after which a blocked unit may fit.
@@ -177,6 +180,7 @@
 		acknowledged:       map[primrosespar.Worker]Acknowledgement{},
 		crashedAt:          map[netip.AddrPort]time.Time{},
 		lostContacts:       map[contact]lostContact{},
+		assessor:           assessor.New(),
 
 		claimants: map[*unit]bool{},
 		replaced:  map[primrosespar.Worker]time.Time{},
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
@@ -54,6 +55,8 @@
 	// within crashMemory.
 	crashedLately bool
 	throttling    throttling
+	// unsure is set while other workers are preferred to this one.
+	unsure bool
 	// leavesAt is the earliest time at which a draining worker leaves, zero if it
 	// is not known.
 	leavesAt time.Time
@@ -115,6 +118,7 @@
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
 		s.observeNotice(w, info, now)
 		w.info, w.announced = info, true
+		s.assess(w, now)
 		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
 	}
@@ -286,6 +290,7 @@
 		s.observeEnd(u, ended)
 	}
 	if m := w.members[ended.Run]; m != nil {
+		s.assessEnd(m, ended.End, now)
 		s.logEvent("run_ended", m.unit.step.occurrence.job, w, m.run, string(ended.End))
 		s.endMember(m, ended.End, ended.Checkpoint, now)
 		return
@@ -375,6 +380,7 @@
 func (s *Scheduler) handleRestart(w *worker, startedAt, now time.Time) {
 	s.logEvent("worker_reborn", nil, w, 0, "")
 	s.recordCrash(w, now)
+	s.assess(w, now)
 	w.startedAt, w.acknowledged, w.polled, w.restarted = startedAt, 0, false, true
 	for _, m := range w.memberList {
 		if m.unanswered || m.inFlight {
@@ -405,6 +411,7 @@
 		w.polled = false
 		expired := slices.DeleteFunc(w.snapshot(), func(m *member) bool { return m.inFlight || !m.mayRun() })
 		s.recordLostContact(w, expired, now)
+		s.observeOutcome(w, assessor.Lapsed, 1, now)
 		for _, m := range expired {
 			s.endMember(m, primrosespar.EndLeaseExpired, "", now)
 		}
@@ -464,6 +471,7 @@
 			continue
 		}
 		u.avoidWorker(m.worker)
+		s.observeOutcome(m.worker, assessor.Stalled, 1/float64(1+u.stalls), now)
 		switch {
 		case m.pace.Proven():
 			proven = true
