Count the work of runs that an earlier holder started

Their work is now estimated from their progress and the estimate of their step, at most the age of their job; it counts for the choice of victims, the expected ends and the account of lost work.

TestVictimsOfAnEarlierHolderAreChosenByTheirWork fails without it.

--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -133,6 +133,9 @@
 	// gatheredRun is the number of the last run of which all members were on
 	// their workers.
 	gatheredRun uint64
+	// restoredRun is the number of the run that an earlier holder had started, if
+	// any.
+	restoredRun uint64
 	// stalls counts the runs that were stopped without progress, other than on
 	// workers that are likely to be at fault. Each after the first doubles the
 	// time that the next run may take, since the estimate may be wrong.
@@ -273,7 +276,7 @@
 		u.step.unfinished--
 	}
 	if len(stored.Workers) > 0 {
-		u.placedAt, u.progressAt = now, now
+		u.placedAt, u.progressAt, u.restoredRun = now, now, u.run
 	}
 	for i, name := range stored.Workers {
 		if name == "" || i >= u.size {
--- a/internal/fleet/scheduler/losses.go
+++ b/internal/fleet/scheduler/losses.go
@@ -21,7 +21,7 @@
 	if end == "" || end == primrosespar.EndLeaseExpired {
 		until = m.seenAt
 	}
-	if gathered := u.size > 1 && m.run == u.run && u.gatheredRun == m.run; gathered {
+	if u.size > 1 && u.gatheredRun == m.run && u.restoredRun != m.run {
 		s.addLoss(m, primrosespar.LossGangWaiting, u.gatheredAt.Sub(from))
 		from = u.gatheredAt
 	}
@@ -34,6 +34,24 @@
 	s.addLoss(m, m.lossCause(end), until.Sub(from))
 }
 
+// workedTime returns for how long the unit's run has worked. For a run that an
+// earlier holder started it is estimated from its progress: that run would
+// otherwise seem to have just begun, and be the first to be stopped for others.
+func (u *unit) workedTime(now time.Time) time.Duration {
+	worked := now.Sub(u.placedAt)
+	if u.run != u.restoredRun {
+		return worked
+	}
+	estimate := u.step.spec.Estimate
+	for _, m := range u.members {
+		if m.phase == running {
+			estimate = time.Duration(m.percent / fullPercent * float64(u.step.spec.Estimate))
+			break
+		}
+	}
+	return max(worked, min(estimate, now.Sub(u.step.occurrence.job.arrivedMonotonic)))
+}
+
 // addLoss counts the lost work of a member's run.
 func (s *Scheduler) addLoss(m *member, cause primrosespar.LossCause, worked time.Duration) {
 	lost := s.opts.Accountant.Add(cause, m.unit.step.spec.Need, worked)
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -323,7 +323,7 @@
 func (u *unit) lostWork(now time.Time) float64 {
 	need := u.step.spec.Need
 	cores := float64(need.Millicores)/1000 + coresPerAccelerator*float64(need.Accelerators)
-	lost := now.Sub(u.placedAt)
+	lost := u.workedTime(now)
 	if u.step.spec.LongRunning {
 		lost = min(lost, maxLongRunningLoss)
 	}
@@ -444,6 +444,9 @@
 	}
 	if m.percent > 0 && m.percent < 100 {
 		elapsed := m.percentAt.Sub(u.placedAt)
+		if u.run == u.restoredRun {
+			elapsed = u.workedTime(m.percentAt)
+		}
 		return m.percentAt.Add(time.Duration(float64(elapsed) * (100 - m.percent) / m.percent))
 	}
 	return u.placedAt.Add(u.step.spec.Estimate)
--- /dev/null
+++ b/internal/fleet/scheduler/reclaiming_test.go
@@ -0,0 +1,41 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/scheduler"
+)
+
+// TestVictimsOfAnEarlierHolderAreChosenByTheirWork guards against a new holder
+// that takes all runs to have just begun, and stops one that is almost done.
+// Load: urgent jobs arrive at a full fleet after a change of the holder.
+func TestVictimsOfAnEarlierHolderAreChosenByTheirWork(t *testing.T) {
+	h := newHarness(t, 1, scheduler.WithReserve(0))
+	h.reportAllIdle()
+	old := h.submitAndStart(job("old", "plain", primrosespar.Step{Count: workersPerRack - 1, Need: needAccelerators(8), Estimate: 20 * time.Second}))
+	h.now = h.now.Add(15 * time.Second)
+	for _, o := range old {
+		h.report(h.workerIndex(o.Worker), activeRuns(o, 75))
+	}
+	h.report(workersPerRack-1, nil)
+	young := h.submitAndStart(job("young", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(8), Estimate: 20 * time.Second}))
+	require.Len(t, young, 1)
+	h.now = h.now.Add(time.Second)
+	next := h.succeed()
+	for _, o := range h.started {
+		percent := 80.0
+		if o.Run.Task.Job == "young" {
+			percent = 5
+		}
+		next.report(next.workerIndex(o.Worker), activeRuns(o, percent))
+	}
+	next.now = next.now.Add(100 * time.Millisecond)
+	next.scheduler.Submit(job("u", "urgent", primrosespar.Step{Count: 1, Need: needAccelerators(8)}), next.now)
+	stops := next.plan().Stops
+	require.Len(t, stops, 1)
+	require.Equal(t, young[0].Run, stops[0].Run)
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -350,6 +350,7 @@
 		s.stopStray(w, active.Run)
 		return
 	}
+	wasRestored := m.phase == restored
 	if m.phase != running {
 		m.markRunning(now)
 	}
@@ -365,6 +366,9 @@
 		m.percent, m.percentAt = active.Percent, now
 		m.unit.progressAt = now
 	}
+	if wasRestored {
+		m.runningAt = now.Add(-m.unit.workedTime(now))
+	}
 }
 
 // stopStray stops a run that is in no record.
