Take runs of an earlier holder for as old as their job

The estimate of a step may be wrong by several times; the first run of a first step that has made clear progress is about as old as its job.

--- a/internal/fleet/scheduler/losses.go
+++ b/internal/fleet/scheduler/losses.go
@@ -10,6 +10,10 @@
 // minLoggedLoss is the loss in core-seconds below which none is logged.
 const minLoggedLoss = 1
 
+// clearProgress is the progress in percent from which on a run has not just
+// begun.
+const clearProgress = 10
+
 // recordLoss accounts for the work that is lost by the end of a member's run.
 // It is called before the end is applied to the unit.
 func (s *Scheduler) recordLoss(m *member, end primrosespar.RunEnd, now time.Time) {
@@ -34,22 +38,35 @@
 	s.addLoss(m, m.lossCause(end), until.Sub(from))
 }
 
-// workedTime returns for how long the unit's run has worked. For a run that an
-// earlier holder started it is estimated from its progress: that run would
-// otherwise seem to have just begun, and be the first to be stopped for others.
+// workedTime returns for how long the unit's run has worked. A run that an earlier
+// holder started would otherwise seem to have just begun, and be the first to be
+// stopped for others.
 func (u *unit) workedTime(now time.Time) time.Duration {
 	worked := now.Sub(u.placedAt)
 	if u.run != u.restoredRun {
 		return worked
 	}
-	estimate := u.step.spec.Estimate
+	return max(worked, u.estimateWorked(now))
+}
+
+// estimateWorked estimates for how long a run of an earlier holder has worked.
+// Most jobs start soon after their arrival, so that the first run of a first step
+// which has made progress is about as old as the job. That of other runs is
+// estimated from their progress and the estimate of the step, which may be wrong.
+func (u *unit) estimateWorked(now time.Time) time.Duration {
+	o := u.step.occurrence
+	age := now.Sub(o.job.arrivedMonotonic)
+	progress := fullPercent / 2.0
 	for _, m := range u.members {
 		if m.phase == running {
-			estimate = time.Duration(m.percent / fullPercent * float64(u.step.spec.Estimate))
+			progress = m.percent
 			break
 		}
 	}
-	return max(worked, min(estimate, now.Sub(u.step.occurrence.job.arrivedMonotonic)))
+	if u.run == 1 && len(u.step.spec.After) == 0 && o.job.submission.Repeat.Count == 0 && progress >= clearProgress {
+		return age
+	}
+	return min(time.Duration(progress/fullPercent*float64(u.step.spec.Estimate)), age)
 }
 
 // addLoss counts the lost work of a member's run.
