--- a/code.go
+++ b/code.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 )
 
 // Code is a numeric result code; docs/codes.md lists all of them.
@@ -42,6 +43,7 @@
 	CodeImpossibleShape Code = 112
 	CodeBadSyntax       Code = 113
 	CodeJobTooLarge     Code = 114
+	CodeTooSlow         Code = 115
 
 	CodeRateLimited      Code = 200
 	CodeQueueFull        Code = 201
@@ -49,6 +51,7 @@
 	CodeConcurrencyLimit Code = 203
 	CodeQuotaExceeded    Code = 204
 	CodeRetryBudget      Code = 205
+	CodeHostBusy         Code = 206
 
 	CodeOutcomeUnknown  Code = 300
 	CodeInProgress      Code = 301
@@ -149,6 +152,7 @@
 		{CodeImpossibleShape, "impossible_shape", 422, exitUsage, "The workers of the place could not hold the shape even if all were free. Not run."},
 		{CodeBadSyntax, "bad_syntax", 400, exitUsage, "The document is not valid TOML or JSON. Nothing was applied."},
 		{CodeJobTooLarge, "job_too_large", 413, exitUsage, "The job needs more memory than a host may use for jobs. Not run."},
+		{CodeTooSlow, "too_slow", 408, exitUsage, "The request did not arrive in time. Not run."},
 
 		{CodeRateLimited, "rate_limited", 429, exitRefused, "The rate of the account's class is used up. Not run."},
 		{CodeQueueFull, "queue_full", 429, exitRefused, "The queue of the account's class is full. Not run."},
@@ -156,6 +160,7 @@
 		{CodeConcurrencyLimit, "concurrency_limit", 429, exitRefused, "The concurrency of the account's class is used up. Not run."},
 		{CodeQuotaExceeded, "quota_exceeded", 429, exitRefused, "The job would exceed the account's limit on accelerators. Not run."},
 		{CodeRetryBudget, "retry_budget", 503, exitRefused, "The attempt failed and the retry budget is used up."},
+		{CodeHostBusy, "host_busy", 503, exitRefused, "The host is short of memory or has too many requests at work. Not run."},
 
 		{CodeOutcomeUnknown, "outcome_unknown", 504, exitUnknown, "The request may have run; no record shows whether it did. It is not run again."},
 		{CodeInProgress, "in_progress", 409, exitUnknown, "The first attempt under this key has not finished yet. It is not run again."},
@@ -235,7 +240,9 @@
 	Code    Code
 	Message string
 	Ran     Ran
-	cause   error
+	// RetryAfter is when the caller should come back; 0 is the default.
+	RetryAfter time.Duration
+	cause      error
 }
 
 // Fail returns a Failure for work that did not run.
@@ -254,6 +261,12 @@
 	return f
 }
 
+// WithRetryAfter sets when the caller should come back and returns the failure.
+func (f *Failure) WithRetryAfter(d time.Duration) *Failure {
+	f.RetryAfter = d
+	return f
+}
+
 // Error returns the name of the code, the message and the underlying error.
 func (f *Failure) Error() string {
 	text := f.Code.String()
@@ -283,3 +296,14 @@
 	}
 	return CodeInternal
 }
+
+// RetryAfterOf returns when the caller of the first Failure in the chain of err
+// that says so should come back, else 0.
+func RetryAfterOf(err error) time.Duration {
+	for f := (*Failure)(nil); errors.As(err, &f); err = f.cause {
+		if f.RetryAfter > 0 {
+			return f.RetryAfter
+		}
+	}
+	return 0
+}
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -62,9 +62,16 @@
 	readTimeout = 1500 * time.Millisecond
 	// stallThreshold is how long a commit may take before new work is refused.
 	stallThreshold = 700 * time.Millisecond
+	// failureThreshold is for how long the attempts of a commit may fail before
+	// new work is refused, and the jobs that wait for the next commit.
+	failureThreshold = 250 * time.Millisecond
 	// withdrawThreshold is how long a commit may take before the jobs that wait
 	// for the next one are refused. A store that is only slow answers within it.
 	withdrawThreshold = time.Second
+	// patienceFactor times the duration of the last commit, at most maxPatience,
+	// replaces the two thresholds if it is longer. Callers wait for 3 s.
+	patienceFactor = 2
+	maxPatience    = 2 * time.Second
 	// unconfirmedInterval is the time between two log lines while no commit is
 	// confirmed, and how old the last confirmed one is before the first of them.
 	unconfirmedInterval = time.Second
@@ -141,6 +148,9 @@
 	EvacuationBound time.Duration
 	// Accountant adds up the work that is lost.
 	Accountant *accountant.Accountant
+	// AssessWorkers makes the scheduler prefer workers that lately finished what
+	// they got.
+	AssessWorkers bool
 }
 
 // Option sets one option.
@@ -187,6 +197,10 @@
 	return func(o *Options) { o.Accountant = a }
 }
 
+// WithAssessment sets whether workers that lately finished what they got are
+// preferred.
+func WithAssessment(assess bool) Option { return func(o *Options) { o.AssessWorkers = assess } }
+
 // WithJobMemory limits the memory of all live jobs; 0 keeps the default.
 func WithJobMemory(limit int64) Option {
 	return func(o *Options) {
@@ -295,7 +309,7 @@
 		scheduler.WithTakeover(takeover), scheduler.WithTakeoverEnd(o.EarlierCommitAt.Add(takeover)),
 		scheduler.WithRestartWait(max(takeover, lessor.ExpiryWait(o.LongestLease))),
 		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry), scheduler.WithJobMemory(o.JobMemory),
-		scheduler.WithAccountant(o.Accountant), scheduler.WithAccepts(c.evacuator.Accepts))
+		scheduler.WithAccountant(o.Accountant), scheduler.WithAssessment(o.AssessWorkers), scheduler.WithAccepts(c.evacuator.Accepts))
 	return c, nil
 }
 
