--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -141,6 +141,8 @@
 		}
 	}
 	switch {
+	case capable == 0 && len(u.step.regions) > 0:
+		return "no worker of its service in the regions that its queue and account allow could run one of its tasks, even when empty"
 	case capable == 0:
 		return "no worker of its service could run one of its tasks, even when empty"
 	case room < u.size && closed > 0:
--- a/internal/fleet/scheduler/regions_test.go
+++ b/internal/fleet/scheduler/regions_test.go
@@ -71,3 +71,17 @@
 	h.scheduler.SetCatalog(catalog)
 	require.False(t, h.scheduler.ShouldSend(starts[0], h.now))
 }
+
+// TestExplainNamesPlacesAndRegions guards against an explanation that sends an
+// operator to look for capacity where a place is emptied or a region not allowed.
+func TestExplainNamesPlacesAndRegions(t *testing.T) {
+	h, closed := newPlacesHarness(t)
+	catalog := testCatalog()
+	catalog.Queues[1].Regions = []primrosespar.Region{"nowhere"}
+	h.scheduler.SetCatalog(catalog)
+	h.scheduler.Submit(job("a", "plain", primrosespar.Step{Count: 1, Need: needAccelerators(8)}), h.now)
+	require.Equal(t, "no worker of its service in the regions that its queue and account allow could run one of its tasks, even when empty", h.waitReason("a"))
+	closed["east"], closed["west"] = true, true
+	h.scheduler.Submit(job("b", "urgent", primrosespar.Step{Count: 1, Need: needAccelerators(8)}), h.now)
+	require.Contains(t, h.waitReason("b"), "8 workers could run a task, of which 8 are at places that are emptied")
+}
