Keep the holder in an outage that its successors share

A host whose last call had failed took an outage of seconds before for the present one and refused at once. A call with less time than an answer takes got 504.

Change: a host that failed to read the lease row within 3 s does not take over on request. The age of an outage counts from a failure at most 2 s old. The committer retries each 200 ms. A call whose caller waits for less than the last answer took (at most 100 ms) is refused as not run.

--- a/imports_test.go
+++ b/imports_test.go
@@ -28,8 +28,9 @@
 		"internal/place/assembler", "internal/place/cleaner", "internal/place/quarantiner",
 		"internal/member/leaser", "internal/member/watcher", "internal/member/divider",
 		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
-		"internal/fleet/scheduler", "internal/fleet/encoder", "internal/fleet/indexer",
-		"internal/fleet/lessor", "internal/fleet/maintainer", "internal/fleet/pacer", "internal/fleet/postponer", "internal/fleet/accountant", "internal/fleet/evacuator", "internal/fleet/ranker",
+		"internal/fleet/scheduler", "internal/fleet/encoder", "internal/fleet/accountant", "internal/fleet/indexer",
+		"internal/fleet/evacuator", "internal/fleet/lessor", "internal/fleet/maintainer", "internal/fleet/pacer",
+		"internal/fleet/ranker", "internal/fleet/postponer",
 	}
 }
 
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -58,7 +58,7 @@
 	outcomeReadTimeout = 400 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait before a commit is repeated.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	maxBackoff = 200 * time.Millisecond
 )
 
 // Identity identifies this process.
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -50,7 +50,7 @@
 	// takeover; the holder writes it at least every 500 ms.
 	takeoverDelay = 900 * time.Millisecond
 	// stalledTakeoverDelay replaces takeoverDelay while the holder reports that
-	// the store does not answer it. The holder retries its commit within 400
+	// the store does not answer it. The holder retries its commit within 200
 	// ms, so an outage of the store for all hosts does not change the holder.
 	stalledTakeoverDelay = 600 * time.Millisecond
 	// delayPerRank separates the takeover attempts of the successors, so that
@@ -75,6 +75,10 @@
 	// slowReadTime is how long a read of the lease row takes if the store is
 	// slow; it usually takes a few milliseconds and one network round trip.
 	slowReadTime = 150 * time.Millisecond
+	// sharedOutageTime is for how long after a failed read of the lease row an
+	// outage of the holder is taken to be one of this host as well. The holder
+	// asks its successors in turn, each about every 2 s.
+	sharedOutageTime = 3 * time.Second
 	// readTimeout bounds a read of the lease row.
 	readTimeout = time.Second
 	// peerTimeout is how long a host counts as live after its last heartbeat.
@@ -143,6 +147,8 @@
 	versionSeenAt time.Time
 	seenVersion   primrosespar.Version
 	watching      bool
+	// readFailedAt is when a read of the lease row failed last.
+	readFailedAt time.Time
 	// storeReadTime is how long the last read of the lease row took, which
 	// ended at storeReadAt.
 	storeReadTime time.Duration
--- a/internal/fleet/elector/watching.go
+++ b/internal/fleet/elector/watching.go
@@ -137,22 +137,25 @@
 }
 
 // mayTakeOver reports whether the holder in the row has asked this host to
-// replace it, and drops the request. A slow store delays the commits of every
-// host, so that it is no reason to replace a holder. The caller holds the lock.
+// replace it, and drops the request. A store that is slow, or was down for this
+// host as well, is no reason to replace a holder: it commits again as soon as
+// another host does. The caller holds the lock.
 func (e *Elector) mayTakeOver(row committer.Holder) bool {
 	asked := e.asked
 	e.asked = false
 	if row.Host == "" {
 		return asked
 	}
-	return asked && row.Token == e.askedToken && e.storeReadTime <= slowReadTime
+	return asked && row.Token == e.askedToken && e.storeReadTime <= slowReadTime &&
+		(e.readFailedAt.IsZero() || e.parts.Clock.Since(e.readFailedAt) > sharedOutageTime)
 }
 
-// dropRequest drops the request of a holder to replace it.
+// dropRequest drops the request of a holder to replace it, since the lease row
+// could not be read.
 func (e *Elector) dropRequest() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.asked = false
+	e.asked, e.readFailedAt = false, e.parts.Clock.Now()
 }
 
 // stalledDelay returns how long the lease row must not have changed before a
--- a/internal/fleet/submitter/gate.go
+++ b/internal/fleet/submitter/gate.go
@@ -12,6 +12,9 @@
 const (
 	// probeInterval is the time between two attempts while the gate is closed.
 	probeInterval = 100 * time.Millisecond
+	// maxFailureAge is for how long after a failed attempt another one belongs
+	// to the same outage. Without calls nobody has tried in between.
+	maxFailureAge = 2 * time.Second
 	// acceptTime is after how long a holder that has not refused a change is
 	// taken to store it. The other calls go into the same commit then.
 	acceptTime = 150 * time.Millisecond
@@ -26,6 +29,8 @@
 	// opened is closed when the gate opens; nil while it is open.
 	opened   chan struct{}
 	closedAt time.Time
+	// failedAt is when the last attempt that was not served ended.
+	failedAt time.Time
 	probing  bool
 	probedAt time.Time
 	// sentAt is when the call that tries was sent to the holder, zero while it
@@ -67,11 +72,18 @@
 	case served && g.opened != nil:
 		close(g.opened)
 		g.opened = nil
-	case unserved && g.opened == nil:
-		g.opened, g.closedAt, g.probedAt = make(chan struct{}), g.clock.Now(), g.clock.Now()
-		return true
+	case unserved:
+		now := g.clock.Now()
+		closed = g.opened == nil
+		if closed {
+			g.opened, g.probedAt = make(chan struct{}), now
+		}
+		if closed || now.Sub(g.failedAt) > maxFailureAge {
+			g.closedAt = now
+		}
+		g.failedAt = now
 	}
-	return false
+	return closed
 }
 
 // setSent records whether the call that tries waits for the holder.
@@ -88,7 +100,7 @@
 func (g *gate) outage() (age time.Duration, held int, heldBytes int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.opened != nil {
+	if g.opened != nil && g.clock.Since(g.failedAt) <= maxFailureAge {
 		age = g.clock.Since(g.closedAt)
 	}
 	return age, g.held, g.heldBytes
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -50,7 +50,7 @@
 	defaultCallTime = 2 * time.Second
 	// maxLeastCallTime bounds the time that a caller must wait for a change to
 	// be tried.
-	maxLeastCallTime = 200 * time.Millisecond
+	maxLeastCallTime = 100 * time.Millisecond
 	// maxCountAge is the maximum age of a count of waiting jobs. A job has to
 	// be counted within 5 s after it was accepted, and a job that goes through
 	// the inbox is counted up to 2 s late.
@@ -195,7 +195,7 @@
 // leastCallTime returns the time below which a change is not tried, because it
 // would not be answered in time.
 func (s *Submitter) leastCallTime() time.Duration {
-	return min(time.Duration(s.servedTime.Load())/2, maxLeastCallTime)
+	return min(time.Duration(s.servedTime.Load()), maxLeastCallTime)
 }
 
 // isInterruption reports whether a failure says that no change can be made at
