--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -176,6 +176,14 @@
 		_, age := fleetDaemon.Catalog()
 		return age.Seconds()
 	})
+	h.meter.Gauge("primrosespar_fleet_no_service_seconds", func() float64 {
+		age, _ := fleetDaemon.Interruption()
+		return age.Seconds()
+	})
+	h.meter.Gauge("primrosespar_fleet_calls_held", func() float64 {
+		_, held := fleetDaemon.Interruption()
+		return float64(held)
+	})
 	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
 		return fleetDaemon.UnconfirmedTime().Seconds()
 	})
@@ -309,6 +317,9 @@
 // logCall logs a call and updates its metrics.
 func (h *fleetHost) logCall(call platform.Call) {
 	h.meter.Call(call.Account, primrosespar.Class(call.Queue), call.Code, call.Took)
+	if call.RetryAfter > 0 {
+		h.meter.RetryAfter(call.Account, primrosespar.Class(call.Queue), call.RetryAfter)
+	}
 	if call.Job == "" && call.Err == nil {
 		// Successful calls without a job only read the counts of a queue. They
 		// are too frequent to log.
@@ -319,6 +330,9 @@
 		"job": call.Job, "catalog_version": call.Version, "status": call.Status, "code": call.Code.String(),
 		"took_ms": call.Took.Milliseconds(),
 	})
+	if call.RetryAfter > 0 {
+		entry = entry.WithField("retry_after_s", int(call.RetryAfter.Seconds()))
+	}
 	if call.Err != nil {
 		entry = entry.WithField("reason", call.Err.Error())
 	}
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -57,6 +57,14 @@
 		`primrosespar_calls_total{account=%q,class=%q,code=%q}`, l.account, l.class, code.String())).Inc()
 }
 
+// RetryAfter records the delay after which a refused caller was told to come
+// back.
+func (m *Meter) RetryAfter(account primrosespar.Account, class primrosespar.Class, delay time.Duration) {
+	l := m.limitLabels(labels{account: account, class: class})
+	m.set.GetOrCreateHistogram(fmt.Sprintf(
+		`primrosespar_retry_after_seconds{account=%q,class=%q}`, l.account, l.class)).Update(delay.Seconds())
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *Meter) Gauge(name string, read func() float64) {
 	m.set.GetOrCreateGauge(name, read)
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -231,6 +231,10 @@
 // JobService returns the job service for callers.
 func (d *Daemon) JobService() primrosespar.JobService { return d.submitter }
 
+// Interruption returns for how long this host has had no service for changes of
+// jobs, 0 if it has, and how many calls it holds.
+func (d *Daemon) Interruption() (age time.Duration, held int) { return d.submitter.Interruption() }
+
 // Run serves the other hosts and takes part in the election until the context
 // ends.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/fleet/elector/handover_test.go
+++ b/internal/fleet/elector/handover_test.go
@@ -132,3 +132,22 @@
 		require.False(t, ok)
 	})
 }
+
+// TestSharedOutageKeepsItsHolder guards against a change of holder at the end of
+// an outage of the store for all hosts: the holder has asked this one all the
+// while, and commits again a moment after the store has returned.
+func TestSharedOutageKeepsItsHolder(t *testing.T) {
+	runWithFixture(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		f.table.SetFaults(keeper.Faults{Outage: true})
+		for range 4 {
+			time.Sleep(500 * time.Millisecond)
+			f.elector.TakeOver(fencer.Stride)
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.table.SetFaults(keeper.Faults{})
+		f.elector.TakeOver(fencer.Stride)
+		time.Sleep(200 * time.Millisecond)
+		require.NoError(t, f.holder.Commit(ctx, nil))
+		require.False(t, f.led.Load())
+	})
+}
--- a/internal/fleet/submitter/outage_test.go
+++ b/internal/fleet/submitter/outage_test.go
@@ -259,3 +259,47 @@
 		require.GreaterOrEqual(t, crowd-refused.Load(), int64(maxHeld-1))
 	})
 }
+
+// TestOutageWithoutCallsHasEnded guards against a caller that is refused at once
+// because a call was not served long ago and nobody has tried since.
+func TestOutageWithoutCallsHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.SetFaults(keeper.Faults{Outage: true})
+		submit := func(id primrosespar.JobID) error {
+			ctx, cancel := context.WithTimeout(t.Context(), callerTime)
+			defer cancel()
+			return s.jobs.Submit(ctx, primrosespar.Submission{ID: id, Queue: "q"})
+		}
+		require.Equal(t, primrosespar.CodeStoreUnavailable, primrosespar.CodeOf(submit("a")))
+		time.Sleep(time.Minute)
+		time.AfterFunc(500*time.Millisecond, func() { s.SetFaults(keeper.Faults{}) })
+		require.NoError(t, submit("b"))
+		age, held := s.jobs.Interruption()
+		require.Zero(t, age)
+		require.Zero(t, held)
+	})
+}
+
+// TestCallWithoutTimeIsNotTried guards against an open outcome for a caller that
+// does not wait as long as an answer takes.
+func TestCallWithoutTimeIsNotTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		holder := func(ctx context.Context) error {
+			select {
+			case <-time.After(80 * time.Millisecond):
+				return nil
+			case <-ctx.Done():
+				return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "no answer")
+			}
+		}
+		s.holder.Store(&holder)
+		require.NoError(t, s.jobs.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q"}))
+		ctx, cancel := context.WithTimeout(t.Context(), 70*time.Millisecond)
+		defer cancel()
+		err := s.jobs.Submit(ctx, primrosespar.Submission{ID: "b", Queue: "q"})
+		require.Equal(t, primrosespar.CodeWouldBeLate, primrosespar.CodeOf(err))
+		require.Equal(t, int64(1), s.calls.Load())
+	})
+}
