--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -168,6 +168,34 @@
 		return err
 	}
 	h.daemon = fleetDaemon
+	h.registerGauges(fleetDaemon)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() {
+		if err := fleetDaemon.Run(ctx); err != nil {
+			h.logError("daemon", err)
+		}
+	})
+	servers, err := h.startServers(ctx, &wg)
+	if err != nil {
+		return err
+	}
+	h.log.WithFields(logrus.Fields{
+		"callers": h.settings.Callers.String(), "peers": h.settings.Peers.String(), "metrics": h.settings.Metrics.String(),
+	}).Info("host has started")
+	if h.settings.Heartbeats {
+		h.log.Warn("workers take orders only with their heartbeats, which is not supported; no task will start")
+	}
+	h.waitForStop(signals, path)
+	h.stop(ctx, servers)
+	h.log.Info("host has stopped")
+	return nil
+}
+
+// registerGauges registers what operators read from the daemon.
+func (h *fleetHost) registerGauges(fleetDaemon *daemon.Daemon) {
 	h.meter.Gauge("primrosespar_catalog_version", func() float64 {
 		version, _ := fleetDaemon.Catalog()
 		return float64(version)
@@ -193,29 +221,6 @@
 			return fleetDaemon.LostWork(cause)
 		})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	wg.Go(func() {
-		if err := fleetDaemon.Run(ctx); err != nil {
-			h.logError("daemon", err)
-		}
-	})
-	servers, err := h.startServers(ctx, &wg)
-	if err != nil {
-		return err
-	}
-	h.log.WithFields(logrus.Fields{
-		"callers": h.settings.Callers.String(), "peers": h.settings.Peers.String(), "metrics": h.settings.Metrics.String(),
-	}).Info("host has started")
-	if h.settings.Heartbeats {
-		h.log.Warn("workers take orders only with their heartbeats, which is not supported; no task will start")
-	}
-	h.waitForStop(signals, path)
-	h.stop(ctx, servers)
-	h.log.Info("host has stopped")
-	return nil
 }
 
 // tuneCollector sets the target of the garbage collector for a host that leads
