Order waiting work by what its callers lose by waiting

On the sites with too little room every wait of over a second was work held back by the reserve for guarantees, with a third of the accelerators idle, and large gangs waited up to 45 s behind smaller work, also once they were late. The order within a priority was by deadline alone.

Package ranker now compares what is lost by waiting (how near the objective or the end of all value is), by the room that the work holds, weighed by priority, by what its account and queue use of their shares and by the wait. Urgent work within a guarantee comes first. Package reserver takes the reserve out of the planning: work that is due, or that loses little by a stop, may use it down to the peak of urgent use that was seen. Room that a due gang waits for is kept from the work after it.

--- a/internal/fleet/scheduler/advice.go
+++ b/internal/fleet/scheduler/advice.go
@@ -53,7 +53,7 @@
 // for each worker and answers the requests of a host one after the other.
 func (s *Scheduler) requestAdvice(u *unit, r *rankedStep, now time.Time) {
 	st := u.step
-	if st.adviceInFlight || s.adviceInFlight >= s.maxAdviceRequests || now.Before(st.nextAdviceAt) || r.terms.Priority > 0 && !s.leavesReserve(u, r) {
+	if st.adviceInFlight || s.adviceInFlight >= s.maxAdviceRequests || now.Before(st.nextAdviceAt) || !s.leavesReserve(u, r) {
 		return
 	}
 	request := primrosespar.AdviceRequest{Job: st.occurrence.job.submission.ID, Occurrence: st.occurrence.index, Step: st.index}
--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -62,7 +62,7 @@
 	}
 	for _, o := range j.occurrences {
 		rankedSteps := map[*step]rankedStep{}
-		for _, r := range o.appendWaiting(nil, terms, now) {
+		for _, r := range s.appendWaiting(nil, o, terms, now) {
 			rankedSteps[r.step] = r
 		}
 		for _, st := range o.steps {
@@ -111,7 +111,7 @@
 		return fmt.Sprintf("waiting for steps %v to finish", st.spec.After)
 	case now.Before(u.notBefore):
 		return "waiting to retry after a refused start"
-	case r.terms.Priority > 0 && !s.leavesReserve(u, r):
+	case !s.leavesReserve(u, r) && s.reserverRoom(r).Free >= u.size*st.spec.Need.Accelerators:
 		return "held back: free accelerators are reserved for guarantees"
 	}
 	return s.noRoomReason(u, r, now)
--- a/internal/fleet/scheduler/load_bench_test.go
+++ b/internal/fleet/scheduler/load_bench_test.go
@@ -43,14 +43,13 @@
 
 // newSimulation returns a simulation with the given number of racks and no
 // jobs.
-func newSimulation(b *testing.B, racks int) *simulation {
+func newSimulation(t *testing.T, racks int) *simulation {
 	sim := &simulation{
-		harness: newHarness(&testing.T{}, racks), random: rand.New(rand.NewPCG(1, 2)),
+		harness: newHarness(t, racks), random: rand.New(rand.NewPCG(1, 2)),
 		runs: map[primrosespar.Worker][]simulatedRun{}, endCounts: map[primrosespar.Worker]uint64{},
 		submissions: map[primrosespar.JobID]primrosespar.Submission{},
 	}
 	sim.reportAllIdle()
-	b.ReportAllocs()
 	return sim
 }
 
@@ -78,6 +77,11 @@
 			Need: primrosespar.Resources{Millicores: 5600, MemoryMiB: 15000, Accelerators: 1},
 		})
 	}
+	sim.submitJob(submission)
+}
+
+// submitJob submits a job.
+func (sim *simulation) submitJob(submission primrosespar.Submission) {
 	sim.submissions[submission.ID] = submission
 	sim.scheduler.Submit(submission, sim.now)
 }
@@ -145,8 +149,9 @@
 func BenchmarkLoad(b *testing.B) {
 	for _, racks := range []int{12, 88, 275, 1100} {
 		b.Run(fmt.Sprintf("workers=%d", racks*workersPerRack), func(b *testing.B) {
+			b.ReportAllocs()
 			for b.Loop() {
-				sim := newSimulation(b, racks)
+				sim := newSimulation(&testing.T{}, racks)
 				jobsPerStep := jobsPerRackSecond * float64(racks) * planInterval.Seconds()
 				var due float64
 				began := time.Now()
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -6,6 +6,8 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
+	"primrosespar.example/primrosespar/internal/fleet/ranker"
+	"primrosespar.example/primrosespar/internal/fleet/reserver"
 )
 
 // Defaults and limits of scheduling decisions.
@@ -32,20 +34,13 @@
 	// stopped for it even though its urgent job is late. A guarantee has to be
 	// provided within about 3 s.
 	reclaimTime = 4 * time.Second
-	// DefaultReserve is the share of the guarantees that work which is not
-	// urgent leaves free.
-	DefaultReserve = 0.55
-	// maxReserveShare limits the reserve to a share of the service, which may
-	// have lost workers or be too small for its guarantees.
-	maxReserveShare = 0.35
-	// idleShare is the share of the service in use below which the reserve does
-	// not hold work back. The platform requires work to be started while less
-	// than half of the service is in use; the share is higher because the
-	// platform counts use slightly differently.
-	idleShare = 0.6
 	// maxReclaims limits the number of units that other work is stopped for in
 	// one plan.
 	maxReclaims = 8
+	// maxHolds limits the number of blocked gangs that room is kept for, and
+	// maxHeldShare the room for each to a share of the service.
+	maxHolds     = 2
+	maxHeldShare = 0.25
 	// dataRackWait is how long a unit waits for room in the rack of its data.
 	dataRackWait = 1200 * time.Millisecond
 	// oneRackWait is how long a gang waits for room in a single rack.
@@ -96,6 +91,9 @@
 	// Reserve is the share of the guarantees that work which is not urgent
 	// leaves free.
 	Reserve float64
+	// PriorityRatio is how much more a job counts in the order of waiting work
+	// than one of the next lower priority.
+	PriorityRatio float64
 	// GangTimeout is how long a member waits on its worker for the others of
 	// its gang.
 	GangTimeout time.Duration
@@ -134,6 +132,10 @@
 // leaves free.
 func WithReserve(share float64) Option { return func(o *Options) { o.Reserve = share } }
 
+// WithPriorityRatio sets how much more a job counts than one of the next lower
+// priority.
+func WithPriorityRatio(ratio float64) Option { return func(o *Options) { o.PriorityRatio = ratio } }
+
 // WithGangTimeout sets how long a member waits on its worker for the others of
 // its gang.
 func WithGangTimeout(timeout time.Duration) Option {
@@ -155,14 +157,15 @@
 // applyOptions returns the defaults with the options applied.
 func applyOptions(opts []Option) Options {
 	o := Options{
-		WallClock:   func(now time.Time) time.Time { return now },
-		Takeover:    lessor.TakeoverWait(lessor.DefaultLease),
-		RestartWait: lessor.TakeoverWait(lessor.DefaultLease),
-		GangTimeout: DefaultGangTimeout,
-		Reserve:     DefaultReserve,
-		InlineTasks: encoder.PieceTasks,
-		JobMemory:   DefaultJobMemory,
-		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
+		WallClock:     func(now time.Time) time.Time { return now },
+		Takeover:      lessor.TakeoverWait(lessor.DefaultLease),
+		RestartWait:   lessor.TakeoverWait(lessor.DefaultLease),
+		GangTimeout:   DefaultGangTimeout,
+		Reserve:       reserver.DefaultShare,
+		PriorityRatio: ranker.DefaultPriorityRatio,
+		InlineTasks:   encoder.PieceTasks,
+		JobMemory:     DefaultJobMemory,
+		LeaseExpiry:   func(primrosespar.Worker) time.Time { return time.Time{} },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -27,6 +27,9 @@
 		s.expireLeases(now)
 		s.checkRuns(now)
 		s.adjustThrottles(now)
+		if s.catalog != nil {
+			s.countUse(now)
+		}
 		for _, j := range slices.Clone(s.liveJobs) {
 			s.createDueOccurrences(j, now)
 		}
@@ -42,7 +45,8 @@
 func (s *Scheduler) placeWaiting(now time.Time) {
 	s.clearReservations()
 	s.failedReclaims = map[reclaimSearch]bool{}
-	reservations, reclaims := 0, 0
+	clear(s.held)
+	reservations, reclaims, holds := 0, 0, 0
 	blockedSizes := map[blockedShape]int{}
 	for _, r := range s.rankSteps(now) {
 		r.step.advised = r.terms.Advised
@@ -59,6 +63,9 @@
 		if r.terms.Advised {
 			s.requestAdvice(blocked, &r, now)
 		}
+		if s.hold(blocked, &r, holds) {
+			holds++
+		}
 		if blocked.size > 1 && reservations < maxRackReservations && s.reserveRack(blocked, now) {
 			reservations++
 		}
@@ -101,15 +108,15 @@
 	fitsRack     bool
 	dataRackOnly bool
 	oneRackOnly  bool
-	// exceedsReserve is set for units that the reserve does not hold back.
-	exceedsReserve bool
+	// reserve is what the unit has to leave free.
+	reserve int
 }
 
 // blockedShape returns the properties that determine whether a unit like u fits
 // now.
 func (s *Scheduler) blockedShape(u *unit, r *rankedStep, now time.Time) blockedShape {
 	waited := now.Sub(u.step.readySince)
-	b := blockedShape{shape: u.shape(r.terms), exceedsReserve: s.exceedsReserve(u, r)}
+	b := blockedShape{shape: u.shape(r.terms), reserve: s.reserve(u, r)}
 	// Sizes are compared by the caller: what blocks a unit blocks larger ones.
 	b.size = 0
 	b.dataRackOnly = b.dataRack != "" && waited < dataRackWait
@@ -147,7 +154,7 @@
 		}
 		terms := s.terms(j)
 		for _, o := range j.occurrences {
-			ranked = o.appendWaiting(ranked, terms, now)
+			ranked = s.appendWaiting(ranked, o, terms, now)
 		}
 	}
 	slices.SortStableFunc(ranked, func(a, b rankedStep) int {
@@ -159,30 +166,16 @@
 
 // appendWaiting appends the ready steps of the occurrence that have units to
 // start.
-func (o *occurrence) appendWaiting(ranked []rankedStep, terms *primrosespar.QueueTerms, now time.Time) []rankedStep {
+func (s *Scheduler) appendWaiting(ranked []rankedStep, o *occurrence, terms *primrosespar.QueueTerms, now time.Time) []rankedStep {
 	for _, st := range o.steps {
 		if st.readySince.IsZero() || st.waitingUnits == 0 || !st.hasWaiting(now) {
 			continue
 		}
-		ranked = append(ranked, rankedStep{step: st, terms: terms, position: ranker.Rank(st.work(terms), now)})
+		ranked = append(ranked, rankedStep{step: st, terms: terms, position: s.ranker.Rank(s.work(st, terms), now)})
 	}
 	return ranked
 }
 
-// work returns what the position of the step depends on.
-func (st *step) work(terms *primrosespar.QueueTerms) ranker.Work {
-	o := st.occurrence
-	since := o.job.arrivedMonotonic
-	if o.job.submission.Repeat.Count > 0 {
-		since = o.due
-	}
-	return ranker.Work{
-		Priority: terms.Priority, Since: since, LongRunning: st.spec.LongRunning,
-		Objective: time.Duration(terms.Slack*float64(o.criticalPaths[0])) + terms.Target,
-		Remaining: o.criticalPaths[st.index],
-	}
-}
-
 // hasWaiting reports whether a unit of the step may start now.
 func (st *step) hasWaiting(now time.Time) bool {
 	for i, u := st.nextWaiting(0); i < st.unitCount(); i, u = st.nextWaiting(i + 1) {
@@ -218,7 +211,7 @@
 			return u, i
 		}
 		var workers []*worker
-		if r.terms.Priority == 0 || s.leavesReserve(u, r) {
+		if s.leavesReserve(u, r) {
 			workers = s.findWorkers(u, r, now)
 		}
 		if workers == nil {
@@ -236,40 +229,6 @@
 	return nil, 0
 }
 
-// leavesReserve reports whether starting the unit leaves enough accelerators
-// free for the guarantees, so that a burst of urgent work does not have to stop
-// running work. Running urgent work does not reduce the reserve, because more
-// urgent work usually follows. The reserve does not hold back work in a service
-// that is mostly idle, or a unit that is too large to ever leave it free.
-func (s *Scheduler) leavesReserve(u *unit, r *rankedStep) bool {
-	p := s.pool(r.terms.Service)
-	free, total := p.index.Free(), p.total
-	need := u.size * u.step.spec.Need.Accelerators
-	switch {
-	case free-need >= s.reserve(p) || s.exceedsReserve(u, r):
-		return true
-	case u.step.spec.LongRunning:
-		// A long-running task is started while there is room for it twice over.
-		// It is preempted if a guarantee is claimed.
-		return 2*need <= free
-	default:
-		return 2*need <= free && float64(total-free) < idleShare*float64(total)
-	}
-}
-
-// reserve returns the accelerators of the pool that are kept free for the
-// guarantees.
-func (s *Scheduler) reserve(p *pool) int {
-	return int(min(s.opts.Reserve*float64(s.guaranteed), maxReserveShare*float64(p.total)))
-}
-
-// exceedsReserve reports whether the unit is too large to ever leave the reserve
-// free.
-func (s *Scheduler) exceedsReserve(u *unit, r *rankedStep) bool {
-	p := s.pool(r.terms.Service)
-	return u.size*u.step.spec.Need.Accelerators > p.total-s.reserve(p)
-}
-
 // start assigns the unit to workers. The start orders are sent once the record
 // of the assignment is stored.
 func (s *Scheduler) start(u *unit, r *rankedStep, workers []*worker, now time.Time) {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/ranker"
+	"primrosespar.example/primrosespar/internal/fleet/reserver"
 )
 
 // Scheduler holds the scheduling state of one holder of the fleet lease. It is
@@ -74,6 +76,15 @@
 	searchID uint64
 	// checkedAt is when the runs were last checked.
 	checkedAt time.Time
+	// ranker orders the waiting steps. accountUse and queueUse are what accounts
+	// and queues use relative to what they are entitled to.
+	ranker     *ranker.Ranker
+	accountUse map[primrosespar.Account]float64
+	queueUse   map[primrosespar.Queue]float64
+	// held are the accelerators that are kept in this plan for blocked gangs.
+	held map[primrosespar.Service]int
+	// reserver decides what work that is not urgent leaves free.
+	reserver *reserver.Reserver
 	// ranked is the buffer of rankSteps.
 	ranked        []rankedStep
 	dirtyJobs     []*job
@@ -166,8 +177,14 @@
 
 // New returns a Scheduler without jobs and workers.
 func New(opts ...Option) *Scheduler {
+	o := applyOptions(opts)
 	return &Scheduler{
-		opts:               applyOptions(opts),
+		opts:               o,
+		ranker:             ranker.New(o.PriorityRatio),
+		accountUse:         map[primrosespar.Account]float64{},
+		queueUse:           map[primrosespar.Queue]float64{},
+		held:               map[primrosespar.Service]int{},
+		reserver:           reserver.New(o.Reserve),
 		maxAdviceRequests:  1,
 		jobs:               map[primrosespar.JobID]*job{},
 		workers:            map[primrosespar.Worker]*worker{},
