Explain the place of waiting work in the order

fleet explain said what a task waits for, not which work comes first. Each waiting step now has its place, and how long it can wait until its job is late or without value.

TestExplainNamesPlaceInOrder; TestExplainNamesWaitReason is unchanged.

--- a/fleetview.go
+++ b/fleetview.go
@@ -71,6 +71,9 @@
 	Workers []Worker `json:"workers,omitempty"`
 	// Reason says why the first waiting task is not placed.
 	Reason string `json:"reason,omitempty"`
+	// Order is the place of the waiting tasks among all that wait, and how long
+	// they can wait.
+	Order string `json:"order,omitempty"`
 }
 
 // FleetViewer returns what a host knows about the fleet.
--- a/internal/fleet/scheduler/explaining.go
+++ b/internal/fleet/scheduler/explaining.go
@@ -60,20 +60,43 @@
 	if r := j.submission.Repeat; j.created < r.Count && !j.state.Ended() {
 		v.Due = r.Start.Add(time.Duration(j.created) * r.Every)
 	}
+	var ranked []rankedStep
+	if s.catalog != nil {
+		ranked = s.rankSteps(now)
+	}
 	for _, o := range j.occurrences {
-		rankedSteps := map[*step]rankedStep{}
-		for _, r := range s.appendWaiting(nil, o, terms, now) {
-			rankedSteps[r.step] = r
-		}
 		for _, st := range o.steps {
-			v.Steps = append(v.Steps, s.viewStep(st, rankedSteps, terms, now))
+			r, place := rankedStep{step: st, terms: terms}, slices.IndexFunc(ranked, func(r rankedStep) bool { return r.step == st })
+			if place >= 0 {
+				r = ranked[place]
+			}
+			view := s.viewStep(st, &r, now)
+			if place >= 0 && view.Reason != "" {
+				view.Order = fmt.Sprintf("%d of %d: %s", place+1, len(ranked), r.urgency())
+			}
+			v.Steps = append(v.Steps, view)
 		}
 	}
 	return v, true
 }
 
+// urgency describes what the job of the step loses by waiting.
+func (r *rankedStep) urgency() string {
+	slack := r.position.Slack.Round(100 * time.Millisecond)
+	switch {
+	case r.step.spec.LongRunning:
+		return "has value whenever it runs"
+	case slack < 0:
+		return "too late to have any value"
+	case r.position.OnTime:
+		return fmt.Sprintf("in time if it starts within %s", slack)
+	default:
+		return fmt.Sprintf("late, of value if it starts within %s", slack)
+	}
+}
+
 // viewStep returns the state of a step.
-func (s *Scheduler) viewStep(st *step, rankedSteps map[*step]rankedStep, terms *primrosespar.QueueTerms, now time.Time) primrosespar.StepView {
+func (s *Scheduler) viewStep(st *step, r *rankedStep, now time.Time) primrosespar.StepView {
 	v := primrosespar.StepView{
 		Occurrence: st.occurrence.index, Step: st.index, Tasks: st.spec.Count, FailedRuns: st.mostFailedRuns, Crashes: st.mostCrashes,
 	}
@@ -94,11 +117,7 @@
 		}
 	}
 	if i, _ := st.nextWaiting(0); i < st.unitCount() && !st.occurrence.job.state.Ended() {
-		r, ok := rankedSteps[st]
-		if !ok {
-			r = rankedStep{step: st, terms: terms}
-		}
-		v.Reason = s.waitReason(st.at(i), &r, now)
+		v.Reason = s.waitReason(st.at(i), r, now)
 	}
 	return v
 }
--- a/internal/fleet/scheduler/explaining_test.go
+++ b/internal/fleet/scheduler/explaining_test.go
@@ -78,3 +78,29 @@
 		Guarantees: []primrosespar.FleetGuarantee{{Account: "nord", Reserved: 16, InUse: 2}},
 	}, h.scheduler.View(h.now))
 }
+
+// TestExplainNamesPlaceInOrder guards against an operator who cannot see why
+// other work comes first.
+func TestExplainNamesPlaceInOrder(t *testing.T) {
+	h := newHarness(t, 1)
+	h.reportAllIdle()
+	for i := range workersPerRack {
+		h.submitAndStart(job(fmt.Sprintf("u%d", i), "urgent", primrosespar.Step{Count: 1, Need: needAccelerators(8)}))
+	}
+	order := func(id primrosespar.JobID) string {
+		h.plan()
+		view, _ := h.scheduler.Explain(id, h.now)
+		return view.Steps[0].Order
+	}
+	step := primrosespar.Step{Count: 1, Need: needAccelerators(8)}
+	h.scheduler.Submit(job("first", "plain", step), h.now)
+	h.now = h.now.Add(time.Second)
+	h.scheduler.Submit(job("second", "plain", step), h.now)
+	require.Empty(t, order("u0"))
+	require.Equal(t, "1 of 2: in time if it starts within 10s", order("first"))
+	require.Equal(t, "2 of 2: in time if it starts within 11s", order("second"))
+	h.now = h.now.Add(15 * time.Second)
+	require.Contains(t, order("first"), "late, of value if it starts within 27s")
+	h.now = h.now.Add(time.Minute)
+	require.Contains(t, order("first"), "too late to have any value")
+}
--- a/internal/operator/printer/fleet.go
+++ b/internal/operator/printer/fleet.go
@@ -45,9 +45,9 @@
 			writeRow(w, a.Due.UTC().Format(time.RFC3339))
 		}
 		writeRow(w)
-		writeRow(w, "OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "FAILED RUNS", "CRASHES", "WAITS")
+		writeRow(w, "OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "FAILED RUNS", "CRASHES", "ORDER", "WAITS")
 		for _, s := range a.Steps {
-			writeRow(w, s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.FailedRuns, s.Crashes, s.Reason)
+			writeRow(w, s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.FailedRuns, s.Crashes, s.Order, s.Reason)
 		}
 	})
 }
