--- a/internal/fleet/reserver/reserver.go
+++ b/internal/fleet/reserver/reserver.go
@@ -52,6 +52,8 @@
 type Room struct {
 	Total int
 	Free  int
+	// Closed is on workers that take no new work, beside Total.
+	Closed int
 	// Held is kept for work that is earlier in the order.
 	Held int
 	// Guaranteed is the sum of what the accounts are guaranteed.
@@ -99,7 +101,7 @@
 // is claimed, only needs room for it twice over. Running urgent work does not
 // reduce the reserve, because more urgent work usually follows.
 func (r *Reserver) Admits(w Work, room Room) bool {
-	idle := float64(room.Total-room.Free) < idleShare*float64(room.Total)
+	idle := float64(room.Total-room.Free) < idleShare*float64(room.Total+room.Closed)
 	if 2*w.Need <= room.Free && (idle || w.LongRunning) {
 		return true
 	}
--- a/internal/fleet/reserver/reserver_test.go
+++ b/internal/fleet/reserver/reserver_test.go
@@ -20,25 +20,27 @@
 		held   int
 		peak   int
 		admits bool
+		closed int
 	}{
-		"leaves the reserve":              {reserver.Work{Need: 10}, 230, 0, 0, true},
-		"can wait":                        {reserver.Work{Need: 10}, 229, 0, 0, false},
-		"due":                             {reserver.Work{Need: 10, Due: true}, 76, 0, 0, true},
-		"due, beyond the least":           {reserver.Work{Need: 10, Due: true}, 75, 0, 0, false},
-		"due, urgent work was seen":       {reserver.Work{Need: 10, Due: true}, 109, 0, 100, false},
-		"due, peak above the reserve":     {reserver.Work{Need: 10, Due: true}, 230, 0, 900, true},
-		"loses little by a stop":          {reserver.Work{Need: 10, Checkpointing: true}, 76, 0, 0, true},
-		"due, behind a gang":              {reserver.Work{Need: 10, Due: true}, 76, 1, 0, false},
-		"too large for the reserve":       {reserver.Work{Need: 800}, 800, 0, 0, true},
-		"too large, no room":              {reserver.Work{Need: 800}, 799, 0, 0, false},
-		"idle service":                    {reserver.Work{Need: 200}, 401, 300, 0, true},
-		"idle, but not for it twice over": {reserver.Work{Need: 250}, 401, 0, 0, false},
-		"long-running":                    {reserver.Work{Need: 10, LongRunning: true}, 20, 20, 0, true},
-		"long-running, once":              {reserver.Work{Need: 10, LongRunning: true, Due: true}, 19, 0, 0, false},
+		"leaves the reserve":              {reserver.Work{Need: 10}, 230, 0, 0, true, 0},
+		"can wait":                        {reserver.Work{Need: 10}, 229, 0, 0, false, 0},
+		"due":                             {reserver.Work{Need: 10, Due: true}, 76, 0, 0, true, 0},
+		"due, beyond the least":           {reserver.Work{Need: 10, Due: true}, 75, 0, 0, false, 0},
+		"due, urgent work was seen":       {reserver.Work{Need: 10, Due: true}, 109, 0, 100, false, 0},
+		"due, peak above the reserve":     {reserver.Work{Need: 10, Due: true}, 230, 0, 900, true, 0},
+		"loses little by a stop":          {reserver.Work{Need: 10, Checkpointing: true}, 76, 0, 0, true, 0},
+		"due, behind a gang":              {reserver.Work{Need: 10, Due: true}, 76, 1, 0, false, 0},
+		"too large for the reserve":       {reserver.Work{Need: 800}, 800, 0, 0, true, 0},
+		"too large, no room":              {reserver.Work{Need: 800}, 799, 0, 0, false, 0},
+		"idle service":                    {reserver.Work{Need: 200}, 401, 300, 0, true, 0},
+		"idle, but not for it twice over": {reserver.Work{Need: 250}, 401, 0, 0, false, 0},
+		"idle beside a closed place":      {reserver.Work{Need: 150}, 301, 0, 0, true, 700},
+		"long-running":                    {reserver.Work{Need: 10, LongRunning: true}, 20, 20, 0, true, 0},
+		"long-running, once":              {reserver.Work{Need: 10, LongRunning: true, Due: true}, 19, 0, 0, false, 0},
 	} {
 		r := reserver.New(reserver.DefaultShare)
 		r.Observe(c.peak, now)
-		room := reserver.Room{Total: total, Free: c.free, Held: c.held, Guaranteed: guaranteed}
+		room := reserver.Room{Total: total, Free: c.free, Closed: c.closed, Held: c.held, Guaranteed: guaranteed}
 		require.Equal(t, c.admits, r.Admits(c.work, room), name)
 	}
 }
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -26,13 +27,13 @@
 // advice service.
 func (w *worker) eligibleWithoutAdvice(u *unit, service primrosespar.Service, now time.Time) bool {
 	spec := u.step.spec
-	if !w.announced || !w.polled || w.unresponsive || !w.acceptsWork(spec.LongRunning) || w.info.Service != service {
+	if !w.announced || !w.polled || w.unresponsive || w.closed || !w.acceptsWork(spec.LongRunning) || w.info.Service != service {
 		return false
 	}
 	if now.Before(w.quarantinedUntil) || now.Before(w.probationUntil) || u.avoid[w.info.Worker] {
 		return false
 	}
-	return u.step.hasRequiredLabel(w)
+	return u.step.hasRequiredLabel(w) && u.step.allowedAt(w)
 }
 
 // room returns how many members of the unit fit into the free capacity.
@@ -90,7 +91,7 @@
 			continue
 		}
 		free := w.freeFor(u)
-		if n := w.roomUpTo(u, free, limit); n > 0 {
+		if n := w.warming.limit(w.roomUpTo(u, free, limit)); n > 0 {
 			candidates = append(candidates, candidate{w, n, free})
 		}
 	}
@@ -247,7 +248,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return a.acceleratorsLeft(u) - b.acceleratorsLeft(u)
+		return cmp.Or(a.worker.warming.score()-b.worker.warming.score(), a.acceleratorsLeft(u)-b.acceleratorsLeft(u))
 	})
 	workers := make([]*worker, 0, u.size)
 	for _, c := range candidates {
@@ -266,7 +267,7 @@
 
 // atDisruptionLimit reports whether the worker already has as many tasks of a
 // long-running step as may be unavailable at once. With more of them it could
-// not be evacuated in one go.
+// not be cleared in one go.
 func (w *worker) atDisruptionLimit(st *step) bool {
 	return st.spec.LongRunning && st.spec.MaxUnavailable > 0 && w.tasksOf(st) >= st.spec.MaxUnavailable
 }
@@ -292,6 +293,7 @@
 		if u.suspected() && (c.worker.crashedLately || len(c.worker.memberList) > 0) {
 			score += math.MaxInt / 32
 		}
+		score += c.worker.warming.score()
 		if c.worker.interferes(u.step) {
 			score += math.MaxInt / 16
 		}
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -22,6 +22,8 @@
 // Plan decides on everything that changed since the last call and returns what
 // the caller has to carry out.
 func (s *Scheduler) Plan(now time.Time) Changes {
+	s.updateClosedPlaces()
+	s.updateWarming(now)
 	if now.Sub(s.checkedAt) >= checkInterval {
 		s.checkedAt = now
 		s.expireLeases(now)
@@ -49,7 +51,7 @@
 	reservations, reclaims, holds := 0, 0, 0
 	blockedSizes := map[blockedShape]int{}
 	for _, r := range s.rankSteps(now) {
-		r.step.advised = r.terms.Advised
+		r.step.advised, r.step.regions = r.terms.Advised, s.allowedRegions(r.step.occurrence.job)
 		blocked, index := s.placeStep(&r, 0, blockedSizes, now)
 		// Room for all units of an urgent step is made in one plan. Making it
 		// for one unit after the other would take the time of a stop for each.
@@ -240,6 +242,7 @@
 	u.placedAt, u.progressAt, u.firstEndAt, u.firstSentAt = now, now, time.Time{}, time.Time{}
 	for i, w := range workers {
 		s.attach(&member{unit: u, index: u.firstIndex + i, run: u.run, worker: w, lifetime: markLifetime(w.startedAt)})
+		w.warming.countStart(now)
 		if u.suspected() {
 			w.probationUntil = now.Add(probationTime)
 		}
@@ -297,11 +300,15 @@
 		return
 	}
 	if !u.firstEndAt.IsZero() && now.Sub(u.firstEndAt) > stragglerDelay {
-		s.stopUnit(u, "another member of the gang ended")
+		s.stopUnit(u, primrosespar.LossGangPartner, "another member of the gang ended")
 		return
 	}
 	if u.leaving() && s.shouldMove(u) {
-		s.stopUnit(u, "worker is draining or cordoned")
+		s.stopUnit(u, primrosespar.LossMoved, "worker is draining or cordoned")
+		return
+	}
+	if s.endsTooLate(u, now) {
+		s.stopUnit(u, primrosespar.LossMoved, "worker leaves before the run can end")
 		return
 	}
 	if s.gatherTimedOut(u, now) {
@@ -310,12 +317,12 @@
 				u.avoidWorker(m.worker)
 			}
 		}
-		s.stopUnit(u, "members of the gang did not start in time")
+		s.stopUnit(u, primrosespar.LossGangGather, "members of the gang did not start in time")
 		return
 	}
 	if u.stalled(now) {
 		s.recordStall(u, now)
-		s.stopUnit(u, "run made no progress")
+		s.stopUnit(u, primrosespar.LossStalled, "run made no progress")
 	}
 }
 
--- a/internal/fleet/scheduler/ranking.go
+++ b/internal/fleet/scheduler/ranking.go
@@ -110,5 +110,7 @@
 // reserverRoom returns the room of the service that the step runs on.
 func (s *Scheduler) reserverRoom(r *rankedStep) reserver.Room {
 	p := s.pool(r.terms.Service)
-	return reserver.Room{Total: p.total, Free: p.index.Free(), Guaranteed: s.guaranteed, Held: s.held[r.terms.Service]}
+	return reserver.Room{
+		Total: p.total, Free: p.index.Free(), Closed: p.closed, Guaranteed: s.guaranteed, Held: s.held[r.terms.Service],
+	}
 }
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -63,6 +63,12 @@
 	fillerRuns int
 	// guaranteed is the sum of the accelerators that accounts are guaranteed.
 	guaranteed int
+	// closedPlaces says of the places of all workers whether they accept no work.
+	// placesChanged is set once a worker or its place has changed.
+	closedPlaces  map[primrosespar.Place]bool
+	placesChanged bool
+	// coldUntil is when the last worker is warm, zero if all are.
+	coldUntil time.Time
 	// reservedWorkers are the workers that racks were reserved with in this
 	// plan.
 	reservedWorkers []*worker
@@ -195,8 +201,9 @@
 		crashedAt:          map[netip.AddrPort]time.Time{},
 		lostContacts:       map[contact]lostContact{},
 
-		claimants: map[*unit]bool{},
-		replaced:  map[primrosespar.Worker]time.Time{},
+		claimants:    map[*unit]bool{},
+		closedPlaces: map[primrosespar.Place]bool{},
+		replaced:     map[primrosespar.Worker]time.Time{},
 	}
 }
 
@@ -270,7 +277,7 @@
 	if j.state.Ended() {
 		// Its runs may still be active.
 		for _, u := range j.units() {
-			s.stopUnit(u, "job ended")
+			s.stopUnit(u, primrosespar.LossOther, "job ended")
 		}
 	}
 	if j.split = progress.Split; j.split {
@@ -357,9 +364,13 @@
 func (s *Scheduler) endJob(j *job, state primrosespar.JobState, now time.Time) {
 	j.state = state
 	j.endedAt = now
+	cause := primrosespar.LossGivenUp
+	if state == primrosespar.JobCancelled {
+		cause = primrosespar.LossCancelled
+	}
 	for _, u := range j.units() {
 		s.dropClaim(u)
-		s.stopUnit(u, "job "+string(state))
+		s.stopUnit(u, cause, "job "+string(state))
 	}
 	for i, other := range s.liveJobs {
 		if other == j {
