Reject jobs that the fleet can never run

A job with a task that fits on no worker, a label that no worker has or a gang beyond all workers together waited until its caller gave up. The inbox is not used after it.

--- a/imports_test.go
+++ b/imports_test.go
@@ -30,7 +30,7 @@
 		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
 		"internal/fleet/scheduler", "internal/fleet/encoder", "internal/fleet/accountant", "internal/fleet/indexer",
 		"internal/fleet/evacuator", "internal/fleet/lessor", "internal/fleet/maintainer", "internal/fleet/pacer",
-		"internal/fleet/ranker", "internal/fleet/reserver", "internal/entry/budgeter",
+		"internal/fleet/ranker", "internal/fleet/reserver", "internal/fleet/admitter", "internal/entry/budgeter",
 	}
 }
 
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -26,6 +26,10 @@
 			reply(primrosespar.Fail(primrosespar.CodeForbidden, "the ID of job %q is in use by another caller", job.ID))
 			return
 		}
+		if err := c.scheduler.CheckAdmission(job); err != nil {
+			reply(err)
+			return
+		}
 		if !c.scheduler.HasRoom(job) {
 			reply(c.noRoom(job))
 			return
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/admitter"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/ranker"
 	"primrosespar.example/primrosespar/internal/fleet/reserver"
@@ -89,6 +90,8 @@
 	queueUse   map[primrosespar.Queue]float64
 	// held are the accelerators that are kept in this plan for blocked gangs.
 	held map[primrosespar.Service]int
+	// admitter rejects jobs that can never run.
+	admitter *admitter.Admitter
 	// reserver decides what work that is not urgent leaves free.
 	reserver *reserver.Reserver
 	// ranked is the buffer of rankSteps.
@@ -190,6 +193,7 @@
 		accountUse:         map[primrosespar.Account]float64{},
 		queueUse:           map[primrosespar.Queue]float64{},
 		held:               map[primrosespar.Service]int{},
+		admitter:           admitter.New(),
 		reserver:           reserver.New(o.Reserve),
 		maxAdviceRequests:  1,
 		jobs:               map[primrosespar.JobID]*job{},
--- a/internal/fleet/scheduler/shortage_test.go
+++ b/internal/fleet/scheduler/shortage_test.go
@@ -170,3 +170,15 @@
 	h.now = h.now.Add(time.Second)
 	require.Len(t, h.plan().Starts, 1)
 }
+
+// TestImpossibleJobIsRejected guards against a job that waits until its caller
+// gives up, and against a known job that is rejected when it is sent again.
+func TestImpossibleJobIsRejected(t *testing.T) {
+	h := newHarness(t, 1)
+	possible := job("a", "plain", primrosespar.Step{Count: workersPerRack, Gang: true, Need: needAccelerators(8)})
+	require.NoError(t, h.scheduler.CheckAdmission(possible))
+	impossible := job("b", "plain", primrosespar.Step{Count: workersPerRack + 1, Gang: true, Need: needAccelerators(8)})
+	require.Equal(t, primrosespar.CodeImpossibleShape, primrosespar.CodeOf(h.scheduler.CheckAdmission(impossible)))
+	h.scheduler.Submit(impossible, h.now)
+	require.NoError(t, h.scheduler.CheckAdmission(impossible))
+}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -123,6 +123,7 @@
 		s.announced = append(s.announced, w)
 	}
 	s.replaced = replaced
+	s.admitter.Observe(workers)
 	s.expireCrashes(now)
 	if changed || len(s.announced) != len(wasAnnounced) {
 		s.placesChanged = true
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -139,7 +139,8 @@
 // must not be used.
 func isFinal(code primrosespar.Code) bool {
 	switch code {
-	case primrosespar.CodeStoreUnavailable, primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull:
+	case primrosespar.CodeStoreUnavailable, primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull,
+		primrosespar.CodeImpossibleShape:
 		return true
 	default:
 		return false
--- a/internal/fleet/submitter/submitter_test.go
+++ b/internal/fleet/submitter/submitter_test.go
@@ -128,7 +128,7 @@
 // TestRejectedJobIsNotLeftInTheInbox guards against a job that the holder has
 // rejected for good and that the inbox then accepts.
 func TestRejectedJobIsNotLeftInTheInbox(t *testing.T) {
-	for _, code := range []primrosespar.Code{primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull} {
+	for _, code := range []primrosespar.Code{primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull, primrosespar.CodeImpossibleShape} {
 		s, table := newSubmitter(t, primrosespar.Fail(code, "refused"))
 		err := s.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q"})
 		require.Equal(t, code, primrosespar.CodeOf(err))
