--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -29,6 +29,7 @@
 		s.expireLeases(now)
 		s.checkRuns(now)
 		s.adjustThrottles(now)
+		s.reassess(now)
 		if s.catalog != nil {
 			s.countUse(now)
 		}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -28,6 +28,7 @@
 
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/admitter"
+	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/ranker"
 	"primrosespar.example/primrosespar/internal/fleet/reserver"
@@ -53,6 +54,8 @@
 	// the runs that may have ended with a worker.
 	crashedAt    map[netip.AddrPort]time.Time
 	lostContacts map[contact]lostContact
+	// assessor estimates how surely the workers finish what they get.
+	assessor *assessor.Assessor
 	// claimants are the units that hold claims on freed capacity.
 	claimants map[*unit]bool
 	// capacityVersion counts the events after which a blocked unit may fit.
@@ -204,6 +207,7 @@
 		acknowledged:       map[primrosespar.Worker]Acknowledgement{},
 		crashedAt:          map[netip.AddrPort]time.Time{},
 		lostContacts:       map[contact]lostContact{},
+		assessor:           assessor.New(),
 
 		claimants:    map[*unit]bool{},
 		closedPlaces: map[primrosespar.Place]bool{},
