--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -27,8 +27,11 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/admitter"
 	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/ranker"
+	"primrosespar.example/primrosespar/internal/fleet/reserver"
 )
 
 // Scheduler holds the scheduling state of one holder of the fleet lease. It is
@@ -83,6 +86,17 @@
 	searchID uint64
 	// checkedAt is when the runs were last checked.
 	checkedAt time.Time
+	// ranker orders the waiting steps. accountUse and queueUse are what accounts
+	// and queues use relative to what they are entitled to.
+	ranker     *ranker.Ranker
+	accountUse map[primrosespar.Account]float64
+	queueUse   map[primrosespar.Queue]float64
+	// held are the accelerators that are kept in this plan for blocked gangs.
+	held map[primrosespar.Service]int
+	// admitter rejects jobs that can never run.
+	admitter *admitter.Admitter
+	// reserver decides what work that is not urgent leaves free.
+	reserver *reserver.Reserver
 	// ranked is the buffer of rankSteps.
 	ranked        []rankedStep
 	dirtyJobs     []*job
@@ -175,8 +189,15 @@
 
 // New returns a Scheduler without jobs and workers.
 func New(opts ...Option) *Scheduler {
+	o := applyOptions(opts)
 	return &Scheduler{
-		opts:               applyOptions(opts),
+		opts:               o,
+		ranker:             ranker.New(o.PriorityRatio),
+		accountUse:         map[primrosespar.Account]float64{},
+		queueUse:           map[primrosespar.Queue]float64{},
+		held:               map[primrosespar.Service]int{},
+		admitter:           admitter.New(),
+		reserver:           reserver.New(o.Reserve),
 		maxAdviceRequests:  1,
 		jobs:               map[primrosespar.JobID]*job{},
 		workers:            map[primrosespar.Worker]*worker{},
