Check the configuration of a fleet before it is sent

Change: fleet check FILE [--against FILE] [--settings FILE] [--strict] reads the document in the adapter, with line and column of what cannot be decoded and notes on unknown fields, and lists errors, entries that never match, limits that contradict each other and what changes for whom. It sends nothing and shows no key. config check is taken by the settings files of entry hosts, so the command is in the fleet group.

--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -65,7 +65,8 @@
 
 // fleetCommands are the commands for a fleet. The default is to run the daemon.
 type fleetCommands struct {
-	Run fleetCommand `cmd:"" default:"withargs" help:"Run the scheduler of a fleet (default)."`
+	Run   fleetCommand `cmd:"" default:"withargs" help:"Run the scheduler of a fleet (default)."`
+	Check fleetCheck   `cmd:"" help:"Check a configuration before it is sent; sends nothing."`
 	handler.FleetCommands
 }
 
--- a/imports_test.go
+++ b/imports_test.go
@@ -29,7 +29,7 @@
 		"internal/member/leaser", "internal/member/watcher", "internal/member/divider",
 		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
 		"internal/fleet/scheduler", "internal/fleet/encoder", "internal/fleet/accountant", "internal/fleet/assessor",
-		"internal/fleet/indexer", "internal/fleet/evacuator", "internal/fleet/lessor", "internal/fleet/maintainer",
+		"internal/fleet/indexer", "internal/fleet/evacuator", "internal/fleet/lessor", "internal/fleet/inspector", "internal/fleet/maintainer",
 		"internal/fleet/pacer", "internal/fleet/postponer", "internal/fleet/ranker", "internal/fleet/reserver", "internal/fleet/admitter",
 		"internal/entry/budgeter",
 	}
--- a/names_test.go
+++ b/names_test.go
@@ -18,6 +18,7 @@
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/member/replier"
 	"primrosespar.example/primrosespar/internal/operator/handler"
+	"primrosespar.example/primrosespar/internal/operator/printer"
 )
 
 // fill sets all exported fields in v, including nested ones, to values that are
@@ -236,3 +237,23 @@
 	require.NoError(t, err)
 	require.JSONEq(t, `{"place":"a","own":true,"version":3,"requested_at":"1970-01-01T00:00:00.001Z","runs":2}`, string(data))
 }
+
+// TestInspectionsKeepTheirNames guards against a renamed Go field that renames a
+// flag of the check of a configuration or a field of its answer.
+func TestInspectionsKeepTheirNames(t *testing.T) {
+	parser, err := kong.New(&handler.Inspection{}, handler.KongOptions()...)
+	require.NoError(t, err)
+	require.Equal(t, []string{
+		"", " --help", " --against", " --settings", " --strict", " <file>",
+	}, commandLine("", parser.Model.Node))
+	data, err := json.Marshal(printer.NewInspection([]primrosespar.Finding{
+		{Severity: primrosespar.SeverityError, Kind: "a", Entry: "b", Text: "c"},
+		{Severity: primrosespar.SeverityWarning},
+		{Severity: primrosespar.SeverityNote},
+		{Severity: primrosespar.SeverityChange},
+	}))
+	require.NoError(t, err)
+	require.JSONEq(t, `{"errors":1,"warnings":1,"findings":[{"severity":"error","kind":"a","entry":"b","text":"c"},
+		{"severity":"warning","kind":"","entry":"","text":""},{"severity":"note","kind":"","entry":"","text":""},
+		{"severity":"change","kind":"","entry":"","text":""}]}`, string(data))
+}
