--- a/internal/operator/handler/handler_test.go
+++ b/internal/operator/handler/handler_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/alecthomas/kong"
@@ -145,3 +146,60 @@
 		require.Contains(t, stderr, "--server is")
 	}
 }
+
+// inspectCommand is a check of a configuration with given findings.
+type inspectCommand struct {
+	handler.Inspection
+	draft primrosespar.CatalogDraft
+}
+
+// Run prints the findings. A document that is not empty has a syntax error.
+func (c *inspectCommand) Run(env *handler.Env) error {
+	return env.Inspect(c.Inspection, nil, func(data []byte) (primrosespar.CatalogDraft, []primrosespar.Finding, error) {
+		if len(data) > 0 {
+			return c.draft, nil, primrosespar.Fail(primrosespar.CodeBadSyntax, "line 3, column 4")
+		}
+		return c.draft, nil, nil
+	})
+}
+
+// TestInspectionExitCode guards against a script that sends a configuration
+// which cannot be read or has errors, and against one that warnings stop
+// although they are allowed.
+func TestInspectionExitCode(t *testing.T) {
+	clean := primrosespar.CatalogDraft{Version: 1}
+	warned := primrosespar.CatalogDraft{Version: 1, Accounts: []primrosespar.AccountDraft{{Account: "a"}}}
+	empty, broken := filepath.Join(t.TempDir(), "empty"), filepath.Join(t.TempDir(), "broken")
+	require.NoError(t, os.WriteFile(empty, nil, 0o600))
+	require.NoError(t, os.WriteFile(broken, []byte("x"), 0o600))
+	for _, c := range []struct {
+		draft  primrosespar.CatalogDraft
+		args   []string
+		code   int
+		stdout string
+		stderr string
+	}{
+		{clean, []string{empty, "--strict"}, 0, "ok\n", ""},
+		{warned, []string{empty}, 0, "account_without_key", ""},
+		{warned, []string{empty, "--output", "json"}, 0, `"warnings": 1`, ""},
+		{warned, []string{empty, "--strict"}, 2, "account_without_key", "errors 0, warnings 1"},
+		{primrosespar.CatalogDraft{}, []string{empty}, 2, "no_version", "errors 1, warnings 0"},
+		{clean, []string{empty, "--against", empty}, 2, "version_not_newer", "errors 1, warnings 0"},
+		{clean, []string{broken}, 2, "", "line 3, column 4"},
+		{clean, []string{empty, "--against", broken}, 2, "", "line 3, column 4"},
+		{clean, []string{empty + "-missing"}, 2, "", "cannot read the file"},
+	} {
+		cli := struct {
+			handler.Commands
+			Check inspectCommand `cmd:""`
+		}{Check: inspectCommand{draft: c.draft}}
+		parser, err := kong.New(&cli, handler.KongOptions()...)
+		require.NoError(t, err)
+		ctx, err := parser.Parse(append([]string{"check"}, c.args...))
+		require.NoError(t, err)
+		var stdout, stderr bytes.Buffer
+		require.Equal(t, c.code, handler.Run(ctx, &cli.Commands, &stdout, &stderr), c.args)
+		require.Contains(t, stdout.String(), c.stdout)
+		require.Contains(t, stderr.String(), c.stderr)
+	}
+}
