--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -171,23 +171,7 @@
 		return err
 	}
 	h.daemon = fleetDaemon
-	h.meter.Gauge("primrosespar_catalog_version", func() float64 {
-		version, _ := fleetDaemon.Catalog()
-		return float64(version)
-	})
-	h.meter.Gauge("primrosespar_catalog_unconfirmed_seconds", func() float64 {
-		_, age := fleetDaemon.Catalog()
-		return age.Seconds()
-	})
-	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
-		return fleetDaemon.UnconfirmedTime().Seconds()
-	})
-	h.addEvacuationMetrics()
-	for _, cause := range primrosespar.LossCauses() {
-		h.meter.Gauge(fmt.Sprintf(`primrosespar_fleet_lost_core_seconds{cause=%q}`, cause), func() float64 {
-			return fleetDaemon.LostWork(cause)
-		})
-	}
+	h.registerGauges(fleetDaemon)
 	wg.Go(func() {
 		if err := fleetDaemon.Run(ctx); err != nil {
 			h.logError("daemon", err)
@@ -209,6 +193,35 @@
 	return nil
 }
 
+// registerGauges registers what operators read from the daemon.
+func (h *fleetHost) registerGauges(fleetDaemon *daemon.Daemon) {
+	h.meter.Gauge("primrosespar_catalog_version", func() float64 {
+		version, _ := fleetDaemon.Catalog()
+		return float64(version)
+	})
+	h.meter.Gauge("primrosespar_catalog_unconfirmed_seconds", func() float64 {
+		_, age := fleetDaemon.Catalog()
+		return age.Seconds()
+	})
+	h.meter.Gauge("primrosespar_fleet_no_service_seconds", func() float64 {
+		age, _ := fleetDaemon.Interruption()
+		return age.Seconds()
+	})
+	h.meter.Gauge("primrosespar_fleet_calls_held", func() float64 {
+		_, held := fleetDaemon.Interruption()
+		return float64(held)
+	})
+	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
+		return fleetDaemon.UnconfirmedTime().Seconds()
+	})
+	h.addEvacuationMetrics()
+	for _, cause := range primrosespar.LossCauses() {
+		h.meter.Gauge(fmt.Sprintf(`primrosespar_fleet_lost_core_seconds{cause=%q}`, cause), func() float64 {
+			return fleetDaemon.LostWork(cause)
+		})
+	}
+}
+
 // changeTerm adapts the host to the begin or the end of a term: the target of
 // the garbage collector and the connections of clients.
 func (h *fleetHost) changeTerm(leading bool) {
@@ -281,6 +294,9 @@
 // logCall logs a call and updates its metrics.
 func (h *fleetHost) logCall(call platform.Call) {
 	h.meter.Call(call.Account, primrosespar.Class(call.Queue), call.Code, call.Took)
+	if call.RetryAfter > 0 {
+		h.meter.RetryAfter(call.Account, primrosespar.Class(call.Queue), call.RetryAfter)
+	}
 	if call.Job == "" && call.Err == nil {
 		// Successful calls without a job only read the counts of a queue. They
 		// are too frequent to log.
@@ -291,6 +307,9 @@
 		"job": call.Job, "catalog_version": call.Version, "status": call.Status, "code": call.Code.String(),
 		"took_ms": call.Took.Milliseconds(),
 	})
+	if call.RetryAfter > 0 {
+		entry = entry.WithField("retry_after_s", int(call.RetryAfter.Seconds()))
+	}
 	if call.Err != nil {
 		entry = entry.WithField("reason", call.Err.Error())
 	}
