--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -30,6 +30,9 @@
 	maxAttempts = 3
 	// pageLimit is the number of rows per page.
 	pageLimit = 400
+	// maxUnixMS is the end of the year 9999, in Unix milliseconds. Later times
+	// cannot be shown.
+	maxUnixMS = 253_402_300_799_999
 )
 
 // Options configure a Registrar.
@@ -113,7 +116,7 @@
 	evacuation := primrosespar.Evacuation{
 		Place: primrosespar.Place(strings.TrimPrefix(row.Key, primrosespar.EvacuationPrefix())), Own: true, Version: row.Version,
 	}
-	if stored, err := r.encoder.ParseEvacuation(row.Value); err == nil && stored.RequestedAt > 0 {
+	if stored, err := r.encoder.ParseEvacuation(row.Value); err == nil && stored.RequestedAt > 0 && stored.RequestedAt <= maxUnixMS {
 		evacuation.RequestedAt = time.UnixMilli(stored.RequestedAt)
 	}
 	return evacuation
