--- a/catalog.go
+++ b/catalog.go
@@ -24,6 +24,19 @@
 	// Advised queues need a ticket of the advice service for each worker that
 	// runs their tasks.
 	Advised bool
+	// Regions are the regions in whose places the tasks may run; none means all.
+	Regions []Region `cbor:",omitempty"`
+}
+
+// CallLimits are the operator's limits of a call. A field of 0 sets no limit.
+type CallLimits struct {
+	// HeadBytes and BodyBytes bound the head and the body of a request.
+	HeadBytes int64
+	BodyBytes int64
+	// HeadTimeout bounds the time in which a head arrives, IdleTimeout that
+	// between two requests on one connection.
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
 }
 
 // Catalog is one version of the configuration that operators publish: the
@@ -32,8 +45,15 @@
 	Version   Version
 	Queues    []QueueTerms
 	Contracts []Contract
+	Limits    CallLimits
 	// Keys maps API keys to accounts.
 	Keys map[string]Account
+	// ColdStarts is how many starts a second a worker of a service takes while it
+	// is cold. A service that has none sets no limit.
+	ColdStarts map[Service]float64
+	// Regions are the regions in whose places the work of an account may run. An
+	// account that has none may use all.
+	Regions map[Account][]Region
 }
 
 // CatalogConfirmation is what a holder says about its reads of the catalog.
--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -3,26 +3,31 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/julienschmidt/httprouter"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/authorizer"
 	"primrosespar.example/primrosespar/internal/entry/meter"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
 	"primrosespar.example/primrosespar/internal/fleet/daemon"
+	"primrosespar.example/primrosespar/internal/fleet/emptier"
 	"primrosespar.example/primrosespar/internal/fleet/lessor"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/stopwatch"
@@ -56,9 +61,6 @@
 	// minFirstPolls is the minimum of the idle workers that a new holder polls
 	// at once.
 	minFirstPolls = 16
-	// headerTimeout and idleTimeout limit HTTP connections.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 )
 
 // fleetCommands are the commands for a fleet. The default is to run the daemon.
@@ -74,7 +76,10 @@
 	// MetricsPort is set in the deployment file, because the platform assigns
 	// the ports in the settings anew.
 	MetricsPort uint16 `help:"Port of the metrics; a free one of the settings by default."`
-	Check       bool   `help:"Check the settings and stop."`
+	// OperatorToken is set in the deployment file, because the settings of the
+	// platform name no operators.
+	OperatorToken string `help:"File that holds the token of operators, who may then evacuate places with the commands of the product." type:"path" placeholder:"FILE"`
+	Check         bool   `help:"Check the settings and stop."`
 }
 
 // Run serves until SIGTERM or SIGINT and then stops gracefully.
@@ -98,6 +103,9 @@
 	spool := spooler.New(os.Stdout)
 	defer func() { _ = spool.Close() }()
 	host := &fleetHost{settings: settings, meter: meter.New(), clock: clockwork.NewRealClock()}
+	if host.operators, err = readOperatorToken(c.OperatorToken); err != nil {
+		return err
+	}
 	host.log = newFleetLog(spool, c.LogLevel, settings)
 	host.meter.Gauge("primrosespar_log_lines_dropped", func() float64 { return float64(spool.Dropped()) })
 	signals := make(chan os.Signal, 1)
@@ -126,6 +134,10 @@
 	meter    *meter.Meter
 	clock    primrosespar.Clock
 	daemon   *daemon.Daemon
+	// leading is set during a term of this host.
+	leading atomic.Bool
+	// operators is nil without a token of operators.
+	operators *authorizer.Authorizer
 }
 
 // serve runs the daemon and its servers until a signal stops them.
@@ -133,7 +145,7 @@
 	client := platform.New(h.settings, func(key, reason string) {
 		h.log.WithFields(logrus.Fields{"worker": key, "reason": reason}).Warn("skipped an unusable worker entry")
 	})
-	backend := daemon.Backend{Table: client, Source: client, Fleet: client}
+	backend := daemon.Backend{Table: client, Source: client, Fleet: client, Evacuations: client}
 	if h.settings.HasMachines() {
 		backend.Maintenance = client
 	}
@@ -141,6 +153,10 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
 	fleetDaemon, err := daemon.New(daemon.Settings{
 		MaxFirstPolls: max(minFirstPolls, int(float64(controller.DefaultMaxFirstPolls)*h.settings.Cores)),
 		Host:          h.settings.Host, PeerAddress: h.settings.Peers, Weight: h.settings.Cores,
@@ -148,8 +164,9 @@
 		Lease:     min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
 		TurnInterval: h.settings.TurnInterval, LongestLease: h.settings.LongestLease,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
+		EvacuationBound: h.settings.EvacuationBound, Places: slices.Sorted(maps.Keys(h.settings.Places)),
 	}, backend,
-		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(tuneCollector))
+		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(h.changeTerm), daemon.WithPeerListener(func(listener net.Listener) net.Listener { return h.guardPeers(ctx, &wg, listener) }))
 	if err != nil {
 		return err
 	}
@@ -165,15 +182,12 @@
 	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
 		return fleetDaemon.UnconfirmedTime().Seconds()
 	})
+	h.addEvacuationMetrics()
 	for _, cause := range primrosespar.LossCauses() {
 		h.meter.Gauge(fmt.Sprintf(`primrosespar_fleet_lost_core_seconds{cause=%q}`, cause), func() float64 {
 			return fleetDaemon.LostWork(cause)
 		})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	defer cancel()
 	wg.Go(func() {
 		if err := fleetDaemon.Run(ctx); err != nil {
 			h.logError("daemon", err)
@@ -195,9 +209,10 @@
 	return nil
 }
 
-// tuneCollector sets the target of the garbage collector for a host that leads
-// or one that does not.
-func tuneCollector(leading bool) {
+// changeTerm adapts the host to the begin or the end of a term: the target of
+// the garbage collector and the connections of clients.
+func (h *fleetHost) changeTerm(leading bool) {
+	h.leading.Store(leading)
 	if leading {
 		debug.SetGCPercent(leadingGCPercent)
 		return
@@ -205,34 +220,6 @@
 	debug.SetGCPercent(defaultGCPercent)
 }
 
-// startServers starts the HTTP servers for callers, readiness checks and
-// metrics.
-func (h *fleetHost) startServers(ctx context.Context, wg *conc.WaitGroup) ([]*http.Server, error) {
-	callerHandler := platform.NewHandler(h.daemon.JobService(), h.clock, h.logCall, h.daemon.Draining)
-	var servers []*http.Server
-	for _, server := range []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		{h.settings.Callers, callerHandler},
-		{h.settings.Readiness, h.newReadinessHandler()},
-		{h.settings.Metrics, h.newMetricsHandler()},
-	} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", server.address.String())
-		if err != nil {
-			return nil, eris.Wrapf(err, "listen on %s", server.address)
-		}
-		httpServer := &http.Server{Handler: server.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		servers = append(servers, httpServer)
-		wg.Go(func() {
-			if err := httpServer.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
-				h.logError("server", err)
-			}
-		})
-	}
-	return servers, nil
-}
-
 // newReadinessHandler returns the handler of the platform's readiness probes.
 func (h *fleetHost) newReadinessHandler() http.Handler {
 	router := httprouter.New()
@@ -252,6 +239,7 @@
 		h.meter.Write(w)
 	})
 	viewer.New(h.daemon).Register(router)
+	emptier.New(h.daemon, h.operators).Register(router)
 	return router
 }
 
@@ -269,7 +257,7 @@
 			h.logError("reload", err)
 			continue
 		}
-		h.log.WithField("changed", settings != h.settings).Info("settings were read again")
+		h.log.WithField("changed", !reflect.DeepEqual(settings, h.settings)).Info("settings were read again")
 	}
 }
 
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -36,6 +37,7 @@
 	"primrosespar.example/primrosespar/internal/fleet/elector"
 	"primrosespar.example/primrosespar/internal/fleet/follower"
 	"primrosespar.example/primrosespar/internal/fleet/messenger"
+	"primrosespar.example/primrosespar/internal/fleet/registrar"
 	"primrosespar.example/primrosespar/internal/fleet/scheduler"
 	"primrosespar.example/primrosespar/internal/fleet/submitter"
 	"primrosespar.example/primrosespar/internal/fleet/supervisor"
@@ -54,6 +56,16 @@
 	// takeOverTimeout bounds the request to a successor to take over, which it
 	// answers at once.
 	takeOverTimeout = 500 * time.Millisecond
+	// maxHandoverAttempts bounds the successors that are asked to take over.
+	maxHandoverAttempts = 3
+	// offerThreshold is for how long the store may refuse the commits of the
+	// holder before it asks a successor to take over. Callers wait meanwhile;
+	// the committer has made three attempts by then.
+	offerThreshold = 250 * time.Millisecond
+	// offerCheckInterval is the time between two checks for that, and
+	// offerInterval the time between two requests.
+	offerCheckInterval = 100 * time.Millisecond
+	offerInterval      = 500 * time.Millisecond
 )
 
 // Settings configure the daemon of one host.
@@ -81,6 +93,13 @@
 	// CatalogApplyTimeout is the time within which a change of the catalog has
 	// to take effect; 0 is the default.
 	CatalogApplyTimeout time.Duration
+	// EvacuationBound is how long after an operator's request that a place is
+	// emptied a start may still reach its workers; 0 means that there are no such
+	// requests.
+	EvacuationBound time.Duration
+	// Places are the places of the installation, for the operators' requests that
+	// one is emptied. If there are none, all names are accepted.
+	Places []primrosespar.Place
 	// MaxCatalogAge is the maximum age of the catalog for serving callers; 0 is
 	// no limit.
 	MaxCatalogAge time.Duration
@@ -93,6 +112,8 @@
 	Fleet  primrosespar.Fleet
 	// Maintenance is nil if the platform has no machine maintenance.
 	Maintenance primrosespar.MaintenanceService
+	// Evacuations is read where the settings have an EvacuationBound.
+	Evacuations primrosespar.EvacuationSource
 }
 
 // Options configure a Daemon.
@@ -108,6 +129,8 @@
 	OnError    func(part string, err error)
 	// OnTerm is called when a term of this host begins and ends.
 	OnTerm func(leading bool)
+	// PeerListener wraps the listener for other hosts.
+	PeerListener func(net.Listener) net.Listener
 }
 
 // Option sets one option.
@@ -129,6 +152,11 @@
 // and ends.
 func WithOnTerm(onTerm func(leading bool)) Option { return func(o *Options) { o.OnTerm = onTerm } }
 
+// WithPeerListener sets the function that wraps the listener for other hosts.
+func WithPeerListener(wrap func(net.Listener) net.Listener) Option {
+	return func(o *Options) { o.PeerListener = wrap }
+}
+
 // Daemon is the fleet scheduler of one host. It is safe for concurrent use.
 type Daemon struct {
 	settings  Settings
@@ -143,6 +171,7 @@
 	elector    *elector.Elector
 	follower   *follower.Follower
 	submitter  *submitter.Submitter
+	registrar  *registrar.Registrar
 	term       atomic.Pointer[controller.Controller]
 	draining   atomic.Bool
 
@@ -169,6 +198,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if backend.Evacuations != nil {
+		d.registrar, err = registrar.New(backend.Table, backend.Evacuations, func() time.Time { return d.wallClock(d.opts.Clock.Now()) },
+			registrar.WithPlaces(settings.Places))
+		if err != nil {
+			return nil, err
+		}
+	}
 	d.committer = committer.New(backend.Table, d.opts.Clock, committer.Identity{
 		Host: settings.Host, Incarnation: incarnation, Address: settings.PeerAddress,
 	}, committer.WithStopwatch(d.opts.Stopwatch))
@@ -209,6 +245,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
+	if d.opts.PeerListener != nil {
+		listener = d.opts.PeerListener(listener)
+	}
 	var tasks conc.WaitGroup
 	defer func() { _ = d.messenger.Close() }()
 	defer tasks.Wait()
@@ -245,8 +284,9 @@
 // over.
 func (d *Daemon) Drain(ctx context.Context) {
 	d.draining.Store(true)
-	successor, ok := d.elector.Resign()
-	if !ok {
+	token := d.committer.Token()
+	successors := d.elector.Resign()
+	if len(successors) == 0 {
 		return
 	}
 	deadline := d.opts.Clock.After(endTermTimeout + releaseTimeout)
@@ -259,11 +299,47 @@
 		case <-d.opts.Clock.After(10 * time.Millisecond):
 		}
 	}
+	for _, successor := range successors[:min(len(successors), maxHandoverAttempts)] {
+		if d.askToTakeOver(ctx, successor, token) {
+			return
+		}
+	}
+}
+
+// askToTakeOver asks a host to replace this one as holder and reports whether it
+// has agreed.
+func (d *Daemon) askToTakeOver(ctx context.Context, successor netip.AddrPort, token primrosespar.Token) bool {
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
-	if err := d.messenger.TakeOver(ctx, successor); err != nil {
+	err := d.messenger.TakeOver(ctx, successor, token)
+	if err != nil {
 		d.opts.OnError("handover", err)
 	}
+	return err == nil
+}
+
+// offerLease asks the successors in turn to take over while the store refuses
+// the commits of this host, until the term ends. A successor that the store
+// refuses as well does not.
+func (d *Daemon) offerLease(ctx context.Context, ended <-chan struct{}) {
+	for next := 0; ; {
+		wait := offerCheckInterval
+		successors := d.elector.Hosts()
+		if d.committer.RefusedTime() >= offerThreshold && len(successors) > 0 {
+			successor := successors[next%min(len(successors), maxHandoverAttempts)]
+			d.opts.OnChange("holder", fmt.Sprintf("the store refuses the commits of this host; asking %s to take over", successor))
+			d.askToTakeOver(ctx, successor, d.committer.Token())
+			next++
+			wait = offerInterval
+		}
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-d.opts.Clock.After(wait):
+		}
+	}
 }
 
 // ownHeartbeat returns the heartbeat of this host.
@@ -288,11 +364,12 @@
 func (d *Daemon) runTerm(ctx context.Context, earlierCommitAt time.Time) error {
 	term, err := controller.New(controller.Parts{
 		Table: d.backend.Table, Fleet: d.backend.Fleet, Source: d.backend.Source, Clock: d.opts.Clock, Stopwatch: d.opts.Stopwatch,
-		Maintenance: d.backend.Maintenance, Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
+		Maintenance: d.backend.Maintenance, Evacuations: d.evacuationSource(), Host: d.settings.Host, Peers: d.messenger, Hosts: d.elector.Hosts, Committer: d.committer, Catalog: d.follower.Catalog, WallClock: d.wallClock,
 		OnDecision: d.opts.OnDecision, OnStoreAnswer: d.recordStoreAnswer, OnError: d.opts.OnError,
 	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithAccountant(d.accountant), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
-		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval))
+		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval),
+		controller.WithEvacuationBound(d.settings.EvacuationBound))
 	if err != nil {
 		return err
 	}
@@ -307,6 +384,7 @@
 	var watchers conc.WaitGroup
 	defer watchers.Wait()
 	defer close(ended)
+	watchers.Go(func() { d.offerLease(ctx, ended) })
 	watchers.Go(func() {
 		select {
 		case <-ended:
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -110,6 +110,8 @@
 	// JobMemory limits the memory of all live jobs, as Submission.Memory
 	// estimates it.
 	JobMemory int64
+	// Accepts reports whether work may be started at the workers of a place now.
+	Accepts func(primrosespar.Place) bool
 	// Accountant adds up the work that is lost.
 	Accountant *accountant.Accountant
 }
@@ -172,6 +174,7 @@
 		JobMemory:   DefaultJobMemory,
 		Accountant:  accountant.New(),
 		LeaseExpiry: func(primrosespar.Worker) time.Time { return time.Time{} },
+		Accepts:     func(primrosespar.Place) bool { return true },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -16,9 +16,11 @@
 	rack      *rack
 	announced bool
 	// cordoned workers get no new work except long-running tasks that fit
-	// nowhere else; evacuating ones get none.
-	cordoned   bool
-	evacuating bool
+	// nowhere else; cleared ones get none.
+	cordoned bool
+	cleared  bool
+	// closed workers are at a place that accepts no work.
+	closed bool
 	// polled is set once the worker has answered a poll under the token of this
 	// holder, so that it rejects the orders of earlier holders.
 	polled bool
@@ -56,7 +58,8 @@
 	crashedLately bool
 	throttling    throttling
 	// unsure is set while other workers are preferred to this one.
-	unsure bool
+	unsure  bool
+	warming warming
 	// leavesAt is the earliest time at which a draining worker leaves, zero if it
 	// is not known.
 	leavesAt time.Time
@@ -117,6 +120,7 @@
 		}
 		changed = changed || !wasAnnounced[w] || !sameInfo(w.info, info)
 		s.observeNotice(w, info, now)
+		s.observeCold(w, info, now)
 		w.info, w.announced = info, true
 		s.assess(w, now)
 		s.withdrawStarts(w)
@@ -125,6 +129,7 @@
 	s.replaced = replaced
 	s.expireCrashes(now)
 	if changed || len(s.announced) != len(wasAnnounced) {
+		s.placesChanged = true
 		s.capacityVersion++
 		s.groupRacks()
 	}
@@ -156,7 +161,7 @@
 
 // sameInfo reports whether two announcements of a worker are equal.
 func sameInfo(a, b primrosespar.WorkerInfo) bool {
-	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place &&
+	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service && a.Address == b.Address && a.Place == b.Place && a.Region == b.Region &&
 		a.Rack == b.Rack && a.Capacity == b.Capacity && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
 }
 
--- a/names_test.go
+++ b/names_test.go
@@ -145,8 +145,8 @@
 		"Steps.0.Gang", "Steps.0.Image", "Steps.0.Label", "Steps.0.Lasting", "Steps.0.MostAway",
 		"Steps.0.Need.Accelerators", "Steps.0.Need.MemoryMiB", "Steps.0.Need.Millicores", "Steps.0.OneRack",
 		"Steps.0.PerWorker", "Steps.0.Target", "Terms.Advised", "Terms.Attempts", "Terms.Host", "Terms.PathPrefix",
-		"Terms.Priority", "Terms.Public", "Terms.Queue", "Terms.Service", "Terms.Slack", "Terms.Target",
-		"Terms.Timeout",
+		"Terms.Priority", "Terms.Public", "Terms.Queue", "Terms.Regions.0", "Terms.Service", "Terms.Slack",
+		"Terms.Target", "Terms.Timeout",
 	}, decodedPaths(t, data))
 
 	holder, err := cbor.Marshal(filled[committer.Holder]())
@@ -173,6 +173,11 @@
 		"0", "1", "2", "3", "4.0.0", "4.0.1.0.0.0", "4.0.1.0.0.1", "4.0.1.0.0.2.0", "4.0.1.0.0.3", "4.0.1.0.0.4.0",
 	}, decodedPaths(t, data))
 
+	data, err = e.Evacuation(filled[encoder.Evacuation]())
+	require.NoError(t, err)
+	require.Equal(t, []string{"0"}, decodedPaths(t, data))
+	require.Equal(t, "fleet_evacuation/x", primrosespar.EvacuationKey("x"))
+
 	data, err = e.Wave(filled[encoder.Wave]())
 	require.NoError(t, err)
 	require.Equal(t, []string{
@@ -216,3 +221,18 @@
 		"config print", "config print <file>", "codes", "codes --markdown", "version",
 	}, commandLine("", parser.Model.Node))
 }
+
+// TestEvacuationsKeepTheirNames guards against a renamed Go field that renames a
+// command for evacuations or a field of its answer.
+func TestEvacuationsKeepTheirNames(t *testing.T) {
+	parser, err := kong.New(&handler.FleetCommands{}, handler.KongOptions()...)
+	require.NoError(t, err)
+	require.Equal(t, []string{
+		"", " --help", "status", "explain", "explain <job>", "evacuate", "evacuate <place>", "restore", "restore <place>",
+	}, commandLine("", parser.Model.Node))
+	data, err := json.Marshal(primrosespar.EvacuationView{
+		Evacuation: primrosespar.Evacuation{Place: "a", Own: true, Version: 3, RequestedAt: time.UnixMilli(1).UTC()}, Runs: 2,
+	})
+	require.NoError(t, err)
+	require.JSONEq(t, `{"place":"a","own":true,"version":3,"requested_at":"1970-01-01T00:00:00.001Z","runs":2}`, string(data))
+}
