--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -301,10 +301,10 @@
 		if u.suspected() && (c.worker.crashedLately || len(c.worker.memberList) > 0) {
 			score += math.MaxInt / 32
 		}
+		score += c.worker.warming.score()
 		if c.worker.unsure {
 			score += math.MaxInt / 64
 		}
-		score += c.worker.warming.score()
 		if c.worker.interferes(u.step) {
 			score += math.MaxInt / 16
 		}
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -57,9 +57,9 @@
 	// within crashMemory.
 	crashedLately bool
 	throttling    throttling
+	warming       warming
 	// unsure is set while other workers are preferred to this one.
-	unsure  bool
-	warming warming
+	unsure bool
 	// leavesAt is the earliest time at which a draining worker leaves, zero if it
 	// is not known.
 	leavesAt time.Time
