--- a/cmd/standin/soakfaults.go
+++ b/cmd/standin/soakfaults.go
@@ -137,6 +137,8 @@
 		f.cutRegion(f.drawCut(random, kind))
 	case troubleEvacuate:
 		f.evacuate(ctx, f.drawEvacuation(random))
+	case troubleFlap, troubleGrey, troubleLeave:
+		f.disturbWorkers(random, kind, duration)
 	default:
 	}
 }
--- a/cmd/standin/soaktroubles.go
+++ b/cmd/standin/soaktroubles.go
@@ -24,6 +24,16 @@
 	troubleReplace trouble = "replace"
 )
 
+// Series of faults of workers.
+const (
+	// troubleFlap lets workers crash and come back several times, troubleGrey
+	// lets several fail all that they start while they answer, and troubleLeave
+	// takes several away at short notice.
+	troubleFlap  trouble = "flap"
+	troubleGrey  trouble = "grey"
+	troubleLeave trouble = "leave"
+)
+
 // Faults of whole regions.
 const (
 	// troubleRegion cuts a region off, troubleOneWay in one direction only, and
@@ -63,7 +73,8 @@
 
 // faultTroubles returns all faults in the order in which they are drawn.
 func faultTroubles() []trouble {
-	return append(basicTroubles(), troubleRegion, troubleOneWay, troubleSeries, troubleEvacuate)
+	return append(basicTroubles(), troubleRegion, troubleOneWay, troubleSeries, troubleEvacuate,
+		troubleFlap, troubleGrey, troubleLeave)
 }
 
 // loadTroubles returns the kinds of demanding jobs and callers.
