--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -355,8 +355,7 @@
 // lostWork returns the work in core-seconds that is lost if the unit is stopped
 // now.
 func (u *unit) lostWork(now time.Time) float64 {
-	need := u.step.spec.Need
-	cores := float64(need.Millicores)/1000 + coresPerAccelerator*float64(need.Accelerators)
+	cores := accountant.Cores(u.step.spec.Need)
 	lost := u.workedTime(now)
 	if u.step.spec.LongRunning {
 		lost = min(lost, maxLongRunningLoss)
