Await first reports before a new holder stops work for urgent jobs

While it waits for first reports, at most a second, it stops nothing if those workers would have the room.

TestNewHolderStopsNoWorkForRoomThatWorkersStillReport fails without it.

--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -44,6 +44,9 @@
 	// than half of the service is in use; the share is higher because the
 	// platform counts use slightly differently.
 	idleShare = 0.6
+	// firstReportsWait is how long a new holder waits for the first reports of
+	// workers before it stops work to make room that they may have.
+	firstReportsWait = time.Second
 	// maxReclaims limits the number of units that other work is stopped for in
 	// one plan.
 	maxReclaims = 8
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -26,8 +26,13 @@
 // eligibleWithoutAdvice is eligible without the check for a ticket of the
 // advice service.
 func (w *worker) eligibleWithoutAdvice(u *unit, service primrosespar.Service, now time.Time) bool {
+	return w.polled && !w.unresponsive && w.suits(u, service, now)
+}
+
+// suits reports whether the unit may run on the worker if that responds.
+func (w *worker) suits(u *unit, service primrosespar.Service, now time.Time) bool {
 	spec := u.step.spec
-	if !w.announced || !w.polled || w.unresponsive || w.closed || !w.acceptsWork(spec.LongRunning) || w.info.Service != service {
+	if !w.announced || w.closed || !w.acceptsWork(spec.LongRunning) || w.info.Service != service {
 		return false
 	}
 	if now.Before(w.quarantinedUntil) || now.Before(w.probationUntil) || u.avoid[w.info.Worker] {
--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -24,6 +24,9 @@
 func (s *Scheduler) Plan(now time.Time) Changes {
 	s.updateClosedPlaces()
 	s.updateWarming(now)
+	if s.firstPlanAt.IsZero() {
+		s.firstPlanAt = now
+	}
 	if now.Sub(s.checkedAt) >= checkInterval {
 		s.checkedAt = now
 		s.expireLeases(now)
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -52,6 +52,9 @@
 		return false
 	}
 	u.nextReclaimAt = now.Add(blockedRetryDelay)
+	if s.awaitsRoom(u, r, now) {
+		return false
+	}
 	withinGuarantee := s.fitsGuarantee(u)
 	search := reclaimSearch{u.shape(r.terms), withinGuarantee}
 	if u.unrestricted() && s.failedReclaims[search] {
@@ -78,6 +81,32 @@
 	return true
 }
 
+// awaitsRoom reports whether the unit probably fits as soon as all workers have
+// reported to a new holder, so that no work has to be stopped for it.
+func (s *Scheduler) awaitsRoom(u *unit, r *rankedStep, now time.Time) bool {
+	if now.Sub(s.firstPlanAt) > firstReportsWait {
+		return false
+	}
+	if u.size == 1 || !u.step.spec.OneRack || !s.fitsEmptyRack(u, r.terms.Service) {
+		return s.expectedRoom(u, s.announced, r.terms.Service, now) >= u.size
+	}
+	return slices.ContainsFunc(s.pool(r.terms.Service).racks, func(k *rack) bool {
+		return s.expectedRoom(u, k.workers, r.terms.Service, now) >= u.size
+	})
+}
+
+// expectedRoom returns the room for the unit on the workers, with those that have
+// not reported yet.
+func (s *Scheduler) expectedRoom(u *unit, workers []*worker, service primrosespar.Service, now time.Time) int {
+	room := 0
+	for _, w := range workers {
+		if w.eligible(u, service, now) || s.AwaitsFirstReport(w.info.Worker) && w.suits(u, service, now) {
+			room += w.room(u, w.freeFor(u))
+		}
+	}
+	return room
+}
+
 // reclaimSearch identifies equal searches for victims within one plan.
 type reclaimSearch struct {
 	shape           shape
--- a/internal/fleet/scheduler/reclaiming_test.go
+++ b/internal/fleet/scheduler/reclaiming_test.go
@@ -82,3 +82,39 @@
 		})
 	}
 }
+
+// TestNewHolderStopsNoWorkForRoomThatWorkersStillReport guards against a new
+// holder that stops work on the first workers that report, though others are
+// idle. Load: urgent jobs have gathered while the fleet had no holder.
+func TestNewHolderStopsNoWorkForRoomThatWorkersStillReport(t *testing.T) {
+	for name, silent := range map[string]bool{"idle workers report": false, "idle workers are silent": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.reportAllIdle()
+			starts := h.submitAndStart(job("a", "plain", primrosespar.Step{Count: 2, Need: needAccelerators(8)}))
+			require.Len(t, starts, 2)
+			next := h.succeed()
+			next.reportRunning(starts)
+			next.scheduler.Submit(job("u", "urgent", primrosespar.Step{Count: 2, Need: needAccelerators(8)}), next.now)
+			require.Empty(t, next.plan().Stops)
+			next.now = next.now.Add(200 * time.Millisecond)
+			busy := workersOf(starts)
+			for i, w := range next.workers {
+				switch {
+				case busy[w.Worker]:
+				case silent:
+					next.scheduler.MarkUnresponsive(w.Worker, next.now)
+				default:
+					next.report(i, nil)
+				}
+			}
+			changes := next.plan()
+			if silent {
+				require.Len(t, changes.Stops, 2)
+				return
+			}
+			require.Empty(t, changes.Stops)
+			require.Len(t, changes.Starts, 2)
+		})
+	}
+}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -81,6 +81,8 @@
 	// searchID numbers the searches for room, to mark what the current one has
 	// visited.
 	searchID uint64
+	// firstPlanAt is when the first plan was made.
+	firstPlanAt time.Time
 	// checkedAt is when the runs were last checked.
 	checkedAt time.Time
 	// ranked is the buffer of rankSteps.
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -241,6 +241,9 @@
 	s.observeReport(w)
 	// The worker rejects orders of earlier holders from now on, but the lease
 	// that they gave is still valid.
+	if !w.polled {
+		s.capacityVersion++
+	}
 	w.polled = true
 	w.extendLease(leaseExpiry)
 	if w.restarted {
