--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -78,6 +78,9 @@
 	// maxLiveOccurrences limits the live occurrences of a job, all of which its
 	// row names.
 	maxLiveOccurrences = 1000
+	// coresPerAccelerator is the weight of an accelerator in cores when lost
+	// work is compared.
+	coresPerAccelerator = 8
 )
 
 // Options configure a Scheduler.
--- a/internal/fleet/scheduler/reclaiming.go
+++ b/internal/fleet/scheduler/reclaiming.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
-	"primrosespar.example/primrosespar/internal/fleet/accountant"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
@@ -177,7 +176,8 @@
 			victims = append(victims, victim{v, s.preemptionCost(v, now)})
 		}
 	}
-	p := s.cheapestVictims(u, eligible, room, victims)
+	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	p := s.pickVictims(u, eligible, room, victims)
 	if !longRunning || p != nil && !p.stopsLongRunning() {
 		return p
 	}
@@ -271,42 +271,8 @@
 	return nil, 0
 }
 
-// cheapestVictims picks victims by their cost and by their cost for the capacity
-// that they free, and returns the cheaper set. A gang may cost less than the many
-// small runs that free as much, and a small run less than a gang that frees more
-// than is needed.
-func (s *Scheduler) cheapestVictims(u *unit, eligible []*worker, room int, victims []victim) *preemption {
-	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
-	byCost := s.pickVictims(u, eligible, room, victims)
-	if byCost == nil || len(byCost.victims) < 2 {
-		return byCost
-	}
-	for _, v := range byCost.victims {
-		s.simulateStop(u, v, -1)
-	}
-	slices.SortStableFunc(victims, func(a, b victim) int {
-		return cmp.Compare(a.cost*s.freedCores(b.unit), b.cost*s.freedCores(a.unit))
-	})
-	if byRatio := s.pickVictims(u, eligible, room, victims); byRatio != nil && byRatio.cost < byCost.cost {
-		return byRatio
-	}
-	return byCost
-}
-
-// freedCores returns the capacity, in cores, that the stop of the victim frees on
-// the workers of the current search.
-func (s *Scheduler) freedCores(victim *unit) float64 {
-	members := 0
-	for _, m := range victim.members {
-		if m.worker.trial.searchID == s.searchID {
-			members++
-		}
-	}
-	return float64(members) * accountant.Cores(victim.step.spec.Occupies())
-}
-
-// pickVictims takes victims, in their order, until the unit fits, and then drops
-// those that turn out not to be needed, last first.
+// pickVictims takes victims, cheapest first, until the unit fits, and then
+// drops those that turn out not to be needed, most expensive first.
 func (s *Scheduler) pickVictims(u *unit, eligible []*worker, room int, victims []victim) *preemption {
 	taken := 0
 	for ; room < u.size; taken++ {
@@ -384,7 +350,8 @@
 // lostWork returns the work in core-seconds that is lost if the unit is stopped
 // now.
 func (u *unit) lostWork(now time.Time) float64 {
-	cores := accountant.Cores(u.step.spec.Need)
+	need := u.step.spec.Need
+	cores := float64(need.Millicores)/1000 + coresPerAccelerator*float64(need.Accelerators)
 	lost := u.workedTime(now)
 	if u.step.spec.LongRunning {
 		lost = min(lost, maxLongRunningLoss)
--- a/internal/fleet/scheduler/reclaiming_test.go
+++ b/internal/fleet/scheduler/reclaiming_test.go
@@ -40,49 +40,6 @@
 	require.Equal(t, young[0].Run, stops[0].Run)
 }
 
-// TestVictimsAreChosenByTheWorkLostForTheRoom guards against many runs that are
-// stopped one by one, each the cheapest that is left, where the stop of one young
-// gang would free as much. Load: urgent jobs arrive at a fleet that is full of
-// small runs and gangs.
-func TestVictimsAreChosenByTheWorkLostForTheRoom(t *testing.T) {
-	for name, test := range map[string]struct {
-		need    int
-		victims primrosespar.JobID
-		stops   int
-	}{
-		"a whole worker":  {8, "gang", 2},
-		"one accelerator": {1, "small", 1},
-	} {
-		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, 1, scheduler.WithReserve(0))
-			for i := range h.workers[:2] {
-				h.report(i, nil)
-			}
-			small := h.submitAndStart(job("small", "plain", primrosespar.Step{Count: 16, Need: needAccelerators(1)}))
-			require.Len(t, small, 16)
-			h.now = h.now.Add(time.Second)
-			active := map[primrosespar.Worker][]primrosespar.ActiveRun{}
-			for _, o := range small {
-				active[o.Worker] = append(active[o.Worker], activeRuns(o, 20)...)
-			}
-			for worker, runs := range active {
-				h.report(h.workerIndex(worker), runs)
-			}
-			h.report(2, nil)
-			h.report(3, nil)
-			gang := h.submitAndStart(job("gang", "plain", primrosespar.Step{Count: 2, Need: needAccelerators(8), Gang: true}))
-			require.Len(t, gang, 2)
-			h.now = h.now.Add(100 * time.Millisecond)
-			h.scheduler.Submit(job("u", "urgent", primrosespar.Step{Count: 1, Need: needAccelerators(test.need)}), h.now)
-			stops := h.plan().Stops
-			require.Len(t, stops, test.stops)
-			for _, o := range stops {
-				require.Equal(t, test.victims, o.Run.Task.Job)
-			}
-		})
-	}
-}
-
 // TestNewHolderStopsNoWorkForRoomThatWorkersStillReport guards against a new
 // holder that stops work on the first workers that report, though others are
 // idle. Load: urgent jobs have gathered while the fleet had no holder.
