--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -35,6 +35,9 @@
 	// stopped for it even though its urgent job is late. A guarantee has to be
 	// provided within about 3 s.
 	reclaimTime = 4 * time.Second
+	// firstReportsWait is how long a new holder waits for the first reports of
+	// workers before it stops work to make room that they may have.
+	firstReportsWait = time.Second
 	// maxReclaims limits the number of units that other work is stopped for in
 	// one plan.
 	maxReclaims = 8
