--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -97,6 +97,9 @@
 	// emptied a start may still reach its workers; 0 means that there are no such
 	// requests.
 	EvacuationBound time.Duration
+	// AssessWorkers makes the scheduler prefer workers that lately finished what
+	// they got.
+	AssessWorkers bool
 	// Places are the places of the installation, for the operators' requests that
 	// one is emptied. If there are none, all names are accepted.
 	Places []primrosespar.Place
@@ -129,6 +132,8 @@
 	OnError    func(part string, err error)
 	// OnTerm is called when a term of this host begins and ends.
 	OnTerm func(leading bool)
+	// PeerListener wraps the listener for other hosts.
+	PeerListener func(net.Listener) net.Listener
 }
 
 // Option sets one option.
@@ -150,6 +155,11 @@
 // and ends.
 func WithOnTerm(onTerm func(leading bool)) Option { return func(o *Options) { o.OnTerm = onTerm } }
 
+// WithPeerListener sets the function that wraps the listener for other hosts.
+func WithPeerListener(wrap func(net.Listener) net.Listener) Option {
+	return func(o *Options) { o.PeerListener = wrap }
+}
+
 // Daemon is the fleet scheduler of one host. It is safe for concurrent use.
 type Daemon struct {
 	settings  Settings
@@ -242,6 +252,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
+	if d.opts.PeerListener != nil {
+		listener = d.opts.PeerListener(listener)
+	}
 	var tasks conc.WaitGroup
 	defer func() { _ = d.messenger.Close() }()
 	defer tasks.Wait()
@@ -363,7 +376,7 @@
 	}, controller.WithJobMemory(d.settings.JobMemory), controller.WithAccountant(d.accountant), controller.WithMaxFirstPolls(cmp.Or(d.settings.MaxFirstPolls, controller.DefaultMaxFirstPolls)),
 		controller.WithLease(d.settings.Lease), controller.WithGangTimeout(d.settings.GangTimeout),
 		controller.WithEarlierCommitAt(earlierCommitAt), controller.WithLongestLease(d.settings.LongestLease), controller.WithTurnInterval(d.settings.TurnInterval),
-		controller.WithEvacuationBound(d.settings.EvacuationBound))
+		controller.WithEvacuationBound(d.settings.EvacuationBound), controller.WithAssessment(d.settings.AssessWorkers))
 	if err != nil {
 		return err
 	}
