--- a/internal/fleet/controller/batch.go
+++ b/internal/fleet/controller/batch.go
@@ -316,15 +316,21 @@
 }
 
 // failPendingReplies answers the callers that still wait when the term ends.
-// The outcome of the commit in flight is unknown; the next batch was never
-// sent.
+// The outcome of the commit in flight is unknown; of the next batch nothing was
+// sent, but its jobs may be older than it.
 func (c *Controller) failPendingReplies(err error) {
 	if c.inFlight != nil {
 		for _, reply := range c.inFlight.allReplies() {
 			reply(primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the term ended during the commit").WithCause(err))
 		}
 	}
-	for _, reply := range c.next.allReplies() {
-		reply(primrosespar.Fail(primrosespar.CodeNotHolder, "the term ended").WithCause(err))
+	for id, replies := range c.next.replies {
+		failure := primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "the term ended before the commit").WithCause(err)
+		if c.next.submitted[id] {
+			failure = primrosespar.Fail(primrosespar.CodeNotHolder, "the term ended").WithCause(err)
+		}
+		for _, reply := range replies {
+			reply(failure)
+		}
 	}
 }
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -15,18 +15,23 @@
 // Submit stores a job. It returns nil once the job is stored, also if it was
 // stored before.
 func (c *Controller) Submit(ctx context.Context, job primrosespar.Submission) error {
-	if c.Stalled() {
-		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
-	}
 	if err := job.Validate(); err != nil {
 		return err
 	}
 	return c.runInLoop(ctx, func(reply func(error)) {
-		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.MayUse(job.Request()) {
+		_, known := c.scheduler.State(job.ID)
+		_, stored := c.committedStates[job.ID]
+		switch {
+		case known && !c.scheduler.MayUse(job.Request()):
 			reply(primrosespar.Fail(primrosespar.CodeForbidden, "the ID of job %q is in use by another caller", job.ID))
 			return
-		}
-		if !c.scheduler.HasRoom(job) {
+		case stored && c.Stalled():
+			reply(nil)
+			return
+		case !known && c.Stalled():
+			reply(primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight"))
+			return
+		case !c.scheduler.HasRoom(job):
 			reply(c.noRoom(job))
 			return
 		}
--- a/internal/fleet/controller/outage_test.go
+++ b/internal/fleet/controller/outage_test.go
@@ -74,3 +74,46 @@
 		require.Error(t, <-ended)
 	})
 }
+
+// TestKnownJobIsNotRefusedInAnOutage guards against a caller who asks again and
+// is told that its job never runs, although an earlier call has stored it or its
+// outcome is open.
+func TestKnownJobIsNotRefusedInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table := keeper.New(keeper.WithClock(clockwork.NewRealClock()))
+		c := newController(t, table)
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		submit := func(id primrosespar.JobID) chan error {
+			result := make(chan error, 1)
+			go func() {
+				result <- c.Submit(t.Context(), primrosespar.Submission{ID: id, Queue: "q", Steps: []primrosespar.Step{{Count: 1, Estimate: time.Second}}})
+			}()
+			time.Sleep(100 * time.Millisecond)
+			return result
+		}
+		require.NoError(t, <-submit("stored"))
+		time.Sleep(time.Second)
+		table.SetFaults(keeper.Faults{Outage: true})
+		open := submit("open")
+		time.Sleep(time.Second)
+		require.True(t, c.Stalled())
+		require.NoError(t, <-submit("stored"))
+		again := submit("open")
+		require.Equal(t, primrosespar.CodeStoreUnavailable, primrosespar.CodeOf(<-submit("new")))
+		require.Empty(t, again)
+		table.SetFaults(keeper.Faults{})
+		require.NoError(t, <-open)
+		require.NoError(t, <-again)
+
+		// The term ends while both wait again.
+		table.SetFaults(keeper.Faults{Outage: true})
+		open = submit("late")
+		again = submit("late")
+		cancel()
+		require.Error(t, <-ended)
+		require.Equal(t, primrosespar.CodeOutcomeUnknown, primrosespar.CodeOf(<-open))
+		require.Equal(t, primrosespar.CodeOutcomeUnknown, primrosespar.CodeOf(<-again))
+	})
+}
