Count room by its square root, and work as due earlier

A step is due now once its slack is less than its remaining time, and the loss is compared by the square root of the room.

--- a/internal/fleet/ranker/ranker.go
+++ b/internal/fleet/ranker/ranker.go
@@ -48,16 +48,12 @@
 	// lost its value the step gains lostAgingShare for each further objective.
 	agingShare     = 0.1
 	lostAgingShare = 0.01
-	// roomExponent says how the loss by the room falls with the room. A larger job
-	// is worth more to its caller than a small one, but less than in proportion.
-	roomExponent = 0.25
 	// queueWeight is how much the use of a queue counts beside that of an account:
 	// a class may use more than others, for its priority.
 	queueWeight = 0.5
-	// A step is due from dueShare of its remaining duration, and at least minMargin,
-	// before the last moment to start: runs take longer than estimated, and a gang
-	// has to be placed and gathered.
-	dueShare  = 0.5
+	// A step is due once its slack is less than its remaining duration, and at
+	// least minMargin: runs take longer than estimated, and a gang has to be placed
+	// and gathered.
 	minMargin = 2 * time.Second
 )
 
@@ -130,8 +126,7 @@
 	if untilLate < 0 {
 		p.Slack = untilWorthless
 	}
-	margin := max(minMargin, time.Duration(dueShare*float64(w.Remaining)))
-	p.Due = !w.LongRunning && untilWorthless >= 0 && untilLate <= margin
+	p.Due = !w.LongRunning && untilWorthless >= 0 && untilLate <= max(minMargin, w.Remaining)
 	if w.Priority == 0 && (w.LongRunning || untilWorthless >= 0) {
 		p.band = urgentBand
 		if w.Guaranteed {
@@ -150,7 +145,9 @@
 	}
 	share += aging(now.Sub(w.Since).Seconds()/max(1, w.Objective.Seconds()), untilWorthless < 0 && !w.LongRunning)
 	value := share * math.Pow(r.priorityRatio, -float64(w.Priority))
-	return value / (math.Pow(max(1, w.Room), roomExponent) * (1 + w.AccountUse) * (1 + queueWeight*w.QueueUse))
+	// A larger job is worth more to its caller than a small one, but less than in
+	// proportion to its room.
+	return value / (math.Sqrt(max(1, w.Room)) * (1 + w.AccountUse) * (1 + queueWeight*w.QueueUse))
 }
 
 // aging returns what a step gains by having waited for a number of objectives.
