Show what a crowd of hostile clients does to an entry host

'standin crowd-entry' plays the same clients against a host of the example deployment bascule, with 100 connections for each HTTP address in its settings and the 128 MB that the settings page promises. The ordinary caller has another account. Crowd and bounds stay as they are.

--- a/cmd/standin/crowd.go
+++ b/cmd/standin/crowd.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -30,6 +29,8 @@
 	ordinaryAttempts = 60
 	ordinaryPause    = 250 * time.Millisecond
 	ordinaryTimeout  = 3 * time.Second
+	// legalBody is the largest body that the operator allows.
+	legalBody = 262_144
 	// reservedDescriptors are kept for files; sockets and pipes share the rest.
 	reservedDescriptors = 200
 )
@@ -37,9 +38,15 @@
 // crowdCommand runs one host of the fleet scheduler with the limits of a small
 // machine and lets a crowd of hostile clients connect to one of its ports.
 type crowdCommand struct {
+	crowdLimits `embed:""`
+
+	Port string `help:"Port that the clients connect to." enum:"callers,readiness,metrics,peers" default:"callers"`
+}
+
+// crowdLimits are the clients of a crowd and the machine of the host.
+type crowdLimits struct {
 	Product  string `help:"Program of the host." default:"bin/primrosespar" type:"path"`
 	Kind     string `help:"What the clients send." default:"mixed"`
-	Port     string `help:"Port that the clients connect to." enum:"callers,readiness,metrics,peers" default:"callers"`
 	Clients  int    `help:"Number of clients." default:"2000"`
 	MemoryMB int64  `help:"Memory of the host." default:"184"`
 	MaxFDs   int    `name:"max-fds" help:"Descriptors of the host." default:"4100"`
@@ -71,14 +78,24 @@
 	defer fleet.Close()
 	processes := &processGroup{dir: dir}
 	defer processes.kill()
-	host, child, err := c.startHost(fleet, processes, dir)
+	ports, child, err := c.startHost(fleet, processes, dir)
 	if err != nil {
 		return err
 	}
-	result, err := c.play(host, child)
+	target := crowdTarget{address: ports[c.Port], host: standin.QueueHost, body: legalBody, request: "POST " + standin.PlainPrefix +
+		"00000000000000c1 HTTP/1.1\r\nHost: " + standin.QueueHost + "\r\nX-Api-Key: " + standin.APIKey +
+		"\r\nDeadline-Ms: 60000\r\nContent-Type: application/json\r\n"}
+	result, err := c.play(target, child, func() bool { return submitOnce(ports["callers"], "00000000000000b1") })
 	if err != nil {
 		return err
 	}
+	result.Port = c.Port
+	return c.report(result, dir)
+}
+
+// report prints the result and fails if the host did not hold. The logs stay
+// then, and if they are to be kept.
+func (c *crowdLimits) report(result crowdResult, dir string) error {
 	if err := printJSONLine(result); err != nil {
 		return err
 	}
@@ -116,16 +133,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if _, answered := submitOrdinary(ports["callers"], "00000000000000a1"); !answered {
+	if _, answered := repeat(func() bool { return submitOnce(ports["callers"], "00000000000000a1") }); !answered {
 		return nil, nil, eris.New("the host accepted no job before the crowd")
 	}
 	return ports, child, nil
 }
 
-// play lets the clients connect and send, and an ordinary client submit a job
+// play lets the clients connect and send, and an ordinary client make a request
 // while their connections stay open.
-func (c *crowdCommand) play(ports map[string]netip.AddrPort, child *process) (crowdResult, error) {
-	crowd, err := newCrowd(c.Kind, ports[c.Port])
+func (c *crowdLimits) play(target crowdTarget, child *process, ordinary func() bool) (crowdResult, error) {
+	crowd, err := newCrowd(c.Kind, target)
 	if err != nil {
 		return crowdResult{}, err
 	}
@@ -140,19 +157,19 @@
 	})
 	crowd.play(c.Clients, crowdPlayTime)
 	time.Sleep(crowdSettleTime)
-	attempts, answered := submitOrdinary(ports["callers"], "00000000000000b1")
+	attempts, answered := repeat(ordinary)
 	peak, alive := child.peakMemory()
 	cancel()
 	tasks.Wait()
 	crowd.close()
 	return crowdResult{
-		Kind: c.Kind, Port: c.Port, Clients: c.Clients, Alive: alive, PeakMB: float64(peak) / (1 << 20),
+		Kind: c.Kind, Clients: c.Clients, Alive: alive, PeakMB: float64(peak) / (1 << 20),
 		Sockets: sockets, Attempts: attempts, Answered: answered,
 	}, nil
 }
 
 // judge returns an error unless the host held.
-func (c *crowdCommand) judge(r crowdResult) error {
+func (c *crowdLimits) judge(r crowdResult) error {
 	var problems []string
 	if !r.Alive {
 		problems = append(problems, "the process has ended")
@@ -172,31 +189,40 @@
 	return nil
 }
 
-// submitOrdinary submits a job like an ordinary client, which tries again after
-// a refusal. It returns the number of attempts and whether the job was accepted.
-func submitOrdinary(callers netip.AddrPort, id string) (int, bool) {
-	client := &http.Client{Timeout: ordinaryTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	const job = `{"spec":"ordinary","steps":[{"count":1,"cpu":500,"memMb":64,"estimateMs":100}]}`
+// repeat tries like an ordinary client, which comes back after a refusal. It
+// returns the number of attempts and whether one had success.
+func repeat(try func() bool) (int, bool) {
 	for attempt := 1; attempt <= ordinaryAttempts; attempt++ {
-		if attempt > 1 {
-			time.Sleep(ordinaryPause)
-		}
-		url := "http://" + callers.String() + standin.PlainPrefix + id
-		req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader([]byte(job)))
-		if err != nil {
-			return attempt, false
-		}
-		req.Host = standin.QueueHost
-		req.Header.Set("X-Api-Key", standin.APIKey)
-		req.Header.Set("Deadline-Ms", fmt.Sprint(ordinaryTimeout.Milliseconds()))
-		resp, err := client.Do(req)
-		if err != nil {
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+		if try() {
 			return attempt, true
 		}
+		time.Sleep(ordinaryPause)
 	}
 	return ordinaryAttempts, false
 }
+
+// submitOnce submits a job and reports whether it was accepted.
+func submitOnce(callers netip.AddrPort, id string) bool {
+	const job = `{"spec":"ordinary","steps":[{"count":1,"cpu":500,"memMb":64,"estimateMs":100}]}`
+	url := "http://" + callers.String() + standin.PlainPrefix + id
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader(job))
+	if err != nil {
+		return false
+	}
+	req.Host = standin.QueueHost
+	req.Header.Set("X-Api-Key", standin.APIKey)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(ordinaryTimeout.Milliseconds()))
+	return isAnswered(req)
+}
+
+// isAnswered makes a request on a connection of its own and reports whether the
+// answer was 200.
+func isAnswered(req *http.Request) bool {
+	client := &http.Client{Timeout: ordinaryTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/cmd/standin/crowd_test.go
+++ b/cmd/standin/crowd_test.go
@@ -34,6 +34,34 @@
 	t.Run("peers_stalled", func(t *testing.T) { playCrowd(t, dir, "stalled_messages", "peers") })
 }
 
+// Clients, and the machine of an entry host, whose pages promise 128 MB: it
+// allows 100 connections for each HTTP address.
+const (
+	entryCrowdClients  = "400"
+	entryCrowdMemoryMB = "128"
+	entryCrowdMaxFDs   = "800"
+)
+
+// TestCrowdAtEntryHost guards against hostile clients that end an entry host.
+func TestCrowdAtEntryHost(t *testing.T) {
+	dir := buildPrograms(t)
+	for name, args := range map[string][]string{
+		"endless_heads": {"--kind", "endless_heads"}, "stalled_bodies": {"--kind", "stalled_bodies"},
+		"whole_bodies": {"--kind", "whole_bodies"}, "small_chunks": {"--kind", "small_chunks"}, "silent": {"--kind", "silent"}, "mixed": {"--kind", "mixed"},
+		"operators": {"--kind", "mixed", "--port", "operators"}, "peers": {"--kind", "stalled_messages", "--port", "peers"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			args = append([]string{
+				"crowd-entry", "--clients", entryCrowdClients, "--memory-mb", entryCrowdMemoryMB, "--max-fds", entryCrowdMaxFDs,
+				"--product", filepath.Join(dir, "primrosespar"), "--examples", filepath.Join("..", "..", "examples"), "--keep", t.TempDir(),
+			}, args...)
+			out, err := exec.CommandContext(t.Context(), filepath.Join(dir, "standin"), args...).CombinedOutput()
+			assert.NoError(t, err, string(out))
+			t.Log(string(out))
+		})
+	}
+}
+
 // playCrowd lets clients of the kind connect to the port of a host, which has to
 // hold.
 func playCrowd(t *testing.T, dir, kind, port string) {
--- a/cmd/standin/crowdclients.go
+++ b/cmd/standin/crowdclients.go
@@ -14,14 +14,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcwire"
-
-	"primrosespar.example/primrosespar/platform/standin"
 )
 
 // What the clients of a crowd send.
 const (
-	// legalBody is the largest body that the operator allows.
-	legalBody = 262_144
 	// longHead is a head below the default limit of net/http and far above that
 	// of the operator.
 	longHead   = 1_000_000
@@ -41,18 +37,27 @@
 // sender writes what one hostile client sends.
 type sender func(w io.Writer) error
 
+// crowdTarget is the port that a crowd connects to and a valid request there.
+type crowdTarget struct {
+	address netip.AddrPort
+	// request is the first line of a submission and its header fields, without
+	// those about its body.
+	request string
+	host    string
+	// body is the size of the largest legal body.
+	body int
+}
+
 // senders returns what each kind of client sends.
-func senders() map[string]sender {
-	post := func(fields string) string {
-		return "POST " + standin.PlainPrefix + "00000000000000c1 HTTP/1.1\r\nHost: " + standin.QueueHost +
-			"\r\nX-Api-Key: " + standin.APIKey + "\r\nDeadline-Ms: 60000\r\nContent-Type: application/json\r\n" + fields + "\r\n"
-	}
+func (t crowdTarget) senders() map[string]sender {
+	post := func(fields string) string { return t.request + fields + "\r\n" }
 	get := strings.Replace(post(""), "POST", "GET", 1)
-	sized := post(fmt.Sprintf("Content-Length: %d\r\n", legalBody))
+	sized := post(fmt.Sprintf("Content-Length: %d\r\n", t.body))
 	chunked := post("Transfer-Encoding: chunked\r\n")
-	body := largestBody()
+	body := largestBody(t.body)
+	almost := body[:t.body-1]
 	field := "X-Long: " + strings.Repeat("x", 1000) + "\r\n"
-	firstLine := "GET / HTTP/1.1\r\nHost: " + standin.QueueHost + "\r\n"
+	firstLine := "GET / HTTP/1.1\r\nHost: " + t.host + "\r\n"
 	return map[string]sender{
 		"large_heads":         sendAll(firstLine, strings.Repeat(field, longHead/len(field)), "\r\n"),
 		"endless_heads":       sendAll(firstLine, strings.Repeat(field, longHead/len(field))),
@@ -61,10 +66,10 @@
 		"empty_lines":         sendAll(strings.Repeat("\r\n", endless/2)),
 		"empty_lines_between": sendAll(post("Content-Length: 0\r\n"), strings.Repeat("\r\n", endless/2)),
 		"whole_bodies":        sendAll(sized + body),
-		"stalled_bodies":      sendAll(sized, body[:legalBody-1]),
+		"stalled_bodies":      sendAll(sized, almost),
 		"slow_bodies":         sendSlowly(sized + body),
-		"large_chunks":        sendAll(chunked, chunks(body[:legalBody-1], largeChunk)),
-		"small_chunks":        sendAll(chunked, chunks(body[:legalBody-1], smallChunk)),
+		"large_chunks":        sendAll(chunked, chunks(almost, largeChunk)),
+		"small_chunks":        sendAll(chunked, chunks(almost, smallChunk)),
 		"chunk_extensions":    sendAll(chunked, "1;", strings.Repeat("x", endless)),
 		"trailers":            sendAll(chunked, chunks("{}", 1), "0\r\n", strings.Repeat(field, endless/len(field))),
 		"unread_answers":      sendAll(strings.Repeat(get, 2000)),
@@ -73,14 +78,14 @@
 	}
 }
 
-// largestBody returns a submission of the largest legal size, which takes many
+// largestBody returns a submission of the size, which takes many
 // times its size when it is decoded.
-func largestBody() string {
+func largestBody(size int) string {
 	const step = `{"count":0},`
 	head, tail := `{"steps":[`, `{"count":0}]}`
-	steps := (legalBody - len(head) - len(tail)) / len(step)
+	steps := (size - len(head) - len(tail)) / len(step)
 	body := head + strings.Repeat(step, steps)
-	return body + strings.Repeat(" ", legalBody-len(body)-len(tail)) + tail
+	return body + strings.Repeat(" ", size-len(body)-len(tail)) + tail
 }
 
 // chunks returns the text in chunks of the size, without the last, empty one.
@@ -139,9 +144,9 @@
 }
 
 // newCrowd returns a crowd of the kind, or one of all kinds.
-func newCrowd(kind string, address netip.AddrPort) (*crowd, error) {
-	all := senders()
-	c := &crowd{address: address}
+func newCrowd(kind string, target crowdTarget) (*crowd, error) {
+	all := target.senders()
+	c := &crowd{address: target.address}
 	if kind != "mixed" {
 		if all[kind] == nil {
 			return nil, eris.Errorf("unknown kind of clients: %s", kind)
--- a/cmd/standin/deployment.go
+++ b/cmd/standin/deployment.go
@@ -42,6 +42,8 @@
 	programPath string
 	standinPath string
 	processes   *processGroup
+	// limits is the table of limits in the settings of each host.
+	limits string
 
 	platform  netip.AddrPort
 	settings  configurer.Settings
@@ -186,6 +188,7 @@
 	for _, o := range d.settings.Operators {
 		fmt.Fprintf(&b, "[[operators]]\noperator = %q\ntoken = %q\n", o.Operator, string(o.Token))
 	}
+	b.WriteString(d.limits)
 	return b.String()
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -41,14 +41,15 @@
 
 // cli defines the commands.
 type cli struct {
-	Platform platformCommand `cmd:"" help:"Play the table, the object store, the host list and the workers."`
-	Upstream upstreamCommand `cmd:"" help:"Play service runners, one listener each."`
-	Compare  compareCommand  `cmd:"" help:"Compare policies of the fleet scheduler over seeds in virtual time."`
-	Crowd    crowdCommand    `cmd:"" help:"Let a crowd of hostile clients connect to one host and judge its memory, sockets and answers."`
-	Cut      cutCommand      `cmd:"" help:"Cut the region of the lease holder off while its tasks run and judge the runs."`
-	Demo     demoCommand     `cmd:"" help:"Run both example deployments with faults and count what happened."`
-	Soak     soakCommand     `cmd:"" help:"Run hosts of the fleet scheduler under seeded faults and judge what callers and workers see."`
-	Trial    trialCommand    `cmd:"" help:"Run one deployment under seeded faults and judge the recorded history."`
+	Platform   platformCommand   `cmd:"" help:"Play the table, the object store, the host list and the workers."`
+	Upstream   upstreamCommand   `cmd:"" help:"Play service runners, one listener each."`
+	Compare    compareCommand    `cmd:"" help:"Compare policies of the fleet scheduler over seeds in virtual time."`
+	Crowd      crowdCommand      `cmd:"" help:"Let a crowd of hostile clients connect to one host and judge its memory, sockets and answers."`
+	CrowdEntry crowdEntryCommand `cmd:"" help:"Let a crowd of hostile clients connect to one entry host and judge it like crowd."`
+	Cut        cutCommand        `cmd:"" help:"Cut the region of the lease holder off while its tasks run and judge the runs."`
+	Demo       demoCommand       `cmd:"" help:"Run both example deployments with faults and count what happened."`
+	Soak       soakCommand       `cmd:"" help:"Run hosts of the fleet scheduler under seeded faults and judge what callers and workers see."`
+	Trial      trialCommand      `cmd:"" help:"Run one deployment under seeded faults and judge the recorded history."`
 }
 
 func main() {
