--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -13,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,6 +23,7 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/acceptor"
 	"primrosespar.example/primrosespar/internal/entry/authorizer"
 	"primrosespar.example/primrosespar/internal/entry/meter"
 	"primrosespar.example/primrosespar/internal/fleet/controller"
@@ -136,6 +137,10 @@
 	daemon   *daemon.Daemon
 	// leading is set during a term of this host.
 	leading atomic.Bool
+
+	mu sync.Mutex
+	// ports are the open ports with a budget.
+	ports []*acceptor.Acceptor
 	// operators is nil without a token of operators.
 	operators *authorizer.Authorizer
 }
@@ -166,7 +171,7 @@
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
 		EvacuationBound: h.settings.EvacuationBound, Places: slices.Sorted(maps.Keys(h.settings.Places)),
 	}, backend,
-		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(h.changeTerm), daemon.WithPeerListener(func(listener net.Listener) net.Listener { return h.guardPeers(ctx, &wg, listener) }))
+		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(h.changeTerm), daemon.WithPeerListener(h.guardPeers))
 	if err != nil {
 		return err
 	}
--- a/cmd/primrosespar/servers.go
+++ b/cmd/primrosespar/servers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -93,7 +94,7 @@
 			return nil, err
 		}
 		httpServer := &http.Server{Handler: server.handler, ReadHeaderTimeout: maxHeadTimeout, MaxHeaderBytes: maxHeadBytes}
-		guarded := h.guard(ctx, wg, server.port, listener, server.limits, server.options...)
+		guarded := h.guard(server.port, listener, server.limits, server.options...)
 		guarded.Configure(httpServer)
 		servers = append(servers, httpServer)
 		wg.Go(func() {
@@ -102,6 +103,7 @@
 			}
 		})
 	}
+	wg.Go(func() { acceptor.Run(ctx, h.clock, h.guardedPorts) })
 	return servers, nil
 }
 
@@ -119,7 +121,7 @@
 
 // guard returns the listener with a budget for its connections, which it logs
 // and counts.
-func (h *fleetHost) guard(ctx context.Context, wg *conc.WaitGroup, port string, listener net.Listener, limits func() budgeter.Limits, opts ...acceptor.Option) *acceptor.Acceptor {
+func (h *fleetHost) guard(port string, listener net.Listener, limits func() budgeter.Limits, opts ...acceptor.Option) *acceptor.Acceptor {
 	budget := budgeter.New(limits())
 	h.meter.Gauge(`primrosespar_connections{port="`+port+`"}`, func() float64 {
 		connections, _ := budget.Usage()
@@ -132,13 +134,22 @@
 	guarded := acceptor.New(listener, budget, h.clock, append(opts,
 		acceptor.WithLimits(limits),
 		acceptor.WithOnCuts(func(cuts map[budgeter.Reason]int) { h.logCuts(port, cuts) }))...)
-	wg.Go(func() { guarded.Run(ctx) })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ports = append(h.ports, guarded)
 	return guarded
 }
 
 // guardPeers returns the listener for other hosts with a budget.
-func (h *fleetHost) guardPeers(ctx context.Context, wg *conc.WaitGroup, listener net.Listener) net.Listener {
-	return h.guard(ctx, wg, peersPort, listener, h.peerLimits)
+func (h *fleetHost) guardPeers(listener net.Listener) net.Listener {
+	return h.guard(peersPort, listener, h.peerLimits)
+}
+
+// guardedPorts returns the ports with a budget.
+func (h *fleetHost) guardedPorts() []*acceptor.Acceptor {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.ports)
 }
 
 // socketShare returns the share of the host's sockets.
--- a/internal/entry/acceptor/acceptor.go
+++ b/internal/entry/acceptor/acceptor.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	a := acceptor.New(listener, budgeter.New(limits), clock, acceptor.WithRequests(100))
-//	go a.Run(ctx)
+//	go acceptor.Run(ctx, clock, func() []*acceptor.Acceptor { return all })
 //	a.Configure(server)
 //	err := server.Serve(a)
 //
@@ -29,10 +29,9 @@
 
 // Times of an Acceptor.
 const (
-	// sweepInterval is the time between two looks for slow clients.
-	sweepInterval = 500 * time.Millisecond
-	// reportInterval is the time between two reports of refusals.
-	reportInterval = time.Second
+	// sweepInterval is the time between two looks for slow clients and between
+	// two reports of cuts.
+	sweepInterval = time.Second
 	// answerTimeout is how long a client may take to read what was written.
 	answerTimeout = 10 * time.Second
 	// releaseTimeout bounds the wait for connections that were cut.
@@ -155,26 +154,30 @@
 	return netip.Addr{}
 }
 
-// Run cuts slow clients and reports the cuts until ctx ends.
-func (a *Acceptor) Run(ctx context.Context) {
-	reported := a.clock.Now()
+// Run sweeps the ports until ctx ends. One call for all ports of a process wakes
+// it up less often than one for each.
+func Run(ctx context.Context, clock primrosespar.Clock, ports func() []*Acceptor) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-a.clock.After(sweepInterval):
+		case <-clock.After(sweepInterval):
 		}
-		if a.options.Limits != nil {
-			a.budget.SetLimits(a.options.Limits())
-		}
-		a.cut(a.budget.Expire(a.clock.Now()))
-		if a.clock.Since(reported) >= reportInterval {
-			reported = a.clock.Now()
-			a.report()
+		for _, a := range ports() {
+			a.sweep()
 		}
 	}
 }
 
+// sweep adopts the limits, cuts slow clients and reports the cuts.
+func (a *Acceptor) sweep() {
+	if a.options.Limits != nil {
+		a.budget.SetLimits(a.options.Limits())
+	}
+	a.cut(a.budget.Expire(a.clock.Now()))
+	a.report()
+}
+
 // report passes the cuts since the last report on.
 func (a *Acceptor) report() {
 	a.mu.Lock()
--- a/internal/entry/acceptor/acceptor_test.go
+++ b/internal/entry/acceptor/acceptor_test.go
@@ -82,7 +82,7 @@
 	a.Configure(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
-	tasks.Go(func() { a.Run(ctx) })
+	tasks.Go(func() { acceptor.Run(ctx, h.clock, func() []*acceptor.Acceptor { return []*acceptor.Acceptor{a} }) })
 	tasks.Go(func() { _ = server.Serve(a) })
 	t.Cleanup(func() {
 		cancel()
