--- a/internal/fleet/scheduler/planning.go
+++ b/internal/fleet/scheduler/planning.go
@@ -24,6 +24,9 @@
 func (s *Scheduler) Plan(now time.Time) Changes {
 	s.updateClosedPlaces()
 	s.updateWarming(now)
+	if s.firstPlanAt.IsZero() {
+		s.firstPlanAt = now
+	}
 	if now.Sub(s.checkedAt) >= checkInterval {
 		s.checkedAt = now
 		s.expireLeases(now)
@@ -401,7 +404,7 @@
 			continue
 		}
 		switch {
-		case m.stopping && m.phase == placed && !m.unanswered && m.retryAt.IsZero() && !m.stopped:
+		case m.stopping && (m.phase == placed || m.phase == sent && !m.everSent) && !m.unanswered && m.retryAt.IsZero() && !m.stopped:
 			// The start order was never sent.
 			s.endMember(m, "", "", now)
 		case m.stopping && !m.stopped:
