--- a/imports_test.go
+++ b/imports_test.go
@@ -30,7 +30,8 @@
 		"internal/contract/parser", "internal/contract/checker", "internal/record/reporter",
 		"internal/fleet/scheduler", "internal/fleet/encoder", "internal/fleet/accountant", "internal/fleet/assessor",
 		"internal/fleet/indexer", "internal/fleet/evacuator", "internal/fleet/lessor", "internal/fleet/maintainer",
-		"internal/fleet/pacer", "internal/fleet/postponer", "internal/fleet/ranker", "internal/entry/budgeter",
+		"internal/fleet/pacer", "internal/fleet/postponer", "internal/fleet/ranker", "internal/fleet/reserver", "internal/fleet/admitter",
+		"internal/entry/budgeter",
 	}
 }
 
