Bound the time of an answer in the budget

A write deadline for each write left a timer with each connection, which wakes the process. A body that has come whole is charged once, since its buffer no longer grows.

--- a/cmd/primrosespar/servers.go
+++ b/cmd/primrosespar/servers.go
@@ -55,6 +55,7 @@
 	defaultHeadTimeout = 5 * time.Second
 	defaultIdleTimeout = 60 * time.Second
 	bodyTimeout        = 10 * time.Second
+	answerTimeout      = 10 * time.Second
 	// idleMargin keeps the host from closing a connection at the moment at which
 	// its client does.
 	idleMargin = time.Second
@@ -167,7 +168,7 @@
 		Bytes:       int64(callersMemoryShare * float64(h.settings.Memory)),
 		HeadBytes:   cmp.Or(operator.HeadBytes, defaultHeadBytes),
 		HeadTimeout: cmp.Or(operator.HeadTimeout, defaultHeadTimeout),
-		BodyTimeout: bodyTimeout,
+		BodyTimeout: bodyTimeout, AnswerTimeout: answerTimeout,
 		IdleTimeout: cmp.Or(operator.IdleTimeout, defaultIdleTimeout) + idleMargin,
 	}
 }
@@ -188,7 +189,7 @@
 		Connections: h.socketShare(peersSocketShare),
 		Bytes:       int64(peersMemoryShare * float64(h.settings.Memory)),
 		HeadBytes:   cmp.Or(h.operatorLimits().BodyBytes, defaultBodyBytes) + messageMargin,
-		HeadTimeout: messageTimeout,
+		HeadTimeout: messageTimeout, AnswerTimeout: answerTimeout,
 	}
 }
 
@@ -197,7 +198,7 @@
 func probeLimits() budgeter.Limits {
 	return budgeter.Limits{
 		Connections: probeConnections, Bytes: probeBytes, HeadBytes: defaultHeadBytes,
-		HeadTimeout: defaultHeadTimeout, BodyTimeout: bodyTimeout, IdleTimeout: defaultIdleTimeout,
+		HeadTimeout: defaultHeadTimeout, BodyTimeout: bodyTimeout, IdleTimeout: defaultIdleTimeout, AnswerTimeout: answerTimeout,
 	}
 }
 
--- a/internal/entry/acceptor/acceptor.go
+++ b/internal/entry/acceptor/acceptor.go
@@ -32,8 +32,6 @@
 	// sweepInterval is the time between two looks for slow clients and between
 	// two reports of cuts.
 	sweepInterval = time.Second
-	// answerTimeout is how long a client may take to read what was written.
-	answerTimeout = 10 * time.Second
 	// releaseTimeout bounds the wait for connections that were cut.
 	releaseTimeout = time.Second
 	// turnTimeout is how long a whole request waits for its turn.
--- a/internal/entry/acceptor/conn.go
+++ b/internal/entry/acceptor/conn.go
@@ -1,11 +1,9 @@
 package acceptor
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,17 +51,16 @@
 	return n, err
 }
 
-// Write implements net.Conn. A client that does not read its answers is
-// disconnected.
+// Write implements net.Conn. The budget cuts a client that does not read what is
+// written.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(c.acceptor.clock.Now().Add(answerTimeout)); err != nil {
-		return 0, err
+	if c.acceptor.http {
+		c.acceptor.budget.Answer(c.id, c.acceptor.clock.Now())
+		return c.Conn.Write(p)
 	}
+	c.enter(budgeter.Answer)
 	n, err := c.Conn.Write(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.acceptor.countCut(budgeter.AnswerNotRead)
-	}
-	if !c.acceptor.http && err == nil {
+	if err == nil {
 		c.enter(budgeter.Idle)
 	}
 	return n, err
--- a/internal/entry/acceptor/request.go
+++ b/internal/entry/acceptor/request.go
@@ -112,6 +112,8 @@
 	}
 	if errors.Is(err, io.EOF) && !r.whole {
 		r.whole = true
+		// The buffer of the body does not grow any more.
+		r.charge(-r.charged / bodyCost)
 		if !r.conn.enter(budgeter.Queue) {
 			return 0, r.refusal(budgeter.ShortOfMemory)
 		}
--- a/internal/entry/budgeter/budgeter.go
+++ b/internal/entry/budgeter/budgeter.go
@@ -125,10 +125,12 @@
 	HeadBytes int64
 	// HeadTimeout, BodyTimeout and IdleTimeout bound the time for a head, for a
 	// body without the time that its bytes take at the least rate, and between
-	// requests.
-	HeadTimeout time.Duration
-	BodyTimeout time.Duration
-	IdleTimeout time.Duration
+	// requests. AnswerTimeout bounds the time in which a client takes each part
+	// of an answer.
+	HeadTimeout   time.Duration
+	BodyTimeout   time.Duration
+	IdleTimeout   time.Duration
+	AnswerTimeout time.Duration
 }
 
 // Cut names a connection that has to be closed and what it was doing.
@@ -257,6 +259,16 @@
 	return c != nil
 }
 
+// Answer records that a part of an answer is being sent. Other parts of the
+// protocol, such as the permission to send a body, begin no answer.
+func (b *Budgeter) Answer(id ID, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c := b.connections[id]; c != nil && (c.phase == Work || c.phase == Answer) {
+		b.enter(c, Answer, now)
+	}
+}
+
 // Close removes a connection whose memory is free. That of one that was cut is
 // not before.
 func (b *Budgeter) Close(id ID) {
@@ -300,6 +312,8 @@
 		return IdleTooLong
 	case c.phase == Head && over(b.limits.HeadTimeout):
 		return SlowHead
+	case c.phase == Answer && over(b.limits.AnswerTimeout):
+		return AnswerNotRead
 	case (c.phase == Body || c.phase == Drain) && b.limits.BodyTimeout > 0 && over(b.limits.BodyTimeout+transferTime(c.received, minBodyRate)):
 		return SlowBody
 	}
--- a/internal/entry/budgeter/budgeter_test.go
+++ b/internal/entry/budgeter/budgeter_test.go
@@ -14,7 +14,7 @@
 func limits() budgeter.Limits {
 	return budgeter.Limits{
 		Connections: 100, Bytes: 8 << 20, HeadBytes: 16 << 10,
-		HeadTimeout: 3 * time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second,
+		HeadTimeout: 3 * time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second, AnswerTimeout: 12 * time.Second,
 	}
 }
 
@@ -202,6 +202,9 @@
 	p.receive(ids[budgeter.SlowHead], 1)
 	ids[budgeter.SlowBody], _ = p.open(1)
 	require.True(t, p.body(ids[budgeter.SlowBody], 1000))
+	ids[budgeter.AnswerNotRead], _ = p.open(1)
+	require.True(t, p.Enter(ids[budgeter.AnswerNotRead], budgeter.Work, p.now))
+	p.Answer(ids[budgeter.AnswerNotRead], p.now)
 	atWork, _ := p.open(1)
 	require.True(t, p.Enter(atWork, budgeter.Work, p.now))
 	steady, _ := p.open(1)
