--- a/internal/entry/configurer/canonical.go
+++ b/internal/entry/configurer/canonical.go
@@ -74,6 +74,7 @@
 	Connections     int `json:"connections"`
 	MintedKeys      int `json:"minted_keys"`
 	PayloadBytes    int `json:"work_bytes"`
+	ConnectionBytes int `json:"connection_bytes"`
 	RecordDecisions int `json:"record_decisions"`
 	RecordBytes     int `json:"record_bytes"`
 }
--- a/internal/entry/configurer/configurer.go
+++ b/internal/entry/configurer/configurer.go
@@ -80,6 +80,9 @@
 // Limits bounds the work and the memory of the host.
 type Limits struct {
 	BodyBytes, AnswerBytes, Requests, Connections, MintedKeys, PayloadBytes int
+	// ConnectionBytes limits the memory of the connections, heads and bodies of
+	// each address.
+	ConnectionBytes int
 	// RecordDecisions is the size of the buffer of decision records.
 	// RecordBytes limits the bytes of them that all hosts of the place write
 	// per 10 s.
@@ -148,6 +151,7 @@
 		AnswerBytes:     t.Int("answer_bytes"),
 		Requests:        t.Int("requests"),
 		Connections:     t.Int("connections"),
+		ConnectionBytes: t.Int("connection_bytes"),
 		MintedKeys:      t.Int("minted_keys"),
 		PayloadBytes:    t.Int("work_bytes"),
 		RecordDecisions: t.Int("record_decisions"),
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -24,6 +24,8 @@
 	"github.com/sourcegraph/conc"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/entry/acceptor"
+	"primrosespar.example/primrosespar/internal/entry/budgeter"
 	"primrosespar.example/primrosespar/internal/entry/certifier"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/limiter"
@@ -144,9 +146,12 @@
 	if keys := d.options.Keys; keys != nil {
 		wg.Go(func() { keys.Run(workCtx) })
 	}
-	wg.Go(func() { d.report("peers", messenger.Serve(workCtx, open.peers, host, host.messengerOptions()...)) })
-	callers := d.startHTTPServer(open.callers, host.server.Callers(), &wg)
-	operators := d.startHTTPServer(open.operators, host.server.Operators(), &wg)
+	peers := d.guard(open.peers, peerLimits(d.settings))
+	wg.Go(func() { d.report("peers", messenger.Serve(workCtx, peers, host, host.messengerOptions()...)) })
+	callers, callerPort := d.startHTTPServer(open.callers, host.server.Callers(), &wg)
+	operators, operatorPort := d.startHTTPServer(open.operators, host.server.Operators(), &wg)
+	ports := []*acceptor.Acceptor{callerPort, operatorPort, peers}
+	wg.Go(func() { acceptor.Run(workCtx, d.options.Clock, func() []*acceptor.Acceptor { return ports }) })
 
 	<-ctx.Done()
 	host.drain(context.WithoutCancel(ctx))
@@ -164,10 +169,19 @@
 	writeTimeout   = 6 * time.Minute
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// bodyTimeout is the time for a body without that for its bytes.
+	bodyTimeout = 10 * time.Second
+	// answerTimeout is the time in which a client takes each part of an answer.
+	answerTimeout = 30 * time.Second
+	// maxPeerMessage is above the largest message between hosts.
+	maxPeerMessage = 4 << 20
+	// peerBytesShare is the inverse share of the connection bytes for other
+	// hosts, whose messages are copied as they grow.
+	peerBytesShare = 2
 )
 
 // startHTTPServer serves the handler on a listener in a goroutine of wg.
-func (d *Daemon) startHTTPServer(l net.Listener, handler http.Handler, wg *conc.WaitGroup) *http.Server {
+func (d *Daemon) startHTTPServer(l net.Listener, handler http.Handler, wg *conc.WaitGroup) (*http.Server, *acceptor.Acceptor) {
 	s := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -177,7 +191,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         d.options.PublicTLS,
 	}
-	l = limiter.New(l, d.settings.Limits.Connections)
+	guarded := d.guard(l, publicLimits(d.settings))
+	guarded.Configure(s)
+	l = guarded
 	if d.options.PublicTLS != nil {
 		l = tls.NewListener(l, d.options.PublicTLS)
 	}
@@ -186,7 +202,13 @@
 			d.report("listener", err)
 		}
 	})
-	return s
+	return s, guarded
+}
+
+// guard returns the listener with a budget for its connections. One connection
+// above the limit is accepted and displaces another; further ones wait.
+func (d *Daemon) guard(l net.Listener, limits budgeter.Limits) *acceptor.Acceptor {
+	return acceptor.New(limiter.New(l, limits.Connections+1), budgeter.New(limits), d.options.Clock)
 }
 
 // shutdown closes the HTTP servers once they have answered all requests or the
--- a/internal/entry/daemon/export_test.go
+++ b/internal/entry/daemon/export_test.go
@@ -39,6 +39,7 @@
 		"body_bytes":       [2]int{int(http.MaxBody), applyOptions[router.Options](routerOptions(s)).MaxBody},
 		"answer_bytes":     applyOptions[forwarder.Options](forwarderOptions(s)).MaxAnswer,
 		"requests":         http.MaxCallerRequests,
+		"connection_bytes": [2]int64{publicLimits(s).Bytes, peerLimits(s).Bytes},
 		"minted_keys":      applyOptions[minter.Options](minterOptions(s)).MaxKeys,
 		"work_bytes":       applyOptions[submitter.Options](submitterOptions(s)).MaxPayload,
 		"record_decisions": records.Capacity,
--- a/internal/entry/daemon/settings.go
+++ b/internal/entry/daemon/settings.go
@@ -4,6 +4,7 @@
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/contract/follower"
 	"primrosespar.example/primrosespar/internal/entry/authorizer"
+	"primrosespar.example/primrosespar/internal/entry/budgeter"
 	"primrosespar.example/primrosespar/internal/entry/configurer"
 	"primrosespar.example/primrosespar/internal/entry/server"
 	"primrosespar.example/primrosespar/internal/member/leaser"
@@ -75,6 +76,22 @@
 	}
 }
 
+// publicLimits returns the limits of the connections of callers or operators.
+func publicLimits(s configurer.Settings) budgeter.Limits {
+	return budgeter.Limits{
+		Connections: s.Limits.Connections, Bytes: int64(s.Limits.ConnectionBytes), HeadBytes: maxHeaderBytes,
+		HeadTimeout: headerTimeout, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout, AnswerTimeout: answerTimeout,
+	}
+}
+
+// peerLimits returns the limits of the connections of other hosts.
+func peerLimits(s configurer.Settings) budgeter.Limits {
+	return budgeter.Limits{
+		Connections: s.Limits.Connections, Bytes: int64(s.Limits.ConnectionBytes) / peerBytesShare,
+		HeadBytes: maxPeerMessage, HeadTimeout: writeTimeout, AnswerTimeout: answerTimeout,
+	}
+}
+
 func placesOf(settings []configurer.PlaceSettings) []primrosespar.Place {
 	places := make([]primrosespar.Place, 0, len(settings))
 	for _, p := range settings {
--- a/internal/entry/daemon/settings_test.go
+++ b/internal/entry/daemon/settings_test.go
@@ -29,6 +29,7 @@
 		"body_bytes":       {"200000", [2]int{200000, 200000}},
 		"answer_bytes":     {"5000", int64(5000)},
 		"requests":         {"7", 7},
+		"connection_bytes": {"10000000", [2]int64{10_000_000, 5_000_000}},
 		"minted_keys":      {"11", 11},
 		"work_bytes":       {"999", 999},
 		"record_decisions": {"17", 17},
--- a/internal/entry/server/responses.go
+++ b/internal/entry/server/responses.go
@@ -70,6 +70,10 @@
 func readBody(r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(r.Body)
 	var tooLarge *http.MaxBytesError
+	var failure *primrosespar.Failure
+	if errors.As(err, &failure) {
+		return nil, failure
+	}
 	if err != nil && !errors.As(err, &tooLarge) {
 		return nil, primrosespar.Fail(primrosespar.CodeBadRequest, "the body was cut off after %d bytes", len(body)).WithCause(err)
 	}
