--- a/cmd/primrosespar/fleet.go
+++ b/cmd/primrosespar/fleet.go
@@ -169,30 +169,14 @@
 		Lease:     min(lessor.DefaultLease, h.settings.LongestLease), GangTimeout: h.settings.GangTimeout,
 		TurnInterval: h.settings.TurnInterval, LongestLease: h.settings.LongestLease,
 		CatalogApplyTimeout: h.settings.ConfigBound, MaxCatalogAge: h.settings.KeyBound,
-		EvacuationBound: h.settings.EvacuationBound, Places: slices.Sorted(maps.Keys(h.settings.Places)),
+		EvacuationBound: h.settings.EvacuationBound, AssessWorkers: h.settings.DoubtfulWorkers, Places: slices.Sorted(maps.Keys(h.settings.Places)),
 	}, backend,
 		daemon.WithClock(h.clock), daemon.WithStopwatch(elapsed), daemon.WithLog(h.logDecision, h.logChange, h.logError), daemon.WithOnTerm(h.changeTerm), daemon.WithPeerListener(h.guardPeers))
 	if err != nil {
 		return err
 	}
 	h.daemon = fleetDaemon
-	h.meter.Gauge("primrosespar_catalog_version", func() float64 {
-		version, _ := fleetDaemon.Catalog()
-		return float64(version)
-	})
-	h.meter.Gauge("primrosespar_catalog_unconfirmed_seconds", func() float64 {
-		_, age := fleetDaemon.Catalog()
-		return age.Seconds()
-	})
-	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
-		return fleetDaemon.UnconfirmedTime().Seconds()
-	})
-	h.addEvacuationMetrics()
-	for _, cause := range primrosespar.LossCauses() {
-		h.meter.Gauge(fmt.Sprintf(`primrosespar_fleet_lost_core_seconds{cause=%q}`, cause), func() float64 {
-			return fleetDaemon.LostWork(cause)
-		})
-	}
+	h.registerGauges(fleetDaemon)
 	wg.Go(func() {
 		if err := fleetDaemon.Run(ctx); err != nil {
 			h.logError("daemon", err)
@@ -214,6 +198,35 @@
 	return nil
 }
 
+// registerGauges registers what operators read from the daemon.
+func (h *fleetHost) registerGauges(fleetDaemon *daemon.Daemon) {
+	h.meter.Gauge("primrosespar_catalog_version", func() float64 {
+		version, _ := fleetDaemon.Catalog()
+		return float64(version)
+	})
+	h.meter.Gauge("primrosespar_catalog_unconfirmed_seconds", func() float64 {
+		_, age := fleetDaemon.Catalog()
+		return age.Seconds()
+	})
+	h.meter.Gauge("primrosespar_fleet_no_service_seconds", func() float64 {
+		age, _ := fleetDaemon.Interruption()
+		return age.Seconds()
+	})
+	h.meter.Gauge("primrosespar_fleet_calls_held", func() float64 {
+		_, held := fleetDaemon.Interruption()
+		return float64(held)
+	})
+	h.meter.Gauge("primrosespar_fleet_lease_unconfirmed_seconds", func() float64 {
+		return fleetDaemon.UnconfirmedTime().Seconds()
+	})
+	h.addEvacuationMetrics()
+	for _, cause := range primrosespar.LossCauses() {
+		h.meter.Gauge(fmt.Sprintf(`primrosespar_fleet_lost_core_seconds{cause=%q}`, cause), func() float64 {
+			return fleetDaemon.LostWork(cause)
+		})
+	}
+}
+
 // changeTerm adapts the host to the begin or the end of a term: the target of
 // the garbage collector and the connections of clients.
 func (h *fleetHost) changeTerm(leading bool) {
@@ -286,6 +299,9 @@
 // logCall logs a call and updates its metrics.
 func (h *fleetHost) logCall(call platform.Call) {
 	h.meter.Call(call.Account, primrosespar.Class(call.Queue), call.Code, call.Took)
+	if call.RetryAfter > 0 {
+		h.meter.RetryAfter(call.Account, primrosespar.Class(call.Queue), call.RetryAfter)
+	}
 	if call.Job == "" && call.Err == nil {
 		// Successful calls without a job only read the counts of a queue. They
 		// are too frequent to log.
@@ -296,6 +312,9 @@
 		"job": call.Job, "catalog_version": call.Version, "status": call.Status, "code": call.Code.String(),
 		"took_ms": call.Took.Milliseconds(),
 	})
+	if call.RetryAfter > 0 {
+		entry = entry.WithField("retry_after_s", int(call.RetryAfter.Seconds()))
+	}
 	if call.Err != nil {
 		entry = entry.WithField("reason", call.Err.Error())
 	}
--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -15,16 +15,26 @@
 // Submit stores a job. It returns nil once the job is stored, also if it was
 // stored before.
 func (c *Controller) Submit(ctx context.Context, job primrosespar.Submission) error {
-	if c.Stalled() {
-		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight")
-	}
 	if err := job.Validate(); err != nil {
 		return err
 	}
 	return c.runInLoop(ctx, func(reply func(error)) {
-		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.MayUse(job.Request()) {
+		_, known := c.scheduler.State(job.ID)
+		_, stored := c.committedStates[job.ID]
+		switch {
+		case known && !c.scheduler.MayUse(job.Request()):
 			reply(primrosespar.Fail(primrosespar.CodeForbidden, "the ID of job %q is in use by another caller", job.ID))
 			return
+		case stored && c.Stalled():
+			reply(nil)
+			return
+		case !known && c.Stalled():
+			reply(primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight"))
+			return
+		}
+		if err := c.scheduler.CheckAdmission(job); err != nil {
+			reply(err)
+			return
 		}
 		if !c.scheduler.HasRoom(job) {
 			reply(c.noRoom(job))
@@ -118,9 +128,19 @@
 	return view, err
 }
 
-// Stalled reports whether the commit in flight has lasted longer than
-// stallThreshold. New work is refused then, since it would only wait behind it.
-func (c *Controller) Stalled() bool { return c.commitAge() > stallThreshold }
+// Stalled reports whether the commit in flight takes too long or its attempts
+// have failed for failureThreshold. New work is refused then, since it would
+// only wait behind it.
+func (c *Controller) Stalled() bool {
+	return c.commitAge() > c.patience(stallThreshold) || c.parts.Committer.FailingTime() > failureThreshold
+}
+
+// patience returns how long the commit in flight may take: the threshold, or
+// longer if the last commit took long. A store that is only slow goes on storing
+// what callers wait for.
+func (c *Controller) patience(threshold time.Duration) time.Duration {
+	return max(threshold, min(patienceFactor*c.parts.Committer.LastCommitTime(), maxPatience))
+}
 
 // commitAge returns how long the commit in flight has lasted, 0 if there is
 // none.
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -96,7 +96,9 @@
 	adviceInFlight bool
 	nextAdviceAt   time.Time
 	tickets        map[primrosespar.Worker]ticket
-	denied         map[primrosespar.Worker]bool
+	// meanTime is the mean time that the last runs of single tasks took.
+	meanTime time.Duration
+	denied   map[primrosespar.Worker]bool
 }
 
 // unit is the group of tasks that starts and ends together: a gang or a single
@@ -134,6 +136,9 @@
 	// gatheredRun is the number of the last run of which all members were on
 	// their workers.
 	gatheredRun uint64
+	// restoredRun is the number of the run that an earlier holder had started, if
+	// any.
+	restoredRun uint64
 	// stalls counts the runs that were stopped without progress, other than on
 	// workers that are likely to be at fault. Each after the first doubles the
 	// time that the next run may take, since the estimate may be wrong.
@@ -274,7 +279,7 @@
 		u.step.unfinished--
 	}
 	if len(stored.Workers) > 0 {
-		u.placedAt, u.progressAt = now, now
+		u.placedAt, u.progressAt, u.restoredRun = now, now, u.run
 	}
 	for i, name := range stored.Workers {
 		if name == "" || i >= u.size {
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 	"primrosespar.example/primrosespar/internal/fleet/pacer"
 )
@@ -218,6 +219,7 @@
 		}
 	case primrosespar.CodeWorkerLost, primrosespar.CodeWorkerLate:
 		m.unanswered = m.unanswered || code == primrosespar.CodeWorkerLost
+		s.observeOutcome(m.worker, assessor.Unanswered, 1, now)
 		m.retryAt = now.Add(orderRetryDelay)
 	default:
 		s.handleRefusal(m, code, now)
@@ -255,6 +257,7 @@
 	s.logEvent("start_refused", m.unit.step.occurrence.job, m.worker, m.run, code.String())
 	w := m.worker
 	if code == primrosespar.CodeWorkerUnhealthy {
+		s.observeOutcome(w, assessor.Refused, 1, now)
 		s.quarantine(w, now, "worker refused a start as unhealthy")
 	}
 	if code == primrosespar.CodeForbidden {
@@ -402,7 +405,7 @@
 
 // ShouldSend reports whether a start order whose record is stored should still
 // be sent. If not, and no earlier attempt was sent, the run ends without an
-// order.
+// order, or the start is tried again if it only may not leave now.
 func (s *Scheduler) ShouldSend(o Order, now time.Time) bool {
 	m := s.findMember(o)
 	if m == nil {
@@ -411,6 +414,10 @@
 	if !m.stopping && !s.mayStart(m.unit) {
 		s.stopUnit(m.unit, primrosespar.LossMoved, closedReason)
 	}
+	if !m.stopping && !s.opts.MayStart() {
+		m.inFlight, m.retryAt = false, now.Add(orderRetryDelay)
+		return false
+	}
 	if !m.stopping {
 		m.everSent = true
 		if m.unit.firstSentAt.IsZero() {
--- a/internal/fleet/scheduler/workers.go
+++ b/internal/fleet/scheduler/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosespar.example/primrosespar"
+	"primrosespar.example/primrosespar/internal/fleet/assessor"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
 )
 
@@ -57,6 +58,8 @@
 	crashedLately bool
 	throttling    throttling
 	warming       warming
+	// unsure is set while other workers are preferred to this one.
+	unsure bool
 	// leavesAt is the earliest time at which a draining worker leaves, zero if it
 	// is not known.
 	leavesAt time.Time
@@ -119,10 +122,12 @@
 		s.observeNotice(w, info, now)
 		s.observeCold(w, info, now)
 		w.info, w.announced = info, true
+		s.assess(w, now)
 		s.withdrawStarts(w)
 		s.announced = append(s.announced, w)
 	}
 	s.replaced = replaced
+	s.admitter.Observe(workers)
 	s.expireCrashes(now)
 	if changed || len(s.announced) != len(wasAnnounced) {
 		s.placesChanged = true
@@ -237,6 +242,9 @@
 	s.observeReport(w)
 	// The worker rejects orders of earlier holders from now on, but the lease
 	// that they gave is still valid.
+	if !w.polled {
+		s.capacityVersion++
+	}
 	w.polled = true
 	w.extendLease(leaseExpiry)
 	if w.restarted {
@@ -291,6 +299,7 @@
 		s.observeEnd(u, ended)
 	}
 	if m := w.members[ended.Run]; m != nil {
+		s.assessEnd(m, ended.End, now)
 		s.logEvent("run_ended", m.unit.step.occurrence.job, w, m.run, string(ended.End))
 		s.endMember(m, ended.End, ended.Checkpoint, now)
 		return
@@ -350,6 +359,7 @@
 		s.stopStray(w, active.Run)
 		return
 	}
+	wasRestored := m.phase == restored
 	if m.phase != running {
 		m.markRunning(now)
 	}
@@ -365,6 +375,9 @@
 		m.percent, m.percentAt = active.Percent, now
 		m.unit.progressAt = now
 	}
+	if wasRestored {
+		m.runningAt = now.Add(-m.unit.workedTime(now))
+	}
 }
 
 // stopStray stops a run that is in no record.
@@ -380,6 +393,7 @@
 func (s *Scheduler) handleRestart(w *worker, startedAt, now time.Time) {
 	s.logEvent("worker_reborn", nil, w, 0, "")
 	s.recordCrash(w, now)
+	s.assess(w, now)
 	w.startedAt, w.acknowledged, w.polled, w.restarted = startedAt, 0, false, true
 	for _, m := range w.memberList {
 		if m.unanswered || m.inFlight {
@@ -410,6 +424,7 @@
 		w.polled = false
 		expired := slices.DeleteFunc(w.snapshot(), func(m *member) bool { return m.inFlight || !m.mayRun() })
 		s.recordLostContact(w, expired, now)
+		s.observeOutcome(w, assessor.Lapsed, 1, now)
 		for _, m := range expired {
 			s.endMember(m, primrosespar.EndLeaseExpired, "", now)
 		}
@@ -445,63 +460,3 @@
 		s.groupRacks()
 	}
 }
-
-// recordFailure records that a run of the job failed on the worker. Failures of
-// a single job do not count against the worker, because that job may fail
-// everywhere.
-func (s *Scheduler) recordFailure(w *worker, j *job, now time.Time) {
-	if w.failedJobs == nil {
-		w.failedJobs = map[primrosespar.JobID]bool{}
-	}
-	w.failedJobs[j.submission.ID] = true
-	if len(w.failedJobs) >= quarantineFailures {
-		s.quarantine(w, now, "runs of several jobs failed or made no progress")
-	}
-}
-
-// recordStall records that a run made no progress. If it had worked on its
-// worker before, that worker is likely to be at fault; if not, it counts as a
-// failure of the job there, once for each unit.
-func (s *Scheduler) recordStall(u *unit, now time.Time) {
-	proven := false
-	for _, m := range u.members {
-		if !m.stalled(now) {
-			continue
-		}
-		u.avoidWorker(m.worker)
-		switch {
-		case m.pace.Proven():
-			proven = true
-			s.quarantine(m.worker, now, "a run made no progress")
-		case u.stalls == 0:
-			s.recordFailure(m.worker, u.step.occurrence.job, now)
-		}
-	}
-	if !proven {
-		u.stalls++
-	}
-}
-
-// clearFailures forgets the failures on the worker.
-func (w *worker) clearFailures() { w.failedJobs = nil }
-
-// quarantine keeps new work off the worker for a while, unless too many workers
-// of its service are in quarantine already.
-func (s *Scheduler) quarantine(w *worker, now time.Time, reason string) {
-	total, quarantined := 0, 0
-	for _, other := range s.announced {
-		if other.info.Service != w.info.Service {
-			continue
-		}
-		total++
-		if now.Before(other.quarantinedUntil) {
-			quarantined++
-		}
-	}
-	if now.Before(w.quarantinedUntil) || float64(quarantined+1) > quarantineShare*float64(total) {
-		return
-	}
-	w.quarantinedUntil = now.Add(quarantineTime)
-	w.failedJobs = nil
-	s.logEvent("worker_quarantined", nil, w, 0, reason)
-}
--- a/internal/fleet/submitter/submitter.go
+++ b/internal/fleet/submitter/submitter.go
@@ -14,24 +14,43 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"primrosespar.example/primrosespar"
 	"primrosespar.example/primrosespar/internal/fleet/encoder"
+	"primrosespar.example/primrosespar/internal/fleet/postponer"
 )
 
 // Timeouts of one call.
 const (
-	// holderTimeout bounds a change at the holder before the inbox is used. The
-	// holder refuses a job within it if the store does not answer.
-	holderTimeout = 1300 * time.Millisecond
+	// holderCheckInterval is the time between two checks whether the holder to
+	// which a call was sent still is the holder.
+	holderCheckInterval = 100 * time.Millisecond
 	// queryTimeout bounds a query to the holder.
 	queryTimeout = 500 * time.Millisecond
 	// searchInterval is the wait before a holder is looked up again.
 	searchInterval = 50 * time.Millisecond
 	// searchTimeout bounds the search for a holder before the inbox is used.
 	searchTimeout = 300 * time.Millisecond
+	// inboxTimeout bounds a submission through the inbox.
+	inboxTimeout = 800 * time.Millisecond
+	// probeTimeout bounds the read that precedes a submission through the inbox.
+	probeTimeout = 400 * time.Millisecond
+	// slowReadTime is how long a read takes if the store is slow.
+	slowReadTime = 150 * time.Millisecond
+	// attemptMargin is the time that a caller must have left for another
+	// attempt. One that is given up before its answer has an unknown outcome.
+	attemptMargin = 150 * time.Millisecond
+	// defaultCallTime bounds a call without a deadline.
+	defaultCallTime = 2 * time.Second
+	// maxLeastCallTime bounds the time that a caller must wait for a change to
+	// be tried.
+	maxLeastCallTime = 100 * time.Millisecond
 	// maxCountAge is the maximum age of a count of waiting jobs. A job has to
 	// be counted within 5 s after it was accepted, and a job that goes through
 	// the inbox is counted up to 2 s late.
@@ -57,6 +76,8 @@
 	Term func() Term
 	// Holder returns the address of the holder if it is another host.
 	Holder func() (netip.AddrPort, bool)
+	// Search makes the election read who the holder is; it may be nil.
+	Search func()
 	// StoreSlow reports whether the store is slow.
 	StoreSlow func() bool
 	// Waiting returns the last count of waiting jobs that a holder has sent,
@@ -72,8 +93,12 @@
 
 // Submitter implements primrosespar.JobService. It is safe for concurrent use.
 type Submitter struct {
-	parts   Parts
-	encoder *encoder.Encoder
+	parts     Parts
+	encoder   *encoder.Encoder
+	postponer *postponer.Postponer
+	gate      gate
+	// servedTime is how long the last change that was made took, in nanoseconds.
+	servedTime atomic.Int64
 }
 
 var _ primrosespar.JobService = (*Submitter)(nil)
@@ -84,7 +109,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Submitter{parts: parts, encoder: enc}, nil
+	if parts.Search == nil {
+		parts.Search = func() {}
+	}
+	return &Submitter{parts: parts, encoder: enc, postponer: postponer.New(), gate: gate{clock: parts.Clock}}, nil
 }
 
 // Catalog implements primrosespar.JobService.
@@ -92,93 +120,28 @@
 
 // Submit implements primrosespar.JobService.
 func (s *Submitter) Submit(ctx context.Context, job primrosespar.Submission) error {
-	return s.submitChange(ctx,
-		func(ctx context.Context, term Term) error { return term.Submit(ctx, job) },
-		func(ctx context.Context, holder netip.AddrPort) error { return s.parts.Peers.Submit(ctx, holder, job) },
-		func(ctx context.Context) error { return s.submitToInbox(ctx, job) })
+	call := postponer.Call{Bytes: job.Memory(), Priority: job.Terms.Priority, Spread: spread(job.ID)}
+	return s.submitChange(ctx, call, change{
+		local:  func(ctx context.Context, term Term) error { return term.Submit(ctx, job) },
+		remote: func(ctx context.Context, holder netip.AddrPort) error { return s.parts.Peers.Submit(ctx, holder, job) },
+		inbox:  func(ctx context.Context) error { return s.submitToInbox(ctx, job) },
+	})
 }
 
 // Cancel implements primrosespar.JobService.
 func (s *Submitter) Cancel(ctx context.Context, request primrosespar.JobRequest) error {
-	return s.submitChange(ctx,
-		func(ctx context.Context, term Term) error { return term.Cancel(ctx, request) },
-		func(ctx context.Context, holder netip.AddrPort) error {
+	return s.submitChange(ctx, postponer.Call{Spread: spread(request.Job)}, change{
+		local: func(ctx context.Context, term Term) error { return term.Cancel(ctx, request) },
+		remote: func(ctx context.Context, holder netip.AddrPort) error {
 			return s.parts.Peers.Cancel(ctx, holder, request)
 		},
-		func(ctx context.Context) error { return s.cancelInInbox(ctx, request) })
-}
-
-// submitChange makes a change at the holder, or through the inbox if the holder
-// cannot be reached or does not know the job.
-func (s *Submitter) submitChange(ctx context.Context,
-	local func(context.Context, Term) error,
-	remote func(context.Context, netip.AddrPort) error,
-	viaInbox func(context.Context) error,
-) error {
-	startedAt := s.parts.Clock.Now()
-	outcomeUnknown := false
-	for {
-		err := s.callHolder(ctx, local, remote)
-		code := primrosespar.CodeOf(err)
-		if code == primrosespar.CodeForbidden {
-			return err
-		}
-		if err == nil || isFinal(code) {
-			return withUnknownOutcome(err, outcomeUnknown)
-		}
-		outcomeUnknown = outcomeUnknown || code == primrosespar.CodeOutcomeUnknown
-		if code == primrosespar.CodeNotHolder && s.parts.Clock.Since(startedAt) < searchTimeout && ctx.Err() == nil {
-			s.waitForHolder(ctx)
-			continue
-		}
-		return withUnknownOutcome(viaInbox(ctx), outcomeUnknown)
-	}
-}
-
-// isFinal reports whether a refusal by the holder is final, so that the inbox
-// must not be used.
-func isFinal(code primrosespar.Code) bool {
-	switch code {
-	case primrosespar.CodeStoreUnavailable, primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull:
-		return true
-	default:
-		return false
-	}
-}
-
-// withUnknownOutcome turns a refusal into an unknown outcome if an earlier
-// attempt may have taken effect.
-func withUnknownOutcome(err error, outcomeUnknown bool) error {
-	if err == nil || !outcomeUnknown || primrosespar.CodeOf(err) == primrosespar.CodeNotFound {
-		return err
-	}
-	return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "an attempt was not answered").WithCause(err)
-}
-
-// callHolder makes the change at the holder: by local if it is this host, by
-// remote if it is another.
-func (s *Submitter) callHolder(ctx context.Context,
-	local func(context.Context, Term) error,
-	remote func(context.Context, netip.AddrPort) error,
-) error {
-	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
-	defer cancel()
-	if term := s.parts.Term(); term != nil {
-		return local(ctx, term)
-	}
-	holder, ok := s.parts.Holder()
-	if !ok {
-		return primrosespar.Fail(primrosespar.CodeNotHolder, "no holder is known")
-	}
-	return remote(ctx, holder)
+		inbox: func(ctx context.Context) error { return s.cancelInInbox(ctx, request) },
+	})
 }
 
-// waitForHolder waits before the holder is looked up again.
-func (s *Submitter) waitForHolder(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-s.parts.Clock.After(searchInterval):
-	}
+// spread returns a number from 0 to 1 that depends on the job only.
+func spread(id primrosespar.JobID) float64 {
+	return float64(xxhash.Sum64String(string(id))) / math.MaxUint64
 }
 
 // submitToInbox writes the job to the inbox, which the holder reads. It refuses
@@ -195,6 +158,22 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, inboxTimeout)
+	defer cancel()
+	// A store that does not answer a read gets no write, whose outcome would be
+	// unknown.
+	startedAt := s.parts.Clock.Now()
+	readCtx, cancelRead := context.WithTimeout(ctx, probeTimeout)
+	defer cancelRead()
+	row, err := s.parts.Table.Get(readCtx, primrosespar.FleetInboxSubmitKey(job.ID))
+	switch {
+	case err == nil && s.parts.Clock.Since(startedAt) > slowReadTime:
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "there is no holder and the store is slow")
+	case err != nil:
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "there is no holder and the store does not answer").WithCause(err)
+	case row[0].Version > 0:
+		return s.checkStored(ctx, job)
+	}
 	_, err = s.parts.Table.Commit(ctx, primrosespar.Txn{
 		Conditions: []primrosespar.Condition{
 			{Key: primrosespar.FleetInboxSubmitKey(job.ID)}, {Key: primrosespar.ProgressKey(job.ID)},
@@ -255,7 +234,16 @@
 	}
 	// A new holder may not have loaded the job yet, and a replaced holder may
 	// not know it; the store does.
-	return s.readState(ctx, request)
+	probe, ok := s.gate.enter()
+	if !ok {
+		return "", primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store did not answer another call").WithCause(err)
+	}
+	answered, failed := false, false
+	defer func() { s.gate.leave(probe, answered, failed) }()
+	state, err = s.readState(ctx, request)
+	failed = primrosespar.CodeOf(err) == primrosespar.CodeStoreUnavailable && ctx.Err() == nil
+	answered = err == nil || primrosespar.CodeOf(err) == primrosespar.CodeNotFound
+	return state, err
 }
 
 // queryHolder queries the state of a job at the holder.
--- a/internal/fleet/submitter/submitter_test.go
+++ b/internal/fleet/submitter/submitter_test.go
@@ -53,6 +53,7 @@
 		Term:      func() submitter.Term { return nil },
 		Holder:    func() (netip.AddrPort, bool) { return netip.MustParseAddrPort("10.0.0.1:1"), true },
 		Catalog:   func() *primrosespar.Catalog { return &primrosespar.Catalog{} },
+		Search:    func() {},
 		StoreSlow: func() bool { return storeSlow },
 		JobMemory: jobMemory,
 	})
@@ -128,7 +129,7 @@
 // TestRejectedJobIsNotLeftInTheInbox guards against a job that the holder has
 // rejected for good and that the inbox then accepts.
 func TestRejectedJobIsNotLeftInTheInbox(t *testing.T) {
-	for _, code := range []primrosespar.Code{primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull} {
+	for _, code := range []primrosespar.Code{primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge, primrosespar.CodeQueueFull, primrosespar.CodeImpossibleShape} {
 		s, table := newSubmitter(t, primrosespar.Fail(code, "refused"))
 		err := s.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q"})
 		require.Equal(t, code, primrosespar.CodeOf(err))
