--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -31,7 +31,12 @@
 		case !known && c.Stalled():
 			reply(primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the store has not answered the commit in flight"))
 			return
-		case !c.scheduler.HasRoom(job):
+		}
+		if err := c.scheduler.CheckAdmission(job); err != nil {
+			reply(err)
+			return
+		}
+		if !c.scheduler.HasRoom(job) {
 			reply(c.noRoom(job))
 			return
 		}
--- a/internal/fleet/submitter/changing.go
+++ b/internal/fleet/submitter/changing.go
@@ -144,7 +144,7 @@
 func isFinal(code primrosespar.Code) bool {
 	switch code {
 	case primrosespar.CodeStoreUnavailable, primrosespar.CodeSetAside, primrosespar.CodeJobTooLarge,
-		primrosespar.CodeQueueFull, primrosespar.CodeForbidden:
+		primrosespar.CodeQueueFull, primrosespar.CodeForbidden, primrosespar.CodeImpossibleShape:
 		return true
 	default:
 		return false
