Reject jobs as impossible only once the workers are known

A new holder, or one after an outage of the store, may be given a list in which workers are missing for some seconds, and took it for the whole service: a gang or a label that only the missing workers could hold was rejected for good. The number of workers has to be the same in ten lists now, one a second.

TestOnlyImpossibleJobsAreRejected and TestNothingIsRejectedWhileWorkersAreAway ask after the first list as well and fail without the change.

--- a/internal/fleet/admitter/admitter.go
+++ b/internal/fleet/admitter/admitter.go
@@ -5,8 +5,9 @@
 // than all workers together can hold. Their callers are told at once.
 //
 // Only what is certain is rejected. Workers may be away for a while, so nothing
-// is rejected while the service has fewer workers than it had before, nor a
-// repeated job, which runs later. A job that is merely expected to be late is
+// is rejected while the service has fewer workers than it had before or until
+// their number has been the same in settledLists lists, nor a repeated job, which
+// runs later. A job that is merely expected to be late is
 // not rejected: it earns its late value, or nothing, as a rejected one would, and
 // docs/design/admission.md has what was measured.
 //
@@ -23,15 +24,22 @@
 	"primrosespar.example/primrosespar"
 )
 
+// settledLists is the number of lists after which their workers are taken for
+// all of the service. After an outage of the store, or at the begin of a term,
+// some may be missing for seconds; the list is read each second.
+const settledLists = 10
+
 // Admitter knows the workers of the fleet.
 type Admitter struct {
 	services map[primrosespar.Service]*service
 }
 
-// service holds the workers of a service and the most that it had.
+// service holds the workers of a service, the most that it had and in how many
+// lists in a row it had them.
 type service struct {
 	workers []primrosespar.WorkerInfo
 	most    int
+	lists   int
 }
 
 // New returns an Admitter that knows no workers.
@@ -51,7 +59,11 @@
 		s.workers = append(s.workers, w)
 	}
 	for _, s := range a.services {
+		if len(s.workers) != s.most {
+			s.lists = 0
+		}
 		s.most = max(s.most, len(s.workers))
+		s.lists++
 	}
 }
 
@@ -59,7 +71,7 @@
 // a task of the job, or all of them together not a gang of it.
 func (a *Admitter) Check(job primrosespar.Submission, name primrosespar.Service) error {
 	s := a.services[name]
-	if s == nil || len(s.workers) < s.most || job.Repeat.Count > 0 {
+	if s == nil || len(s.workers) < s.most || s.lists < settledLists || job.Repeat.Count > 0 {
 		return nil
 	}
 	for i := range job.Steps {
--- a/internal/fleet/admitter/admitter_test.go
+++ b/internal/fleet/admitter/admitter_test.go
@@ -24,6 +24,14 @@
 	return infos
 }
 
+// observe lets the admitter read lists of that many workers until it takes them
+// for all.
+func observe(a *admitter.Admitter, count int) {
+	for range 10 {
+		a.Observe(workers(count))
+	}
+}
+
 // TestOnlyImpossibleJobsAreRejected guards against a job that waits until its
 // caller gives up, and against one that is rejected though it could run.
 func TestOnlyImpossibleJobsAreRejected(t *testing.T) {
@@ -50,6 +58,8 @@
 		job := primrosespar.Submission{Steps: []primrosespar.Step{{Count: 1}, c.step}}
 		require.NoError(t, a.Check(job, "pool"), "%s: no workers are known", name)
 		a.Observe(workers(4))
+		require.NoError(t, a.Check(job, "pool"), "%s: workers may be missing in the first list", name)
+		observe(a, 4)
 		require.NoError(t, a.Check(job, "other"), name)
 		code := primrosespar.CodeOK
 		if c.impossible {
@@ -65,13 +75,15 @@
 // because workers restart.
 func TestNothingIsRejectedWhileWorkersAreAway(t *testing.T) {
 	a := admitter.New()
-	a.Observe(workers(4))
+	observe(a, 4)
 	large := primrosespar.Submission{Steps: []primrosespar.Step{{Count: 4, Gang: true, Need: primrosespar.Resources{Accelerators: 8}}}}
 	require.NoError(t, a.Check(large, "pool"))
-	a.Observe(workers(3))
+	observe(a, 3)
 	require.NoError(t, a.Check(large, "pool"))
 	large.Steps[0].Count = 5
 	require.NoError(t, a.Check(large, "pool"))
 	a.Observe(workers(4))
+	require.NoError(t, a.Check(large, "pool"))
+	observe(a, 4)
 	require.Error(t, a.Check(large, "pool"))
 }
--- a/internal/fleet/scheduler/shortage_test.go
+++ b/internal/fleet/scheduler/shortage_test.go
@@ -175,6 +175,9 @@
 // gives up, and against a known job that is rejected when it is sent again.
 func TestImpossibleJobIsRejected(t *testing.T) {
 	h := newHarness(t, 1)
+	for range 10 {
+		h.scheduler.SetWorkers(h.workers, h.now)
+	}
 	possible := job("a", "plain", primrosespar.Step{Count: workersPerRack, Gang: true, Need: needAccelerators(8)})
 	require.NoError(t, h.scheduler.CheckAdmission(possible))
 	impossible := job("b", "plain", primrosespar.Step{Count: workersPerRack + 1, Gang: true, Need: needAccelerators(8)})
