--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -44,6 +44,9 @@
 	// that cannot reach the holder leave messages; a job has to be visible
 	// within 3 s.
 	inboxInterval = 2 * time.Second
+	// maxInboxWait bounds how long the starts of a new holder wait for its first
+	// read of the inbox.
+	maxInboxWait = 3 * time.Second
 	// keepaliveInterval bounds the time between two commits; other hosts take a
 	// lease row that does not change as a sign that the holder is lost.
 	keepaliveInterval = 500 * time.Millisecond
@@ -313,7 +316,7 @@
 		scheduler.WithRestartWait(max(takeover, lessor.ExpiryWait(o.LongestLease))),
 		scheduler.WithGangTimeout(o.GangTimeout), scheduler.WithLeaseExpiry(c.leaseExpiry), scheduler.WithJobMemory(o.JobMemory),
 		scheduler.WithAccountant(o.Accountant), scheduler.WithAssessment(o.AssessWorkers), scheduler.WithAccepts(c.evacuator.Accepts),
-		scheduler.WithMayStart(func() bool { return c.checkStart() == nil }))
+		scheduler.WithMayStart(c.mayStart))
 	return c, nil
 }
 
@@ -336,7 +339,7 @@
 		return err
 	}
 	c.goTask("read of the workers", func() { c.runPeriodically(runCtx, workersInterval, c.readWorkers) })
-	c.goTask("read of the inbox", func() { c.runPeriodically(runCtx, inboxInterval, c.readInbox) })
+	c.goTask("read of the inbox", func() { c.watchInbox(runCtx) })
 	c.startMaintenance(runCtx)
 	c.startEvacuations(runCtx)
 	err := c.loop(runCtx)
--- a/internal/fleet/controller/inbox.go
+++ b/internal/fleet/controller/inbox.go
@@ -9,11 +9,32 @@
 	"primrosespar.example/primrosespar"
 )
 
+// watchInbox reads the inbox until the context ends. The first read is repeated
+// soon if it fails, because starts wait for it.
+func (c *Controller) watchInbox(ctx context.Context) {
+	for !c.readInbox(ctx) && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-c.parts.Clock.After(tickInterval):
+		}
+	}
+	c.runPeriodically(ctx, inboxInterval, func(ctx context.Context) { c.readInbox(ctx) })
+}
+
+// mayStart reports whether start orders may leave now. Those of a new holder wait
+// for its first read of the inbox, for a while: jobs may have been cancelled
+// there.
+func (c *Controller) mayStart() bool {
+	if !c.inboxRead && c.parts.Clock.Since(c.startedAt) < maxInboxWait {
+		return false
+	}
+	return c.checkStart() == nil
+}
+
 // readInbox reads the messages of hosts that could not reach the holder, page by
-// page up to maxInboxPages.
-func (c *Controller) readInbox(ctx context.Context) {
+// page up to maxInboxPages. It reports whether it has read all.
+func (c *Controller) readInbox(ctx context.Context) (complete bool) {
 	var rows []primrosespar.Row
-	complete := false
 	after := ""
 	for range maxInboxPages {
 		page, err := c.readInboxPage(ctx, after)
@@ -29,12 +50,13 @@
 		after = page[len(page)-1].Key
 	}
 	if len(rows) == 0 && !complete {
-		return
+		return false
 	}
 	c.enqueue(func() {
 		c.applyInbox(rows, complete)
 		c.inboxRead = true
 	})
+	return complete
 }
 
 // readInboxPage reads the messages whose keys are greater than after, at most
