--- a/cmd/primrosespar/servers.go
+++ b/cmd/primrosespar/servers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -54,6 +55,7 @@
 	defaultHeadTimeout = 5 * time.Second
 	defaultIdleTimeout = 60 * time.Second
 	bodyTimeout        = 10 * time.Second
+	answerTimeout      = 10 * time.Second
 	// idleMargin keeps the host from closing a connection at the moment at which
 	// its client does.
 	idleMargin = time.Second
@@ -93,7 +95,7 @@
 			return nil, err
 		}
 		httpServer := &http.Server{Handler: server.handler, ReadHeaderTimeout: maxHeadTimeout, MaxHeaderBytes: maxHeadBytes}
-		guarded := h.guard(ctx, wg, server.port, listener, server.limits, server.options...)
+		guarded := h.guard(server.port, listener, server.limits, server.options...)
 		guarded.Configure(httpServer)
 		servers = append(servers, httpServer)
 		wg.Go(func() {
@@ -102,6 +104,7 @@
 			}
 		})
 	}
+	wg.Go(func() { acceptor.Run(ctx, h.clock, h.guardedPorts) })
 	return servers, nil
 }
 
@@ -119,7 +122,7 @@
 
 // guard returns the listener with a budget for its connections, which it logs
 // and counts.
-func (h *fleetHost) guard(ctx context.Context, wg *conc.WaitGroup, port string, listener net.Listener, limits func() budgeter.Limits, opts ...acceptor.Option) *acceptor.Acceptor {
+func (h *fleetHost) guard(port string, listener net.Listener, limits func() budgeter.Limits, opts ...acceptor.Option) *acceptor.Acceptor {
 	budget := budgeter.New(limits())
 	h.meter.Gauge(`primrosespar_connections{port="`+port+`"}`, func() float64 {
 		connections, _ := budget.Usage()
@@ -132,13 +135,22 @@
 	guarded := acceptor.New(listener, budget, h.clock, append(opts,
 		acceptor.WithLimits(limits),
 		acceptor.WithOnCuts(func(cuts map[budgeter.Reason]int) { h.logCuts(port, cuts) }))...)
-	wg.Go(func() { guarded.Run(ctx) })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ports = append(h.ports, guarded)
 	return guarded
 }
 
 // guardPeers returns the listener for other hosts with a budget.
-func (h *fleetHost) guardPeers(ctx context.Context, wg *conc.WaitGroup, listener net.Listener) net.Listener {
-	return h.guard(ctx, wg, peersPort, listener, h.peerLimits)
+func (h *fleetHost) guardPeers(listener net.Listener) net.Listener {
+	return h.guard(peersPort, listener, h.peerLimits)
+}
+
+// guardedPorts returns the ports with a budget.
+func (h *fleetHost) guardedPorts() []*acceptor.Acceptor {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.ports)
 }
 
 // socketShare returns the share of the host's sockets.
@@ -156,7 +168,7 @@
 		Bytes:       int64(callersMemoryShare * float64(h.settings.Memory)),
 		HeadBytes:   cmp.Or(operator.HeadBytes, defaultHeadBytes),
 		HeadTimeout: cmp.Or(operator.HeadTimeout, defaultHeadTimeout),
-		BodyTimeout: bodyTimeout,
+		BodyTimeout: bodyTimeout, AnswerTimeout: answerTimeout,
 		IdleTimeout: cmp.Or(operator.IdleTimeout, defaultIdleTimeout) + idleMargin,
 	}
 }
@@ -177,7 +189,7 @@
 		Connections: h.socketShare(peersSocketShare),
 		Bytes:       int64(peersMemoryShare * float64(h.settings.Memory)),
 		HeadBytes:   cmp.Or(h.operatorLimits().BodyBytes, defaultBodyBytes) + messageMargin,
-		HeadTimeout: messageTimeout,
+		HeadTimeout: messageTimeout, AnswerTimeout: answerTimeout,
 	}
 }
 
@@ -186,7 +198,7 @@
 func probeLimits() budgeter.Limits {
 	return budgeter.Limits{
 		Connections: probeConnections, Bytes: probeBytes, HeadBytes: defaultHeadBytes,
-		HeadTimeout: defaultHeadTimeout, BodyTimeout: bodyTimeout, IdleTimeout: defaultIdleTimeout,
+		HeadTimeout: defaultHeadTimeout, BodyTimeout: bodyTimeout, IdleTimeout: defaultIdleTimeout, AnswerTimeout: answerTimeout,
 	}
 }
 
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -35,6 +35,9 @@
 	// stopped for it even though its urgent job is late. A guarantee has to be
 	// provided within about 3 s.
 	reclaimTime = 4 * time.Second
+	// firstReportsWait is how long a new holder waits for the first reports of
+	// workers before it stops work to make room that they may have.
+	firstReportsWait = time.Second
 	// maxReclaims limits the number of units that other work is stopped for in
 	// one plan.
 	maxReclaims = 8
@@ -110,6 +113,9 @@
 	JobMemory int64
 	// Accepts reports whether work may be started at the workers of a place now.
 	Accepts func(primrosespar.Place) bool
+	// MayStart reports whether starts may leave now; otherwise they are tried
+	// again.
+	MayStart func() bool
 	// Accountant adds up the work that is lost.
 	Accountant *accountant.Accountant
 	// AssessWorkers makes workers that lately finished what they got preferred.
@@ -184,6 +190,7 @@
 		LeaseExpiry:   func(primrosespar.Worker) time.Time { return time.Time{} },
 		Accountant:    accountant.New(),
 		Accepts:       func(primrosespar.Place) bool { return true },
+		MayStart:      func() bool { return true },
 
 		AssessWorkers: true,
 	}
