Read the token of the lease without a race

Token is an atomic value now; go test -race -count=4 ./internal/fleet/daemon ./internal/fleet/committer passes.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -89,8 +89,10 @@
 	opts     Options
 	// lease is the lease row as this process last wrote it.
 	lease Holder
-	// version is the version of the lease row, for Version.
+	// version is the version of the lease row, for Version, and token that of the
+	// lease, for Token.
 	version atomic.Uint64
+	token   atomic.Uint64
 	// confirmed is when the last confirmed commit was sent, for ConfirmedAt and
 	// Unconfirmed.
 	confirmed atomic.Pointer[primrosespar.Instant]
@@ -172,8 +174,8 @@
 // the host, that one is gone.
 func (c *Committer) IsOwn(row Holder) bool { return row.Host == c.identity.Host }
 
-// Token returns the token of the lease.
-func (c *Committer) Token() primrosespar.Token { return c.lease.Token }
+// Token returns the token of the lease. It may be called at any time.
+func (c *Committer) Token() primrosespar.Token { return primrosespar.Token(c.token.Load()) }
 
 // Version returns the version of the lease row that this process wrote last. It
 // may be called at any time.
@@ -219,6 +221,7 @@
 // or later.
 func (c *Committer) setLease(lease Holder, sentAt primrosespar.Instant) {
 	c.lease = lease
+	c.token.Store(uint64(lease.Token))
 	c.version.Store(uint64(lease.Version))
 	c.confirmed.Store(&sentAt)
 }
