Rank a step without looking up maps and without powers

Ranking each waiting step in each plan looked up the use of its account and its queue by name and took a power. Both uses are kept with the job where they are counted, work within a guarantee needs no loss, and the priority divides.

--- a/internal/fleet/ranker/ranker.go
+++ b/internal/fleet/ranker/ranker.go
@@ -38,6 +38,8 @@
 	// enough that a job about to lose its value comes before one of the next
 	// higher priority that can wait.
 	DefaultPriorityRatio = 2.0
+	// maxPriority is the lowest priority that is told from those below it.
+	maxPriority = 32
 	// worthlessFactor times its objective is the last time at which a job has
 	// any value.
 	worthlessFactor = 3
@@ -133,7 +135,9 @@
 			p.band = guaranteedBand
 		}
 	}
-	p.loss = r.loss(w, untilLate, untilWorthless, now)
+	if p.band != guaranteedBand {
+		p.loss = r.loss(w, untilLate, untilWorthless, now)
+	}
 	return p
 }
 
@@ -144,7 +148,10 @@
 		share = (1-lateShare)*imminence(untilLate, w.Remaining) + lateShare*imminence(untilWorthless, w.Remaining)
 	}
 	share += aging(now.Sub(w.Since).Seconds()/max(1, w.Objective.Seconds()), untilWorthless < 0 && !w.LongRunning)
-	value := share * math.Pow(r.priorityRatio, -float64(w.Priority))
+	value := share
+	for range min(w.Priority, maxPriority) {
+		value /= r.priorityRatio
+	}
 	// A larger job is worth more to its caller than a small one, but less than in
 	// proportion to its room.
 	return value / (math.Sqrt(max(1, w.Room)) * (1 + w.AccountUse) * (1 + queueWeight*w.QueueUse))
--- a/internal/fleet/scheduler/jobs.go
+++ b/internal/fleet/scheduler/jobs.go
@@ -27,6 +27,9 @@
 	termsCatalog *primrosespar.Catalog
 	// memberCount counts the members on workers.
 	memberCount int
+	// accountUse and queueUse are what its account and queue use, relative to
+	// what they are entitled to, when that was last counted.
+	accountUse, queueUse float64
 	// waitingUnits counts the units in the phase Waiting.
 	waitingUnits      int
 	dirty             bool
--- a/internal/fleet/scheduler/ranking.go
+++ b/internal/fleet/scheduler/ranking.go
@@ -19,7 +19,7 @@
 		Priority: terms.Priority, Since: since, LongRunning: st.spec.LongRunning,
 		Objective: time.Duration(terms.Slack*float64(o.criticalPaths[0])) + terms.Target,
 		Remaining: o.criticalPaths[st.index], Room: st.waitingRoom(),
-		AccountUse: s.accountUse[account], QueueUse: s.queueUse[o.job.submission.Queue],
+		AccountUse: o.job.accountUse, QueueUse: o.job.queueUse,
 	}
 	if terms.Priority == 0 {
 		need := st.unitSize() * st.spec.Need.Accelerators
@@ -67,6 +67,9 @@
 	for queue, use := range s.queueUse {
 		s.queueUse[queue] = use / max(1, float64(total)/float64(len(s.queueUse)))
 	}
+	for _, j := range s.liveJobs {
+		j.accountUse, j.queueUse = s.accountUse[j.submission.Account], s.queueUse[j.submission.Queue]
+	}
 }
 
 // hold keeps the accelerators that a blocked gang waits for from the work after
