--- a/names_test.go
+++ b/names_test.go
@@ -132,6 +132,14 @@
 	require.Contains(t, string(data), `"losses":[{"cause":"moved","runs":1,"core_seconds":2}]`)
 }
 
+// TestWaitsKeepTheirNames guards against a renamed field of the answer to what a
+// job waits for.
+func TestWaitsKeepTheirNames(t *testing.T) {
+	data, err := json.Marshal(primrosespar.StepView{Order: "3 of 12", Reason: "no room"})
+	require.NoError(t, err)
+	require.JSONEq(t, `{"occurrence":0,"step":0,"tasks":0,"done":0,"running":0,"failed_runs":0,"crashes":0,"order":"3 of 12","reason":"no room"}`, string(data))
+}
+
 // TestRowsKeepTheirNames guards against a renamed Go field that changes the
 // encoding of a stored row, so that a new version cannot read what an earlier
 // one wrote.
