Act on a call without a meaning in its body once all of it has come

DELETE, GET and the calls that empty places did not read a body, so that the budget of connections took them for requests that still come: one could be refused as not run while it took effect, and it had no place among the requests at work.

--- a/internal/fleet/emptier/emptier.go
+++ b/internal/fleet/emptier/emptier.go
@@ -14,6 +14,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -28,6 +30,9 @@
 // answerTimeout bounds the time that the store may take.
 const answerTimeout = 5 * time.Second
 
+// maxBody bounds the body of a call in bytes, which needs none.
+const maxBody = 4096
+
 // Emptier handles the HTTP requests of operators.
 type Emptier struct {
 	service primrosespar.EvacuationService
@@ -54,6 +59,10 @@
 		ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
 		defer cancel()
 		evacuation, err := primrosespar.Evacuation{}, e.authorize(r)
+		if err == nil {
+			// A call that has not come completely may still be refused.
+			err = discard(http.MaxBytesReader(w, r.Body, maxBody))
+		}
 		if err == nil {
 			evacuation, err = change(ctx, primrosespar.Place(params.ByName("place")))
 		}
@@ -65,6 +74,16 @@
 	}
 }
 
+// discard reads a body that has no meaning to its end.
+func discard(body io.Reader) error {
+	_, err := io.Copy(io.Discard, body)
+	var failure *primrosespar.Failure
+	if err == nil || errors.As(err, &failure) {
+		return err
+	}
+	return primrosespar.Fail(primrosespar.CodeBadRequest, "cannot read the request body").WithCause(err)
+}
+
 // authorize returns nil if the call has the token of an operator.
 func (e *Emptier) authorize(r *http.Request) error {
 	if e.authorizer == nil {
