Keep a connection at work until its answer is written

The handler of a small answer returns before the server writes it. The connection counted as answered in between, so that a shortage could cut a client whose job was stored. Found in review, by reading; the decision of the budget is unchanged.

--- a/internal/entry/acceptor/request.go
+++ b/internal/entry/acceptor/request.go
@@ -171,9 +171,9 @@
 	if r.working {
 		r.conn.acceptor.requests.release()
 	}
-	if r.whole {
-		r.conn.enter(budgeter.Answer)
-	} else {
+	// The answer to a request at work may not have left the buffers of the server
+	// yet, so that the connection stays at work until it is written.
+	if !r.whole {
 		r.conn.enter(budgeter.Drain)
 	}
 }
