--- a/internal/fleet/inspector/comparison.go
+++ b/internal/fleet/inspector/comparison.go
@@ -23,30 +23,37 @@
 		r.fail("version_not_newer", "version", "The version %d is not above %d, the one in force.", draft.Version, inForce.Version)
 	}
 	compareEntries(r, inForce.Queues, draft.Queues, "queue",
+		func(q primrosespar.QueueTerms) string { return string(q.Queue) },
 		func(q primrosespar.QueueTerms) string { return queueEntry(q.Queue) }, compareQueues)
 	compareEntries(r, inForce.Services, draft.Services, "service",
-		serviceEntry, func(*report, primrosespar.Service, primrosespar.Service) {})
+		func(s primrosespar.Service) string { return string(s) }, serviceEntry, func(*report, primrosespar.Service, primrosespar.Service) {})
 	compareEntries(r, inForce.Accounts, draft.Accounts, "account",
+		func(a primrosespar.AccountDraft) string { return string(a.Account) },
 		func(a primrosespar.AccountDraft) string { return accountEntry(a.Account) }, compareAccounts)
 	compareLimits(r, inForce.Limits, draft.Limits)
 	return r.findings
 }
 
 // compareEntries compares two lists of entries, which are matched by their
-// names.
-func compareEntries[T any](r *report, before, after []T, sort string, entry func(T) string, compare func(*report, T, T)) {
-	find := func(list []T, wanted T) int {
-		return slices.IndexFunc(list, func(other T) bool { return entry(other) == entry(wanted) })
+// names. An entry may be shown with a part of a long name.
+func compareEntries[T any](r *report, before, after []T, sort string, name, entry func(T) string, compare func(*report, T, T)) {
+	byName := func(list []T) map[string]T {
+		entries := make(map[string]T, len(list))
+		for _, e := range list {
+			entries[name(e)] = e
+		}
+		return entries
 	}
+	earlier, later := byName(before), byName(after)
 	for _, old := range before {
-		if index := find(after, old); index >= 0 {
-			compare(r, old, after[index])
+		if replacement, stays := later[name(old)]; stays {
+			compare(r, old, replacement)
 		} else {
 			r.change(sort+"_removed", entry(old), "The %s is removed.", sort)
 		}
 	}
 	for _, added := range after {
-		if find(before, added) < 0 {
+		if _, known := earlier[name(added)]; !known {
 			r.change(sort+"_added", entry(added), "The %s is added.", sort)
 		}
 	}
