Give up calls whose callers have gone, and let no probe keep others out

Calls with an unknown outcome were held beyond the limits of what a host holds.

TestCallersThatHaveGoneAreGivenUp does not end without the change, TestSlowProbeDoesNotKeepOthersOut fails without it.

--- a/internal/fleet/controller/jobs.go
+++ b/internal/fleet/controller/jobs.go
@@ -155,6 +155,9 @@
 // runInLoop runs f on the loop and waits for its reply. If the context or the
 // term ends first, the outcome is unknown.
 func (c *Controller) runInLoop(ctx context.Context, f func(reply func(error))) error {
+	if ctx.Err() != nil {
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the caller has gone")
+	}
 	result := make(chan error, 1)
 	reply := func(err error) { result <- err }
 	if !c.enqueue(func() { f(reply) }) {
--- a/internal/fleet/postponer/postponer.go
+++ b/internal/fleet/postponer/postponer.go
@@ -110,7 +110,7 @@
 // Decide decides on a call.
 func (p *Postponer) Decide(call Call, outage Outage) Decision {
 	d := Decision{RetryAfter: retryAfter(call, outage)}
-	if outage.Held >= p.opts.MaxHeld || outage.HeldBytes+call.Bytes > p.opts.MaxHeldBytes {
+	if !p.HasRoom(call, outage) {
 		return d
 	}
 	d.Hold = max(0, p.opts.BriefOutage-outage.Age)
@@ -121,6 +121,11 @@
 	return d
 }
 
+// HasRoom reports whether the call may be held beside those that are held.
+func (p *Postponer) HasRoom(call Call, outage Outage) bool {
+	return outage.Held < p.opts.MaxHeld && outage.HeldBytes+call.Bytes <= p.opts.MaxHeldBytes
+}
+
 // retryAfter returns when the caller has to come back: after half of the
 // outage's age or more, the urgent ones first, but soon enough for further
 // attempts.
--- a/internal/fleet/submitter/changing.go
+++ b/internal/fleet/submitter/changing.go
@@ -37,10 +37,15 @@
 			return withUnknownOutcome(err, outcomeUnknown && code != primrosespar.CodeForbidden)
 		}
 		outcomeUnknown = outcomeUnknown || code == primrosespar.CodeOutcomeUnknown
+		if ctx.Err() != nil {
+			// The caller has gone or its time is over.
+			return withUnknownOutcome(err, outcomeUnknown)
+		}
 		call.Remaining = s.remaining(ctx) - attemptMargin
 		age, held, heldBytes := s.gate.outage()
-		d := s.postponer.Decide(call, postponer.Outage{Age: age, Held: held, HeldBytes: heldBytes})
-		if outcomeUnknown {
+		outage := postponer.Outage{Age: age, Held: held, HeldBytes: heldBytes}
+		d := s.postponer.Decide(call, outage)
+		if outcomeUnknown && s.postponer.HasRoom(call, outage) {
 			d.Hold = call.Remaining
 		}
 		if d.Hold <= 0 {
@@ -84,6 +89,9 @@
 
 // tryChange makes one attempt, if the gate lets it.
 func (s *Submitter) tryChange(ctx context.Context, c change) (err error) {
+	if ctx.Err() != nil {
+		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "the caller has gone")
+	}
 	probe, ok := s.gate.enter()
 	if !ok {
 		return primrosespar.Fail(primrosespar.CodeStoreUnavailable, "another call tries whether there is service")
--- a/internal/fleet/submitter/gate.go
+++ b/internal/fleet/submitter/gate.go
@@ -18,6 +18,9 @@
 	// acceptTime is after how long a holder that has not refused a change is
 	// taken to store it. The other calls go into the same commit then.
 	acceptTime = 150 * time.Millisecond
+	// maxProbeTime is how long a call that tries may take before another one
+	// tries as well.
+	maxProbeTime = time.Second
 )
 
 // gate keeps calls from a service that does not answer. While it is closed, one
@@ -49,7 +52,7 @@
 		return false, true
 	}
 	now := g.clock.Now()
-	if g.probing {
+	if g.probing && now.Sub(g.probedAt) < maxProbeTime {
 		return false, !g.sentAt.IsZero() && now.Sub(g.sentAt) >= acceptTime
 	}
 	if now.Sub(g.probedAt) < probeInterval {
@@ -66,7 +69,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if probe {
-		g.probing, g.probedAt, g.sentAt = false, g.clock.Now(), time.Time{}
+		g.probing, g.sentAt = false, time.Time{}
+		if served || unserved {
+			g.probedAt = g.clock.Now()
+		}
 	}
 	switch {
 	case served && g.opened != nil:
--- a/internal/fleet/submitter/outage_test.go
+++ b/internal/fleet/submitter/outage_test.go
@@ -303,3 +303,56 @@
 		require.Equal(t, int64(1), s.calls.Load())
 	})
 }
+
+// TestCallersThatHaveGoneAreGivenUp guards against calls of clients that have
+// disconnected: they are tried again and again until their deadlines, and keep
+// the others from finding out that there is service again.
+func TestCallersThatHaveGoneAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		silent := func(ctx context.Context) error {
+			<-ctx.Done()
+			return primrosespar.FailUnknown(primrosespar.CodeOutcomeUnknown, "no answer")
+		}
+		s.holder.Store(&silent)
+		var tasks sync.WaitGroup
+		for i := range 5 {
+			tasks.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				time.AfterFunc(50*time.Millisecond, cancel)
+				err := s.jobs.Submit(ctx, primrosespar.Submission{ID: primrosespar.JobID(fmt.Sprint("gone", i)), Queue: "q"})
+				require.Equal(t, primrosespar.CodeOutcomeUnknown, primrosespar.CodeOf(err))
+			})
+		}
+		started := time.Now()
+		tasks.Wait()
+		require.Less(t, time.Since(started), time.Second)
+		require.LessOrEqual(t, s.calls.Load(), int64(5))
+		healthy := func(context.Context) error { return nil }
+		s.holder.Store(&healthy)
+		require.NoError(t, s.jobs.Submit(t.Context(), primrosespar.Submission{ID: "a", Queue: "q"}))
+	})
+}
+
+// TestSlowProbeDoesNotKeepOthersOut guards against a call that tries for a long
+// time, on a connection that has gone silent, while there is service again.
+func TestSlowProbeDoesNotKeepOthersOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.silent.Store(true)
+		refused := primrosespar.Submission{ID: "a", Queue: "q"}
+		require.Error(t, s.jobs.Submit(t.Context(), refused))
+		time.Sleep(time.Second)
+		var tasks sync.WaitGroup
+		tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			_ = s.jobs.Cancel(ctx, primrosespar.JobRequest{Job: "b", Queue: "q"})
+		})
+		time.Sleep(10 * time.Millisecond)
+		s.silent.Store(false)
+		time.Sleep(1100 * time.Millisecond)
+		require.NoError(t, s.jobs.Submit(t.Context(), refused))
+		tasks.Wait()
+	})
+}
