End the offer of a lease with its term

A lost term waited up to 0.5 s for a successor that it had asked, and a request to take over that reached a host which led was kept until its own term had ended. Found in review, by reading.

--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -391,7 +391,9 @@
 	var watchers conc.WaitGroup
 	defer watchers.Wait()
 	defer close(ended)
-	watchers.Go(func() { d.offerLease(ctx, ended) })
+	offerCtx, stopOffer := context.WithCancel(ctx)
+	defer stopOffer()
+	watchers.Go(func() { d.offerLease(offerCtx, ended) })
 	watchers.Go(func() {
 		select {
 		case <-ended:
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -325,7 +325,7 @@
 	e.mu.Lock()
 	// The acquisition proves that this version of the row was the last one.
 	earlierCommitAt := e.versionSeenAt
-	e.leading, e.stopTerm, e.watching = true, stopTerm, false
+	e.leading, e.stopTerm, e.watching, e.asked = true, stopTerm, false, false
 	e.peers, e.successionAt = map[netip.AddrPort]peer{}, time.Time{}
 	e.mu.Unlock()
 	self := e.parts.OwnHeartbeat()
@@ -334,7 +334,7 @@
 		defer stopTerm()
 		err := e.parts.Lead(termCtx, earlierCommitAt)
 		e.mu.Lock()
-		e.leading, e.holderKnown = false, false
+		e.leading, e.holderKnown, e.asked = false, false, false
 		e.mu.Unlock()
 		e.parts.OnChange("", 0, "term ended: "+err.Error())
 		e.Wake()
