Reject no job as impossible after a worker has changed

A worker may come back as another kind, or with less room, for a while. Only the number of workers had to be the same in ten lists; now their capacity and labels have to be, too. TestNothingIsRejectedAfterAWorkerHasChanged fails without the change; found in review.

--- a/internal/fleet/admitter/admitter.go
+++ b/internal/fleet/admitter/admitter.go
@@ -6,8 +6,8 @@
 //
 // Only what is certain is rejected. Workers may be away for a while, so nothing
 // is rejected while the service has fewer workers than it had before or until
-// their number has been the same in settledLists lists, nor a repeated job, which
-// runs later. A job that is merely expected to be late is
+// they have been the same in settledLists lists, nor a repeated job, which runs
+// later. A job that is merely expected to be late is
 // not rejected: it earns its late value, or nothing, as a rejected one would, and
 // docs/design/admission.md has what was measured.
 //
@@ -19,7 +19,9 @@
 package admitter
 
 import (
+	"maps"
 	"slices"
+	"strings"
 
 	"primrosespar.example/primrosespar"
 )
@@ -40,6 +42,14 @@
 	workers []primrosespar.WorkerInfo
 	most    int
 	lists   int
+	// shapes are what the workers of the last list had, by name.
+	shapes map[primrosespar.Worker]shape
+}
+
+// shape is what decides which tasks fit on an empty worker.
+type shape struct {
+	capacity primrosespar.Resources
+	labels   string
 }
 
 // New returns an Admitter that knows no workers.
@@ -59,14 +69,25 @@
 		s.workers = append(s.workers, w)
 	}
 	for _, s := range a.services {
-		if len(s.workers) != s.most {
+		shapes := shapesOf(s.workers)
+		if !maps.Equal(shapes, s.shapes) {
 			s.lists = 0
 		}
+		s.shapes = shapes
 		s.most = max(s.most, len(s.workers))
 		s.lists++
 	}
 }
 
+// shapesOf returns the shapes of the workers.
+func shapesOf(workers []primrosespar.WorkerInfo) map[primrosespar.Worker]shape {
+	shapes := make(map[primrosespar.Worker]shape, len(workers))
+	for i := range workers {
+		shapes[workers[i].Worker] = shape{workers[i].Capacity, strings.Join(workers[i].Labels, "\x00")}
+	}
+	return shapes
+}
+
 // Check returns CodeImpossibleShape if no worker of the service could ever hold
 // a task of the job, or all of them together not a gang of it.
 func (a *Admitter) Check(job primrosespar.Submission, name primrosespar.Service) error {
--- a/internal/fleet/admitter/admitter_test.go
+++ b/internal/fleet/admitter/admitter_test.go
@@ -87,3 +87,19 @@
 	observe(a, 4)
 	require.Error(t, a.Check(large, "pool"))
 }
+
+// TestNothingIsRejectedAfterAWorkerHasChanged guards against a job that is
+// rejected because a worker came back as another kind for a while.
+func TestNothingIsRejectedAfterAWorkerHasChanged(t *testing.T) {
+	a := admitter.New()
+	observe(a, 4)
+	near := primrosespar.Submission{Steps: []primrosespar.Step{{Count: 1, Label: "near"}}}
+	changed := workers(4)
+	changed[0].Labels = nil
+	a.Observe(changed)
+	require.NoError(t, a.Check(near, "pool"))
+	for range 10 {
+		a.Observe(changed)
+	}
+	require.Error(t, a.Check(near, "pool"))
+}
