Let urgent work and gangs use all room of cold workers

It applies to single tasks that are not urgent now. TestUrgentWorkDoesNotWaitForWarmWorkers fails without the change; found in review.

--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -96,7 +96,11 @@
 			continue
 		}
 		free := w.freeFor(u)
-		if n := w.warming.limit(w.roomUpTo(u, free, limit)); n > 0 {
+		n := w.roomUpTo(u, free, limit)
+		if s.yieldsToCold(u) {
+			n = w.warming.limit(n)
+		}
+		if n > 0 {
 			candidates = append(candidates, candidate{w, n, free})
 		}
 	}
--- a/internal/fleet/scheduler/warming.go
+++ b/internal/fleet/scheduler/warming.go
@@ -83,3 +83,10 @@
 	}
 	return 0
 }
+
+// yieldsToCold reports whether the unit keeps to the starts that cold workers
+// take. An urgent unit has to be provided for at once, and a gang would wait
+// until all workers that it needs are warm.
+func (s *Scheduler) yieldsToCold(u *unit) bool {
+	return u.size == 1 && s.terms(u.step.occurrence.job).Priority > 0
+}
--- a/internal/fleet/scheduler/warming_test.go
+++ b/internal/fleet/scheduler/warming_test.go
@@ -53,3 +53,14 @@
 	h.now = h.now.Add(9 * time.Second)
 	require.Len(t, h.plan().Starts, 2*4, "an announcement that is read again does not make them cold again")
 }
+
+// TestUrgentWorkDoesNotWaitForWarmWorkers guards against urgent work within a
+// guarantee that waits until cold workers take its starts one by one, and a gang
+// that waits until all of them are warm.
+func TestUrgentWorkDoesNotWaitForWarmWorkers(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		h := newColdHarness(t, 1)
+		require.Len(t, h.submitAndStart(job("warm", "plain", primrosespar.Step{Count: 2, Need: needAccelerators(8), Gang: true})), 2)
+		require.Len(t, h.submitAndStart(job("a", "urgent", primrosespar.Step{Count: 8, Need: needAccelerators(1), Gang: gang})), 8, "gang %t", gang)
+	}
+}
