Check the place of a worker right before a start order leaves

The last check looked only at the age of what is known of evacuations; a start that waited behind others left if the plan that withdraws it was late. Found in review, by reading; TestNoStartLeavesForAnEmptiedPlace.

--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -148,6 +148,17 @@
 	return e.places[place] == 0
 }
 
+// CheckStartAt is CheckStart for a worker of the place, which must not be emptied.
+func (e *Evacuator) CheckStartAt(place primrosespar.Place, now primrosespar.Instant) error {
+	if err := e.CheckStart(now); err != nil {
+		return err
+	}
+	if !e.Accepts(place) {
+		return primrosespar.Fail(primrosespar.CodeWorkerLate, "place %s is being emptied", place)
+	}
+	return nil
+}
+
 // CheckStart returns why no start order may leave at the time now, or nil. It
 // fails with CodeWorkerLate, after which the start may be tried again.
 func (e *Evacuator) CheckStart(now primrosespar.Instant) error {
--- a/internal/fleet/evacuator/evacuator_test.go
+++ b/internal/fleet/evacuator/evacuator_test.go
@@ -81,3 +81,13 @@
 	e.Set(nil, at(2))
 	require.True(t, e.Accepts("a"))
 }
+
+// TestNoStartLeavesForAnEmptiedPlace guards against orders that wait in a queue
+// when a place is emptied.
+func TestNoStartLeavesForAnEmptiedPlace(t *testing.T) {
+	e := evacuator.New(bound)
+	e.Set(request("a", 1), at(0))
+	require.Equal(t, primrosespar.CodeWorkerLate, primrosespar.CodeOf(e.CheckStartAt("a", at(0))))
+	require.NoError(t, e.CheckStartAt("b", at(0)))
+	require.Error(t, e.CheckStartAt("b", at(e.MaxAge()+1)))
+}
