Blame no worker for starts that did not leave, guard a division

Starts that were withheld by this host counted as unanswered by the worker, so that many sound workers were set aside after an outage; and a run whose percent had fallen made the estimate of its rest infinite.

--- a/internal/fleet/pacer/pacer.go
+++ b/internal/fleet/pacer/pacer.go
@@ -163,7 +163,11 @@
 		return 0, false
 	}
 	// The next percent may be almost reached.
-	fastest := float64(worked) / (p.percent + 1 - percent)
+	advanced := p.percent + 1 - percent
+	if advanced <= 0 {
+		return 0, false
+	}
+	fastest := float64(worked) / advanced
 	left := time.Duration(fastest * max(0, percents-1-p.percent))
 	return left - now.Sub(p.observedAt), true
 }
--- a/internal/fleet/scheduler/members.go
+++ b/internal/fleet/scheduler/members.go
@@ -218,8 +218,10 @@
 			m.unit.step.occurrence.job.started = true
 		}
 	case primrosespar.CodeWorkerLost, primrosespar.CodeWorkerLate:
-		m.unanswered = m.unanswered || code == primrosespar.CodeWorkerLost
-		s.observeOutcome(m.worker, assessor.Unanswered, 1, now)
+		if code == primrosespar.CodeWorkerLost {
+			m.unanswered = true
+			s.observeOutcome(m.worker, assessor.Unanswered, 1, now)
+		}
 		m.retryAt = now.Add(orderRetryDelay)
 	default:
 		s.handleRefusal(m, code, now)
