--- a/internal/entry/acceptor/request.go
+++ b/internal/entry/acceptor/request.go
@@ -112,6 +112,8 @@
 	}
 	if errors.Is(err, io.EOF) && !r.whole {
 		r.whole = true
+		// The buffer of the body does not grow any more.
+		r.charge(-r.charged / bodyCost)
 		if !r.conn.enter(budgeter.Queue) {
 			return 0, r.refusal(budgeter.ShortOfMemory)
 		}
@@ -169,9 +171,9 @@
 	if r.working {
 		r.conn.acceptor.requests.release()
 	}
-	if r.whole {
-		r.conn.enter(budgeter.Answer)
-	} else {
+	// The answer to a request at work may not have left the buffers of the server
+	// yet, so that the connection stays at work until it is written.
+	if !r.whole {
 		r.conn.enter(budgeter.Drain)
 	}
 }
