--- a/internal/fleet/submitter/changing.go
+++ b/internal/fleet/submitter/changing.go
@@ -43,12 +43,15 @@
 		}
 		call.Remaining = s.remaining(ctx) - attemptMargin
 		age, held, heldBytes := s.gate.outage()
-		outage := postponer.Outage{Age: age, Held: held, HeldBytes: heldBytes}
-		d := s.postponer.Decide(call, outage)
-		if outcomeUnknown && s.postponer.HasRoom(call, outage) {
+		d := s.postponer.Decide(call, postponer.Outage{Age: age, Held: held, HeldBytes: heldBytes})
+		if outcomeUnknown {
 			d.Hold = call.Remaining
 		}
-		if d.Hold <= 0 {
+		// Other calls may have taken the last room since the decision.
+		hasRoom := func(held int, heldBytes int64) bool {
+			return s.postponer.HasRoom(call, postponer.Outage{Held: held, HeldBytes: heldBytes})
+		}
+		if d.Hold <= 0 || !s.gate.reserve(call.Bytes, hasRoom) {
 			refusal := primrosespar.Fail(primrosespar.CodeStoreUnavailable, "no service for %s", age.Round(time.Millisecond))
 			return withUnknownOutcome(refusal.WithRetryAfter(d.RetryAfter).WithCause(err), outcomeUnknown)
 		}
--- a/internal/fleet/submitter/gate.go
+++ b/internal/fleet/submitter/gate.go
@@ -69,10 +69,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if probe {
-		g.probing, g.sentAt = false, time.Time{}
-		if served || unserved {
-			g.probedAt = g.clock.Now()
-		}
+		g.probing, g.probedAt, g.sentAt = false, g.clock.Now(), time.Time{}
 	}
 	switch {
 	case served && g.opened != nil:
@@ -112,12 +109,24 @@
 	return age, g.held, g.heldBytes
 }
 
-// hold waits until the gate opens or the next attempt is due, at most for d.
-func (g *gate) hold(ctx context.Context, d time.Duration, bytes int64) {
+// reserve takes room for a call to be held if there is room beside what is held,
+// which hold gives back.
+func (g *gate) reserve(bytes int64, hasRoom func(held int, heldBytes int64) bool) bool {
 	g.mu.Lock()
-	opened := g.opened
+	defer g.mu.Unlock()
+	if !hasRoom(g.held, g.heldBytes) {
+		return false
+	}
 	g.held++
 	g.heldBytes += bytes
+	return true
+}
+
+// hold waits until the gate opens or the next attempt is due, at most for d. Its
+// room has been reserved.
+func (g *gate) hold(ctx context.Context, d time.Duration, bytes int64) {
+	g.mu.Lock()
+	opened := g.opened
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
