--- a/review/_plant/advice.go
+++ b/review/_plant/advice.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -108,22 +107,10 @@
 	if err != nil {
 		return err
 	}
-	body, err := json.Marshal(map[string]any{
+	return p.writeRows(map[string]any{
 		"precondition": []any{}, "remove": []any{},
 		"puts": []any{map[string]any{"table": "op", "part": "", "key": "config", "value": config}},
 	})
-	if err != nil {
-		return err
-	}
-	resp, err := http.Post("http://"+p.fleet.StoreAddress().String()+"/rows-tx", "application/json", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("the store refused the configuration: %d", resp.StatusCode)
-	}
-	return nil
 }
 
 // playAdvice plays a large job on a queue whose work needs advice.
--- a/review/_plant/cases.go
+++ b/review/_plant/cases.go
@@ -83,147 +83,140 @@
 // running for 3 s on end, or nothing.
 func (p *play) watchWithoutRun(task string, delay, during time.Duration) string {
 	time.Sleep(delay)
-	var since time.Time
-	longest := time.Duration(0)
-	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		switch {
-		case p.fleet.TimeAtWork(task) > 0 || p.fleet.Succeeded(task):
-			since = time.Time{}
-		case since.IsZero():
-			since = time.Now()
-		default:
-			longest = max(longest, time.Since(since))
-		}
-	}
-	p.note("check: from %v after the trouble, task %s had no run for %v at most", delay, task, longest.Round(10*time.Millisecond))
+	longest := longestWithout(during, func() bool { return p.fleet.TimeAtWork(task) > 0 || p.fleet.Succeeded(task) })
+	p.note("check: from %v after the trouble, task %s had no run for %v at most", delay, task, longest)
 	if longest < 3*time.Second {
 		return ""
 	}
-	return fmt.Sprintf("LOST: task %s had no run for %v", task, longest.Round(10*time.Millisecond))
+	return fmt.Sprintf("LOST: task %s had no run for %v", task, longest)
 }
 
 // playFull plays a task that lasts, in a service that is full of longer work, whose
 // worker is lost for good.
 func playFull(p *play) (string, error) {
-	const lasting = "5c0e7a21d94b36f8"
-	const workers, accelerators = 8, 64
-	if err := p.start(workers, 2); err != nil {
+	const lasting, filling = "5c0e7a21d94b36f8", "00000000000000b1"
+	const workers = 8
+	if err := p.start(0, 2); err != nil {
 		return "", err
 	}
+	if err := p.startWorkers(workers); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
 	if err := p.submitAs(standin.OtherAPIKey, standin.PlainPrefix+lasting,
-		`{"spec":"ms=600000","steps":[{"count":1,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":1000,"longRunning":true}]}`); err != nil {
+		`{"spec":"lasting","steps":[{"count":1,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":1000,"longRunning":true}]}`); err != nil {
 		return "", err
 	}
 	time.Sleep(time.Second)
-	const filling = "00000000000000b1"
 	if err := p.submitAs(standin.OtherAPIKey, standin.PlainPrefix+filling,
-		`{"spec":"ms=100000","steps":[{"count":70,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":100000}]}`); err != nil {
+		`{"spec":"100000","steps":[{"count":70,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":100000}]}`); err != nil {
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
-	tasks := map[string]int{lasting: 1, filling: 70}
-	atWork := func() int {
-		n := 0
-		for name, count := range tasks {
-			for i := range count {
-				if p.fleet.TimeAtWork(fmt.Sprintf("%s.0.0.%d", name, i)) > 0 {
-					n++
-				}
-			}
-		}
-		return n
-	}
 	// Urgent work takes what is kept free for it.
-	for i := 0; atWork() < accelerators; i++ {
+	for i := 0; p.atWork("") < workers*accelerators; i++ {
 		if i == 16 {
-			return "", fmt.Errorf("only %d tasks are at work", atWork())
+			return "", fmt.Errorf("only %d tasks are at work", p.atWork(""))
 		}
-		name := fmt.Sprintf("00000000000000c%x", i)
-		if err := p.submit(standin.UrgentPrefix+name, `{"spec":"ms=100000","steps":[{"count":1,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":100000}]}`); err != nil {
+		if err := p.submit(fmt.Sprintf("%s00000000000000c%x", standin.UrgentPrefix, i),
+			`{"spec":"100000","steps":[{"count":1,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":100000}]}`); err != nil {
 			return "", err
 		}
-		tasks[name] = 1
 		time.Sleep(500 * time.Millisecond)
 	}
-	task := lasting + ".0.0.0"
-	if p.fleet.TimeAtWork(task) == 0 {
+	if p.atWork(lasting) == 0 {
 		return "", errors.New("the task that lasts is not at work")
 	}
-	p.note("the service is full: %d tasks are at work on %d accelerators", atWork(), accelerators)
+	p.note("the service is full: %d tasks are at work on %d accelerators", p.atWork(""), workers*accelerators)
 	if p.trouble {
-		i := p.workerOf(task)
-		if i < 0 {
-			return "", errors.New("the worker of the task is not known")
+		if err := p.loseWorkerOf(lasting); err != nil {
+			return "", err
 		}
-		p.lose(i)
 	}
 	// A task that lasts has to run again 6 s after its last run, if 3 s without it
 	// and the 4 s before them are calm.
-	broken := p.watchWithoutRun(task, 6*time.Second, 25*time.Second)
+	time.Sleep(6 * time.Second)
+	longest := longestWithout(25*time.Second, func() bool { return p.atWork(lasting) > 0 })
+	p.note("check: from 6 s after the trouble, the task had no run for %v at most", longest)
 	_, _ = p.callAs(standin.OtherAPIKey, p.hosts[0], http.MethodGet, standin.PlainPrefix+lasting, "")
-	return broken, nil
+	if longest >= 3*time.Second {
+		return fmt.Sprintf("LOST: the task that lasts had no run for %v", longest), nil
+	}
+	return "", nil
 }
 
-// workerOf returns the index of the worker that runs the task, or -1.
-func (p *play) workerOf(task string) int {
-	for _, line := range p.fleet.Record() {
-		if !strings.Contains(line, "task "+task+" run ") || strings.Contains(line, " after ") {
+// loseWorkerOf loses the worker of the job for good, with all that it runs. Its row
+// goes after three of its reports.
+func (p *play) loseWorkerOf(job string) error {
+	for _, w := range p.workers {
+		w.mu.Lock()
+		_, runs := w.runs[job+".0.0.0"]
+		w.mu.Unlock()
+		if !runs {
 			continue
 		}
-		for i, w := range p.fleet.Workers() {
-			if strings.Contains(line, " at "+w.String()) {
-				return i
-			}
-		}
+		p.note("trouble: worker %s crashes and does not come back", w.id)
+		w.lose()
+		time.AfterFunc(4500*time.Millisecond, func() {
+			_ = p.writeRows(map[string]any{
+				"precondition": []any{}, "puts": []any{},
+				"remove": []any{map[string]any{"table": "servers", "part": "", "key": w.id}},
+			})
+		})
+		return nil
 	}
-	return -1
+	return errors.New("the worker of the task is not known")
 }
 
-// lose loses a worker for good, with all that it runs.
-func (p *play) lose(worker int) {
-	w := p.fleet.Workers()[worker]
-	p.note("trouble: %s crashes and does not come back", w)
-	p.setDown(worker, true)
-	w.SetCutOff(true)
-	w.Restart()
+// longestWithout returns for how long on end the condition did not hold at most.
+func longestWithout(during time.Duration, holds func() bool) time.Duration {
+	var since time.Time
+	longest := time.Duration(0)
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		switch {
+		case holds():
+			since = time.Time{}
+		case since.IsZero():
+			since = time.Now()
+		default:
+			longest = max(longest, time.Since(since))
+		}
+	}
+	return longest.Round(10 * time.Millisecond)
 }
 
 // playReclaim plays urgent work within the guarantee of its tenant that comes
 // while tasks of another tenant, which last, use what was idle.
 func playReclaim(p *play) (string, error) {
-	const urgent = "5c0e7a21d94b36f8"
-	if err := p.start(4, 2); err != nil {
+	const urgent, lasting = "5c0e7a21d94b36f8", "00000000000000c1"
+	const workers = 4
+	if err := p.start(0, 2); err != nil {
+		return "", err
+	}
+	if err := p.startWorkers(workers); err != nil {
 		return "", err
 	}
-	if err := p.submitAs(standin.OtherAPIKey, standin.PlainPrefix+"00000000000000c1",
-		`{"spec":"ms=600000","steps":[{"count":40,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":1000,"longRunning":true,"maxUnavailable":1}]}`); err != nil {
+	time.Sleep(3 * time.Second)
+	if err := p.submitAs(standin.OtherAPIKey, standin.PlainPrefix+lasting,
+		`{"spec":"lasting","steps":[{"count":31,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":1000,"longRunning":true,"maxUnavailable":1}]}`); err != nil {
 		return "", err
 	}
 	time.Sleep(10 * time.Second)
-	p.note("%d tasks that last are at work on 32 accelerators", p.fleet.Starts())
+	p.note("%d tasks that last are at work on %d accelerators", p.atWork(lasting), workers*accelerators)
 	tasks := 1
 	if p.trouble {
 		tasks = 8
 	}
 	p.note("urgent work comes for %d of the 8 accelerators that are guaranteed to its tenant", tasks)
-	if err := p.submit(standin.UrgentPrefix+urgent, fmt.Sprintf(`{"spec":"ms=60000","steps":[{"count":%d,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":60000}]}`, tasks)); err != nil {
+	if err := p.submit(standin.UrgentPrefix+urgent, fmt.Sprintf(`{"spec":"60000","steps":[{"count":%d,"cpu":1000,"memMb":256,"gpu":1,"estimateMs":60000}]}`, tasks)); err != nil {
 		return "", err
 	}
 	accepted := time.Now()
-	begun := func() int {
-		n := 0
-		for i := range tasks {
-			if p.fleet.Started(fmt.Sprintf("%s.0.0.%d", urgent, i)) {
-				n++
-			}
-		}
-		return n
-	}
-	all := await(20*time.Second, func() bool { return begun() == tasks })
-	took := time.Since(accepted)
-	p.note("check: %d of %d tasks had begun %v after the acknowledgement", begun(), tasks, took.Round(10*time.Millisecond))
+	all := await(20*time.Second, func() bool { return p.atWork(urgent) == tasks })
+	took := time.Since(accepted).Round(10 * time.Millisecond)
+	p.note("check: %d of %d tasks had begun %v after the acknowledgement", p.atWork(urgent), tasks, took)
 	if !all || took > 3400*time.Millisecond {
-		return fmt.Sprintf("RECLAIM: %d of %d tasks within the guarantee had begun %v after the acknowledgement", begun(), tasks, took.Round(10*time.Millisecond)), nil
+		return fmt.Sprintf("RECLAIM: %d of %d tasks within the guarantee had begun %v after the acknowledgement", p.atWork(urgent), tasks, took), nil
 	}
 	return "", nil
 }
--- a/review/_plant/play.go
+++ b/review/_plant/play.go
@@ -38,6 +38,8 @@
 	dir     string
 	fleet   *standin.Fleet
 	hosts   []*host
+	// workers are those of the cases that don't take the stand-in's.
+	workers []*worker
 	client  *http.Client
 	started time.Time
 	// extraSettings precede the settings of each host.
