--- a/review/_plant/link.go
+++ b/review/_plant/link.go
@@ -32,8 +32,6 @@
 type pair struct {
 	host, worker *net.TCPConn
 	mu           sync.Mutex
-	// sent is what the host sent last.
-	sent []byte
 	// mute keeps the answers of the worker from the host.
 	mute bool
 	// lost is set once a cut has lost something of the connection.
@@ -108,9 +106,6 @@
 		l.mu.Lock()
 		onSent := l.onSent
 		l.mu.Unlock()
-		p.mu.Lock()
-		p.sent = append(p.sent[:0], buffer[:n]...)
-		p.mu.Unlock()
 		if onSent != nil && onSent(p, buffer[:n]) {
 			p.mu.Lock()
 			p.mute = true
@@ -151,13 +146,6 @@
 	}
 }
 
-// lastSent returns what the host sent last on the connection.
-func (p *pair) lastSent() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return string(p.sent)
-}
-
 // setLost records that a cut has lost something of the connection.
 func (p *pair) setLost() {
 	p.mu.Lock()
--- a/review/_plant/worker.go
+++ b/review/_plant/worker.go
@@ -103,13 +103,13 @@
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	var req struct {
-		Task    string  `json:"task"`
-		Run     uint64  `json:"runId"`
-		Spec    string  `json:"spec"`
-		Until   float64 `json:"deadlineMs"`
-		Token   uint64  `json:"fencingToken"`
-		Cursor  uint64  `json:"ackCursor"`
-		Wait    int     `json:"waitMs"`
+		Task   string  `json:"task"`
+		Run    uint64  `json:"runId"`
+		Spec   string  `json:"spec"`
+		Until  float64 `json:"deadlineMs"`
+		Token  uint64  `json:"fencingToken"`
+		Cursor uint64  `json:"ackCursor"`
+		Wait   int     `json:"waitMs"`
 	}
 	if json.NewDecoder(r.Body).Decode(&req) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
