--- a/review/_rig/falsecrash.go
+++ b/review/_rig/falsecrash.go
@@ -14,6 +14,7 @@
 // that kind.
 func falseCrash(w *world, trouble bool) (string, error) {
 	const kills, down, up, troubleTime = 4, 700 * time.Millisecond, 700 * time.Millisecond, 7 * time.Second
+	w.restartDelay = time.Second
 	w.configure()
 	// Three of twenty servers are 15 %.
 	if err := w.addServers(3, "b", room{128_000, 524_288, 8}); err != nil {
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -28,6 +28,8 @@
 	"false-crash":  falseCrash,
 	"large-bodies": largeBodies,
 	"changed-kind": changedKind,
+	"far-gang":     farGang,
+	"born-earlier": bornEarlier,
 }
 
 func main() {
--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -19,6 +19,8 @@
 	works  time.Duration
 	stopAt time.Time
 	room   room
+	gang   int
+	waits  bool
 }
 
 // room is what tasks need and servers have.
@@ -41,15 +43,19 @@
 	kind     string
 	on       bool
 	draining bool
-	born     time.Time
-	lifetime int
-	token    uint64
-	lease    time.Duration
-	runs     map[string]*taskRun
-	highest  map[string]uint64
-	ended    [][]any
-	endCount uint64
-	changed  chan struct{}
+	// born is on the real clock. The time of day of the server is ahead of it by
+	// ahead, and was by aheadAtStart when it started.
+	born         time.Time
+	ahead        time.Duration
+	aheadAtStart time.Duration
+	lifetime     int
+	token        uint64
+	lease        time.Duration
+	runs         map[string]*taskRun
+	highest      map[string]uint64
+	ended        [][]any
+	endCount     uint64
+	changed      chan struct{}
 	// late returns for an order whether it gets no answer and, if so, after what
 	// time it is carried out.
 	late func(path string) (time.Duration, bool)
@@ -62,7 +68,7 @@
 
 func (s *server) powerOn(kind string) {
 	s.mu.Lock()
-	s.kind, s.on, s.draining, s.born = kind, true, false, time.Now()
+	s.kind, s.on, s.draining, s.born, s.aheadAtStart = kind, true, false, time.Now(), s.ahead
 	s.lifetime++
 	s.token, s.lease, s.endCount, s.ended = 0, 0, 0, nil
 	s.runs, s.highest, s.changed = map[string]*taskRun{}, map[string]uint64{}, make(chan struct{})
@@ -81,6 +87,14 @@
 	s.beat()
 }
 
+// setAhead sets by how much the server's time of day is ahead.
+func (s *server) setAhead(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ahead = by
+	s.w.rec("the time of day of server %s is %v ahead", s.id, by)
+}
+
 // setCut cuts the server off from the hosts and the store, or ends that. Calls to
 // it are reset. The store drops its entry after three intervals of silence.
 func (s *server) setCut(cut bool) {
@@ -155,7 +169,7 @@
 	}
 	entry := map[string]any{
 		"service": serviceName, "address": s.address, "zone": s.zone, "version": "1", "slots": 8, "state": state,
-		"coldRemainingMs": 0, "sequence": s.beats, "born": s.born.UnixMilli(), "capacity": s.capacity, "labels": []string{s.kind, s.rack},
+		"coldRemainingMs": 0, "sequence": s.beats, "born": s.born.Add(s.aheadAtStart).UnixMilli(), "capacity": s.capacity, "labels": []string{s.kind, s.rack},
 	}
 	s.mu.Unlock()
 	s.w.store.put("servers", s.id, entry)
@@ -171,7 +185,9 @@
 			s.end(r, "stopped")
 		case lapsed:
 			s.end(r, "lapsed")
-		case now.Sub(r.began) >= r.works:
+		case r.waits && now.Sub(r.began) >= gangTimeout:
+			s.end(r, "alone")
+		case !r.waits && now.Sub(r.began) >= r.works:
 			s.end(r, "done")
 		}
 	}
@@ -180,6 +196,15 @@
 // end lists the end of a run. The caller holds the lock.
 func (s *server) end(r *taskRun, how string) {
 	delete(s.runs, r.task)
+	if r.gang > 0 && how != "done" && how != "broken" {
+		// The other members end with it.
+		group := r.task[:strings.LastIndex(r.task, ".")]
+		for _, other := range s.runs {
+			if other.number == r.number && strings.HasPrefix(other.task, group+".") {
+				s.end(other, "broken")
+			}
+		}
+	}
 	s.highest[r.task] = max(s.highest[r.task], r.number)
 	s.endCount++
 	s.ended = append(s.ended, []any{s.endCount, r.task, r.number, how, ""})
@@ -199,6 +224,9 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	delay := s.w.delayTo(s)
+	time.Sleep(delay)
+	defer time.Sleep(delay)
 	var o order
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -286,10 +314,32 @@
 		}
 	}
 	s.runs[o.Task] = run
+	if run.gang = s.w.gang(o.Task); run.gang > 0 {
+		s.gather(run)
+	}
 	s.w.runBegan(s, run, from)
 	return http.StatusOK, ""
 }
 
+// gather lets a gang work once all of its tasks are there. The caller holds the
+// lock.
+func (s *server) gather(run *taskRun) {
+	run.waits = true
+	group := run.task[:strings.LastIndex(run.task, ".")]
+	var members []*taskRun
+	for _, r := range s.runs {
+		if r.number == run.number && strings.HasPrefix(r.task, group+".") {
+			members = append(members, r)
+		}
+	}
+	if len(members) < run.gang {
+		return
+	}
+	for _, r := range members {
+		r.waits, r.began = false, time.Now()
+	}
+}
+
 // extend makes the lease longer, never shorter. The caller holds the lock.
 func (s *server) extend(deadline time.Duration) {
 	s.lease = max(s.lease, min(deadline, time.Since(s.born)+holdMax))
@@ -327,11 +377,14 @@
 	s.settle()
 	active, finished := [][]any{}, [][]any{}
 	for _, run := range s.runs {
-		percent := int(min(99, 100*time.Since(run.began)/max(run.works, 1)))
+		percent := 0
+		if !run.waits {
+			percent = int(min(99, 100*time.Since(run.began)/max(run.works, 1)))
+		}
 		active = append(active, []any{run.task, run.number, "", percent, run.room.CPU})
 	}
 	finished = append(finished, s.ended[:min(500, len(s.ended))]...)
-	body := map[string]any{"clockMs": time.Since(s.born).Milliseconds(), "born": s.born.UnixMilli(), "active": active, "finished": finished}
+	body := map[string]any{"clockMs": time.Since(s.born).Milliseconds(), "born": s.born.Add(s.aheadAtStart).UnixMilli(), "active": active, "finished": finished}
 	s.mu.Unlock()
 	reply(w, http.StatusOK, body)
 }
--- a/review/_rig/taskburst.go
+++ b/review/_rig/taskburst.go
@@ -8,11 +8,12 @@
 )
 
 // Sizes of the burst. Its tasks together are as many as the brief wants to have
-// at work, and use under half of the servers' room.
+// at work, and use under half of the servers' room. A spec has 3,809 bytes.
 const (
-	burstJobs        = 20
-	burstTasks       = 2850
-	burstTasksCalm   = 30
+	burstJobs        = 3
+	burstSteps       = 5
+	burstTasks       = 3800
+	burstTasksCalm   = 40
 	endsOfOneProcess = 3
 )
 
@@ -41,7 +42,11 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			if w.submit("recalc", tenants[1].key, "ms=60000", step{Count: tasks, CPU: 50, Mem: 64, EstimateMs: 60_000}) != "" {
+			steps := make([]step, burstSteps)
+			for i := range steps {
+				steps[i] = step{Count: tasks, CPU: 50, Mem: 64, EstimateMs: 600_000}
+			}
+			if w.submit("recalc", tenants[1].key, "ms=600000"+strings.Repeat(" x", 1900), steps...) != "" {
 				mu.Lock()
 				accepted++
 				mu.Unlock()
@@ -49,9 +54,9 @@
 		}()
 	}
 	clients.Wait()
-	w.rec("%d of the %d jobs of the burst were accepted, %d tasks", accepted, burstJobs, accepted*tasks)
+	w.rec("%d of the %d jobs of the burst were accepted, %d tasks", accepted, burstJobs, accepted*burstSteps*tasks)
 	var ordinary []string
-	for i := range 85 {
+	for i := range 100 {
 		time.Sleep(time.Second)
 		var line []string
 		often := 0
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -25,11 +25,10 @@
 	queueHost   = "jobs.example"
 	maxRowBytes = 65_536
 	beat        = 1500 * time.Millisecond
+	gangTimeout = 3 * time.Second
 	holdMax     = 10 * time.Second
 	stopTime    = 300 * time.Millisecond
 	memoryMb    = 284
-	// restartDelay is how soon the platform starts a process that has ended.
-	restartDelay = time.Second
 )
 
 // runInfo is a run as the servers saw it.
@@ -59,9 +58,14 @@
 
 	mu    sync.Mutex
 	needs map[string]room // by job and step
-	runs  []*runInfo
-	open  map[*taskRun]*runInfo
-	quiet bool
+	gangs map[string]int
+	// far is the time that a call between two zones takes one way.
+	far  time.Duration
+	runs []*runInfo
+	// restartDelay is how soon the platform starts a process that has ended.
+	restartDelay time.Duration
+	open         map[*taskRun]*runInfo
+	quiet        bool
 }
 
 func newWorld(record string) (*world, error) {
@@ -73,13 +77,32 @@
 	if err != nil {
 		return nil, err
 	}
+	number, err := reserveNet()
+	if err != nil {
+		return nil, err
+	}
 	w := &world{
-		dir: dir, net: byte(16 + rand.IntN(200)), began: time.Now(), store: newStore(), record: f,
-		zones: []string{"tn-charguia", "sf-thyna", "ss-sahloul"}, needs: map[string]room{}, open: map[*taskRun]*runInfo{},
+		dir: dir, net: number, began: time.Now(), store: newStore(), record: f, restartDelay: 2 * time.Second,
+		zones: []string{"tn-charguia", "sf-thyna", "ss-sahloul"}, needs: map[string]room{}, gangs: map[string]int{}, open: map[*taskRun]*runInfo{},
 	}
 	return w, nil
 }
 
+// metricsPort is the port of the metrics in the deploy file.
+const metricsPort = 9464
+
+// reserveNet returns the second number of loopback addresses that no other play
+// uses. It keeps a listener there until the process ends.
+func reserveNet() (byte, error) {
+	for range 50 {
+		number := byte(16 + rand.IntN(200))
+		if _, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:%d", number, metricsPort)); err == nil {
+			return number, nil
+		}
+	}
+	return 0, fmt.Errorf("port %d is taken", metricsPort)
+}
+
 // rec writes a line to the record.
 func (w *world) rec(format string, args ...any) {
 	w.recMu.Lock()
@@ -97,11 +120,15 @@
 	return listener.Addr().String(), nil
 }
 
-// addServers adds servers that are powered on, eight a rack.
+// addServers adds servers that are powered on, eight a rack; with far, a rack
+// stands in one zone.
 func (w *world) addServers(n int, kind string, capacity room) error {
 	for range n {
 		i := len(w.servers)
 		s := &server{w: w, id: fmt.Sprintf("s%04x%04x", rand.IntN(1<<16), i), zone: w.zones[i%len(w.zones)], rack: fmt.Sprintf("r%d", i/8), capacity: capacity}
+		if w.far > 0 {
+			s.rack = "r-" + s.zone
+		}
 		var err error
 		if s.address, err = w.serve(fmt.Sprintf("127.%d.200.1", w.net), s); err != nil {
 			return err
@@ -123,6 +150,32 @@
 	return w.needs[fields[0]+"."+fields[2]]
 }
 
+// gang returns how many tasks the gang of the task has, 0 if it is in none.
+func (w *world) gang(task string) int {
+	fields := strings.Split(task, ".")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gangs[fields[0]+"."+fields[2]]
+}
+
+// delayTo returns how long a call of the holder takes to the server, one way.
+func (w *world) delayTo(s *server) time.Duration {
+	h := w.holder()
+	if w.far == 0 || h == nil || h.zone == s.zone {
+		return 0
+	}
+	return w.far
+}
+
+// holder returns the host that the lease row names, nil if there is none.
+func (w *world) holder() *host {
+	w.store.mu.Lock()
+	row := w.store.rows[[3]string{"fleet_lease", "main", "holder"}]
+	w.store.mu.Unlock()
+	row.Table = "fleet_lease"
+	return w.writer([]storeRow{row})
+}
+
 func (w *world) runBegan(s *server, r *taskRun, from string) {
 	info := &runInfo{task: r.task, number: r.number, server: s, id: s.id, kind: s.kind, began: r.began}
 	w.mu.Lock()
@@ -162,6 +215,19 @@
 	return out
 }
 
+// runsAt returns the runs that a server has begun.
+func (w *world) runsAt(s *server) []*runInfo {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*runInfo
+	for _, r := range w.runs {
+		if r.server == s {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // tenant is a tenant of the configuration.
 type tenant struct {
 	name, key string
@@ -298,7 +364,7 @@
 	if h.stopped {
 		return nil
 	}
-	cmd := exec.Command("target/primrosespar", "fleet", "--metrics-port", "9464")
+	cmd := exec.Command("target/primrosespar", "fleet", "--metrics-port", strconv.Itoa(metricsPort))
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "PRIMROSESPAR_SETTINGS=" + h.settings}
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	if err := cmd.Start(); err != nil {
@@ -337,7 +403,7 @@
 	h.mu.Unlock()
 	if again {
 		h.w.rec("the process of %s has ended: %v", h.name, err)
-		time.Sleep(restartDelay)
+		time.Sleep(h.w.restartDelay)
 		h.mu.Lock()
 		again = h.wanted
 		h.mu.Unlock()
@@ -471,6 +537,7 @@
 	GPU        int    `json:"gpu,omitempty"`
 	EstimateMs int    `json:"estimateMs,omitempty"`
 	Label      string `json:"requiredLabel,omitempty"`
+	Gang       bool   `json:"gang,omitempty"`
 }
 
 // newID returns an ID of a job.
@@ -483,6 +550,9 @@
 	w.mu.Lock()
 	for i, s := range steps {
 		w.needs[fmt.Sprintf("%s.%d", id, i)] = room{s.CPU, s.Mem, s.GPU}
+		if s.Gang {
+			w.gangs[fmt.Sprintf("%s.%d", id, i)] = s.Count
+		}
 	}
 	w.mu.Unlock()
 	body, err := json.Marshal(map[string]any{"spec": spec, "steps": steps})
